--- /dev/null
+++ b/internal/control/reducer/event.go
@@ -0,0 +1,203 @@
+package reducer
+
+import (
+	"encoding/json"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+)
+
+// Event is anything that changes the control state.
+type Event interface{ event() }
+
+// Tick lets time pass. Every event carries the time by the Now of the latest
+// Tick before it.
+type Tick struct{ Now time.Time }
+
+// Configured delivers a configuration; a revision that is not greater than
+// the one in force is ignored.
+type Configured struct{ Configuration describer.Configuration }
+
+// HostsListed delivers the host list.
+type HostsListed struct{ Hosts []describer.Host }
+
+// PeersChanged delivers the entry hosts of all failure domains that membership believes to be alive,
+// this one included.
+type PeersChanged struct{ Alive []Peer }
+
+// Peer is an entry host as membership sees it.
+type Peer struct {
+	Name    string
+	Domain  string
+	Region  string
+	Address string   // for peers, ip:port
+	Shards  []string // that it says it owns
+	Leaving bool
+}
+
+// StoreReached says whether the last store call had an answer.
+type StoreReached struct{ OK bool }
+
+// ShardClaimed says that this daemon owns a shard from now on. Snapshot and
+// Records are the ledger's content; Snapshot may be nil. Suspended is the time by which
+// task leases granted by the former owner have lapsed for certain.
+type ShardClaimed struct {
+	Shard    string
+	Epoch    int64
+	Snapshot []byte
+	Records  []describer.Record
+}
+
+// ClaimFailed says that a claim did not succeed; the reducer tries again.
+type ClaimFailed struct {
+	Shard string
+	Owner string // present owner's name, if known
+}
+
+// ShardLost says that a shard is owned no longer: fenced, lapsed or released.
+type ShardLost struct {
+	Shard string
+	Epoch int64
+}
+
+// Appended says that the records of Append with this Batch are durable.
+type Appended struct {
+	Shard string
+	Epoch int64
+	Batch int64
+}
+
+// Submitted asks to accept a job in Shard, or in its home shard when Shard is empty.
+type Submitted struct {
+	Request RequestID
+	Job     describer.Job
+}
+
+// Cancelled asks to cancel a job.
+type Cancelled struct {
+	Request RequestID
+	Job     string
+}
+
+// Inquired asks for the state of a job.
+type Inquired struct {
+	Request RequestID
+	Job     string
+}
+
+// KeyRequested asks to record that a non-idempotent request is about to be sent.
+type KeyRequested struct {
+	Request RequestID
+	Shard   string
+	Key     string
+	Owner   string // entry host that will send it, with a nonce
+}
+
+// PlanRequested asks for the steps of an intent on the shards owned here.
+type PlanRequested struct {
+	Request RequestID
+	Intent  describer.Intent
+}
+
+// StatusRequested asks for a report on the shards owned here.
+type StatusRequested struct {
+	Request RequestID
+	Worker  string // explain this worker; empty means all, in short
+}
+
+// WorkerSynced is a worker's answer to SyncWorker.
+type WorkerSynced struct {
+	Shard  string
+	Epoch  int64
+	Worker string
+	Sent   time.Time // when the call began; leases run from here
+	Synced runner.Synced
+}
+
+// WorkerFailed says that a SyncWorker had no answer.
+type WorkerFailed struct {
+	Shard  string
+	Epoch  int64
+	Worker string
+	Fenced bool
+}
+
+// StartAnswered is the outcome of StartTask. Err is empty on success.
+type StartAnswered struct {
+	Shard   string
+	Epoch   int64
+	Worker  string
+	Task    describer.TaskID
+	Token   describer.Token
+	Verdict classifier.Verdict
+	Err     string
+}
+
+// StopAnswered is the outcome of StopTask. With Err the run may still be on.
+type StopAnswered struct {
+	Shard   string
+	Epoch   int64
+	Worker  string
+	Task    describer.TaskID
+	Token   describer.Token
+	Stopped runner.Stopped
+	Err     string
+}
+
+// Proposed is the outcome of a Propose effect; the new configuration follows
+// as Configured.
+type Proposed struct {
+	Drain  string
+	Worker string
+	OK     bool
+}
+
+// StopRequested begins a planned stop: no claims, shards are released.
+type StopRequested struct{}
+
+func (Tick) event()            {}
+func (Configured) event()      {}
+func (HostsListed) event()     {}
+func (PeersChanged) event()    {}
+func (StoreReached) event()    {}
+func (ShardClaimed) event()    {}
+func (ClaimFailed) event()     {}
+func (ShardLost) event()       {}
+func (Appended) event()        {}
+func (Submitted) event()       {}
+func (Cancelled) event()       {}
+func (Inquired) event()        {}
+func (KeyRequested) event()    {}
+func (PlanRequested) event()   {}
+func (StatusRequested) event() {}
+func (WorkerSynced) event()    {}
+func (WorkerFailed) event()    {}
+func (StartAnswered) event()   {}
+func (StopAnswered) event()    {}
+func (Proposed) event()        {}
+func (StopRequested) event()   {}
+
+// RequestID ties a Reply to the event that asked for it; 0 wants no reply.
+type RequestID uint64
+
+// JobStatus is the Reply to Submitted, Cancelled and Inquired.
+type JobStatus struct {
+	Job     string            `json:"job"`
+	Shard   string            `json:"shard"`
+	State   string            `json:"state"` // accepted, running, done, cancelled, failed
+	Pending int               `json:"pending"`
+	Started int               `json:"started"`
+	Done    int               `json:"done"`
+	Failed  int               `json:"failed"`
+	Ran     bool              `json:"ran"` // some task may have run
+	Reason  string            `json:"reason,omitempty"`
+	Results []json.RawMessage `json:"results,omitempty"` // by task index, once done
+}
+
+// KeyClaim is the Reply to KeyRequested.
+type KeyClaim struct {
+	Fresh bool   `json:"fresh"` // false: claimed before, by Owner
+	Owner string `json:"owner"`
+}
--- /dev/null
+++ b/internal/operator/parser/parser.go
@@ -0,0 +1,2 @@
+// Package parser reads and checks settings in JSON with comments.
+package parser
--- /dev/null
+++ b/internal/platform/runner/runner.go
@@ -0,0 +1,122 @@
+// Package runner is the client of the worker interface, through which the
+// owner of a shard starts, renews, throttles and stops tasks.
+//
+// # Fencing
+//
+// Each call carries the epoch of the shard's ownership. A worker remembers the
+// highest epoch it has seen and refuses lower ones with ErrFenced, so a former
+// owner has no effect after its successor's first call.
+package runner
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+// Refusals by a worker, found with errors.Is; verdict NotRun.
+var (
+	ErrFenced = errors.New("runner: epoch or token is too old")
+	ErrFull   = errors.New("runner: worker lacks the resources")
+)
+
+// Start asks for one run of a task. Repeating it with the same token is
+// idempotent.
+type Start struct {
+	Task       describer.TaskID    `json:"task"`
+	Token      describer.Token     `json:"token"`
+	Class      string              `json:"class"`
+	Kind       describer.Kind      `json:"kind"`
+	Granted    describer.Resources `json:"granted"` // enforced by throttling
+	Lease      time.Duration       `json:"lease"`   // the worker stops the task when it lapses
+	RunTime    time.Duration       `json:"runtime"` // declared
+	Checkpoint string              `json:"checkpoint,omitempty"`
+	Payload    json.RawMessage     `json:"payload,omitempty"`
+}
+
+// Stop asks for the end of a run.
+type Stop struct {
+	Task       describer.TaskID `json:"task"`
+	Token      describer.Token  `json:"token"`
+	Checkpoint bool             `json:"checkpoint"` // save progress first
+}
+
+// Stopped is the answer: the run is over, and no run under this or a lower
+// token will begin on this worker.
+type Stopped struct {
+	Ran        bool            `json:"ran"`      // it had begun
+	Finished   bool            `json:"finished"` // it had completed before the stop
+	Checkpoint string          `json:"checkpoint,omitempty"`
+	Result     json.RawMessage `json:"result,omitempty"`
+}
+
+// Throttle sets the processor grant of a run.
+type Throttle struct {
+	Task  describer.TaskID `json:"task"`
+	Token describer.Token  `json:"token"`
+	CPU   int64            `json:"cpu"` // millicores
+}
+
+// Run names one run of a task.
+type Run struct {
+	Task  describer.TaskID `json:"task"`
+	Token describer.Token  `json:"token"`
+}
+
+// Sync renews leases in bulk and exchanges state: one call a worker and
+// interval. It raises the worker's epoch.
+type Sync struct {
+	Shard string        `json:"shard"`
+	Epoch int64         `json:"epoch"`
+	Lease time.Duration `json:"lease"`
+	Renew []Run         `json:"renew,omitempty"` // runs to keep; others keep their remaining lease
+	Ack   []Run         `json:"ack,omitempty"`   // finished runs whose end is durable; the worker forgets them
+}
+
+// Synced is the worker's inventory.
+type Synced struct {
+	Capacity describer.Resources `json:"capacity"`
+	Running  []Running           `json:"running"`
+	Finished []Finished          `json:"finished"` // kept until acknowledged
+	Latency  []Latency           `json:"latency"`  // lagging reports
+}
+
+// Running is a run in progress with its lagging usage.
+type Running struct {
+	Run
+	Granted  describer.Resources `json:"granted"`
+	Used     describer.Resources `json:"used"`
+	Progress float64             `json:"progress"` // 0 to 1
+}
+
+// Finished is a run that ended by itself or by a lapsed lease.
+type Finished struct {
+	Run
+	OK         bool            `json:"ok"`
+	Lapsed     bool            `json:"lapsed"` // lease ended; Checkpoint holds what was saved
+	Result     json.RawMessage `json:"result,omitempty"`
+	Reason     string          `json:"reason,omitempty"`
+	Checkpoint string          `json:"checkpoint,omitempty"`
+}
+
+// Latency is what a service's requests took on the worker in a past interval.
+type Latency struct {
+	Service string        `json:"service"`
+	From    time.Time     `json:"from"`
+	To      time.Time     `json:"to"`
+	P99     time.Duration `json:"p99"`
+	Count   int64         `json:"count"`
+	Load    float64       `json:"load"` // share of slots in use, 0 to 1
+}
+
+// Worker is the interface to all workers; address is Host.Control. Failures
+// are *classifier.Error values.
+type Worker interface {
+	Start(ctx context.Context, address string, s Start) error
+	Stop(ctx context.Context, address string, s Stop) (Stopped, error)
+	Throttle(ctx context.Context, address string, t Throttle) error
+	Sync(ctx context.Context, address string, s Sync) (Synced, error)
+}
