--- a/internal/control/describer/host.go
+++ b/internal/control/describer/host.go
@@ -54,6 +54,7 @@
 	Revision int64                // of the configuration it was made from
 	Services map[string][]Backend // by service, sorted by worker name
 	Owners   map[string]string    // shard to the control address of its owner, as far as known
+	Owned    map[string]int64     // shards owned by this daemon, with the epoch
 	Ready    bool                 // whether this daemon may serve
 }
 
