operator/parser: settings with every fault and its place

JSON with comments is walked against the Go type, so unknown keys, wrong types, ranges and duplicate addresses are all listed in one pass. Decoding with encoding/json was ruled out: it stops at the first fault and gives no line.

--- /dev/null
+++ b/internal/operator/parser/checker.go
@@ -0,0 +1,149 @@
+package parser
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// Defaults returns the settings that hold where a file is silent.
+func Defaults() Settings {
+	return Settings{
+		Platform: Platform{Timeout: Duration(2 * time.Second)},
+		Lease: Lease{
+			Shard:  Duration(6 * time.Second),
+			Task:   Duration(20 * time.Second),
+			Margin: Duration(2 * time.Second),
+			Sync:   Duration(2 * time.Second),
+		},
+		Traffic: Traffic{
+			Queue:      256,
+			Body:       16 << 20,
+			Deadline:   Duration(10 * time.Second),
+			Silence:    Duration(3 * time.Second),
+			Budget:     0.1,
+			Link:       2_500_000,
+			DrainLimit: Duration(30 * time.Second),
+		},
+		Log: Log{Level: "info"},
+	}
+}
+
+// Read decodes and checks a daemon's settings. The error is of type FaultErrors and
+// lists everything that is wrong.
+func Read(source []byte) (Settings, error) {
+	s := Defaults()
+	d := Decode(source, &s)
+	if len(d.Faults) == 1 && len(d.places) == 0 {
+		return s, d.Faults // not even JSON; checks of missing keys would be noise
+	}
+	d.checkIdentity(s)
+	d.checkAddresses(s)
+	d.checkPlatform(s.Platform)
+	d.checkLease(s.Lease)
+	d.checkTraffic(s.Traffic)
+	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
+		d.Fault("log.level", "must be debug, info, warn or error, is %q", s.Log.Level)
+	}
+	return s, d.Faults.sorted()
+}
+
+func (d *Document) checkIdentity(s Settings) {
+	for _, f := range []struct{ path, value string }{
+		{"name", s.Name}, {"domain", s.Domain}, {"region", s.Region},
+	} {
+		if f.value == "" && !d.hasFault(f.path) {
+			d.Fault(f.path, "is missing")
+		}
+	}
+}
+
+func (d *Document) checkAddresses(s Settings) {
+	seen := make(map[string]string)
+	check := func(path, address string) {
+		if d.hasFault(path) {
+			return
+		}
+		if address == "" {
+			d.Fault(path, "is missing")
+			return
+		}
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			d.Fault(path, "must be an IP number and port such as 10.0.0.1:7000, is %q", address)
+			return
+		}
+		if first, ok := seen[address]; ok {
+			d.Fault(path, "%s stands at %s already", address, first)
+			return
+		}
+		seen[address] = path
+	}
+	check("listen.callers", s.Listen.Callers)
+	check("listen.peers", s.Listen.Peers)
+	check("listen.operators", s.Listen.Operators)
+	for i, peer := range s.Peers {
+		check(fmt.Sprintf("peers[%d]", i), peer)
+	}
+}
+
+func (d *Document) checkPlatform(p Platform) {
+	for _, f := range []struct{ path, value string }{
+		{"platform.store", p.Store}, {"platform.hosts", p.Hosts},
+	} {
+		u, err := url.Parse(f.value)
+		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			d.Fault(f.path, "must be a URL such as http://10.0.0.1:7000, is %q", f.value)
+		}
+	}
+	d.between("platform.timeout", p.Timeout, 10*time.Millisecond, time.Minute)
+}
+
+func (d *Document) checkLease(l Lease) {
+	d.between("lease.shard", l.Shard, 100*time.Millisecond, 5*time.Minute)
+	d.between("lease.task", l.Task, 100*time.Millisecond, time.Hour)
+	d.between("lease.margin", l.Margin, 0, time.Minute)
+	d.between("lease.sync", l.Sync, 10*time.Millisecond, time.Minute)
+	if l.Sync*3 > l.Task {
+		d.Fault("lease.sync", "must be at most a third of lease.task (%s), is %s", l.Task, l.Sync)
+	}
+}
+
+func (d *Document) checkTraffic(t Traffic) {
+	if t.Queue < 1 || t.Queue > 100_000 {
+		d.Fault("traffic.queue", "must be 1 to 100000 requests, is %d", t.Queue)
+	}
+	if t.Body < 1 || t.Body > 1<<40 {
+		d.Fault("traffic.body", "must be 1 to %d bytes, is %d", int64(1)<<40, t.Body)
+	}
+	if t.Budget < 0 || t.Budget > 1 {
+		d.Fault("traffic.budget", "must be a share from 0 to 1, is %g", t.Budget)
+	}
+	if t.Link < 0 {
+		d.Fault("traffic.link", "must not be negative, is %d bytes a second", t.Link)
+	}
+	d.between("traffic.deadline", t.Deadline, time.Millisecond, time.Hour)
+	d.between("traffic.silence", t.Silence, 10*time.Millisecond, time.Hour)
+	d.between("traffic.drainlimit", t.DrainLimit, 0, time.Hour)
+}
+
+// between checks a range unless the value could not be read at all.
+func (d *Document) between(path string, value Duration, low, high time.Duration) {
+	if d.hasFault(path) {
+		return
+	}
+	if time.Duration(value) < low || time.Duration(value) > high {
+		d.Fault(path, "must be %s to %s, is %s", low, high, value)
+	}
+}
+
+func (d *Document) hasFault(path string) bool {
+	for _, f := range d.Faults {
+		if f.Path == path {
+			return true
+		}
+	}
+	return false
+}
