--- a/internal/control/accountant/accountant.go
+++ b/internal/control/accountant/accountant.go
@@ -10,9 +10,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
 )
 
 // Fleet is the capacity accounting of one shard's workers.
@@ -22,13 +26,18 @@
 
 // Worker is the account of one worker.
 type Worker struct {
-	Host    describer.Host
-	Grants  map[describer.TaskID]Grant
-	Granted describer.Resources // sum of Grants
-	Used    describer.Resources // latest lagging report
-	Closed  bool                // draining, drained, leaving or set aside: nothing is placed here
-	Opened  time.Time           // when Closed last became false; gradual restore starts from it
-	Heard   time.Time           // last inventory
+	Host     describer.Host
+	Grants   map[describer.TaskID]Grant
+	Granted  describer.Resources       // sum of Grants
+	Reserved describer.Resources       // kept for the backend server, never granted
+	Used     describer.Resources       // latest lagging report
+	Reports  map[string]runner.Latency // latest lagging report by service
+	Closed   bool                      // draining, drained, leaving or set aside: nothing is placed here
+	Opened   time.Time                 // when Closed last became false; gradual restore starts from it
+	KeepOff  time.Time                 // no batch task is placed before this time
+	Limited  bool                      // restoring: batch grants stay within Limit
+	Limit    int64                     // millicores of batch grants while Limited
+	Heard    time.Time                 // last inventory
 }
 
 // Grant is what one run holds.
@@ -39,11 +48,84 @@
 	Kind      describer.Kind
 	Priority  describer.Priority
 	Resources describer.Resources
+	Used      describer.Resources // latest lagging report
+	Progress  float64             // latest lagging report, 0 to 1
+	HomeTo    string              // drained worker that the task is owed back to, or empty
 	Since     time.Time
 }
 
-// Free returns the capacity that is not granted.
-func (w *Worker) Free() describer.Resources { return w.Host.Capacity.Sub(w.Granted) }
+// Names returns the workers' names in order.
+func (f *Fleet) Names() []string { return slices.Sorted(maps.Keys(f.Workers)) }
+
+// Clone returns a copy whose grants can be changed independently.
+func (w *Worker) Clone() *Worker {
+	c := *w
+	c.Grants = maps.Clone(w.Grants)
+	c.Reports = maps.Clone(w.Reports)
+	return &c
+}
+
+// Free returns the capacity that is neither granted nor reserved.
+func (w *Worker) Free() describer.Resources {
+	return w.Host.Capacity.Sub(w.Granted).Sub(w.Reserved)
+}
+
+// Room returns what a new batch grant may take: Free, within Limit while the
+// worker is being restored, and nothing while it is closed.
+func (w *Worker) Room() describer.Resources {
+	if w.Closed {
+		return describer.Resources{}
+	}
+	free := w.Free()
+	if w.Limited {
+		free.CPU = min(free.CPU, w.Limit-w.BatchCPU())
+	}
+	return free
+}
+
+// BatchCPU returns the millicores granted to batch tasks.
+func (w *Worker) BatchCPU() int64 {
+	var sum int64
+	for _, g := range w.Grants {
+		if g.Kind == describer.Batch {
+			sum += g.Resources.CPU
+		}
+	}
+	return sum
+}
+
+// Tasks returns the tasks that hold grants, ordered by job and index.
+func (w *Worker) Tasks() []describer.TaskID {
+	return slices.SortedFunc(maps.Keys(w.Grants), compareTasks)
+}
+
+// Shares returns for each class of batch tasks the share of the worker's
+// processors, 0 to 1, that its grants hold.
+func (w *Worker) Shares() map[string]float64 {
+	if w.Host.Capacity.CPU <= 0 {
+		return nil
+	}
+	sums := make(map[string]int64)
+	for _, g := range w.Grants {
+		if g.Kind == describer.Batch {
+			sums[g.Class] += g.Resources.CPU
+		}
+	}
+	shares := make(map[string]float64, len(sums))
+	for class, cpu := range sums {
+		shares[class] = float64(cpu) / float64(w.Host.Capacity.CPU)
+	}
+	return shares
+}
+
+// Load returns the greatest share of slots in use that a service reported.
+func (w *Worker) Load() float64 {
+	load := 0.0
+	for _, r := range w.Reports {
+		load = max(load, r.Load)
+	}
+	return load
+}
 
 // Hold adds a grant. It returns an error and changes nothing if the grant does not fit or
 // the task holds one already.
@@ -62,6 +144,24 @@
 	return nil
 }
 
+// Resize changes the task's grant if it is of the given token. It returns an
+// error and changes nothing if there is no such grant or the new one does not
+// fit.
+func (w *Worker) Resize(task describer.TaskID, token describer.Token, to describer.Resources) error {
+	g, ok := w.Grants[task]
+	if !ok || g.Token != token {
+		return fmt.Errorf("accountant: %s holds no grant under this token on %s", task, w.Host.Name)
+	}
+	more := to.Sub(g.Resources)
+	if !fitsGrowth(more, w.Free()) {
+		return fmt.Errorf("accountant: %s does not fit on %s at its new size", task, w.Host.Name)
+	}
+	g.Resources = to
+	w.Grants[task] = g
+	w.Granted = w.Granted.Add(more)
+	return nil
+}
+
 // Drop removes the task's grant if it is of the given token.
 func (w *Worker) Drop(task describer.TaskID, token describer.Token) {
 	g, ok := w.Grants[task]
@@ -71,3 +171,18 @@
 	delete(w.Grants, task)
 	w.Granted = w.Granted.Sub(g.Resources)
 }
+
+// fitsGrowth is like Fits, but components that shrink always fit: an
+// overcommitted worker, whose capacity fell, may still be relieved.
+func fitsGrowth(more, free describer.Resources) bool {
+	return (more.CPU <= 0 || more.CPU <= free.CPU) &&
+		(more.Memory <= 0 || more.Memory <= free.Memory) &&
+		(more.Accelerators <= 0 || more.Accelerators <= free.Accelerators)
+}
+
+func compareTasks(a, b describer.TaskID) int {
+	if c := strings.Compare(a.Job, b.Job); c != 0 {
+		return c
+	}
+	return a.Index - b.Index
+}
--- /dev/null
+++ b/internal/control/escalator/escalator.go
@@ -0,0 +1,173 @@
+// Package escalator decides what to do on a worker whose services miss their
+// latency targets because of colocated batch tasks.
+//
+// # Steps
+//
+// The steps, in rising cost, are: keep new batch tasks off, throttle, move
+// (checkpoint and resume elsewhere), stop (without waiting for a checkpoint).
+// [Decide] takes the cheapest step that is expected to restore the target,
+// waits until late reports can show its effect, and only then goes on. Moves
+// and stops are taken from a [Budget]. Reports are smoothed, and the bound at
+// which steps are undone is lower than the one at which they are taken, so
+// that noise does not cause a swing.
+//
+//	for _, action := range escalator.Decide(input) {
+//		// carry out
+//	}
+package escalator
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/accountant"
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/learner"
+)
+
+// Kind is the kind of an action.
+type Kind uint8
+
+// Kinds of action, in rising cost; Raise undoes a throttle.
+const (
+	Raise Kind = iota
+	KeepOff
+	Throttle
+	Move
+	Stop
+)
+
+func (k Kind) String() string {
+	switch k {
+	case Raise:
+		return "raise"
+	case KeepOff:
+		return "keep-off"
+	case Throttle:
+		return "throttle"
+	case Move:
+		return "move"
+	case Stop:
+		return "stop"
+	}
+	return fmt.Sprintf("kind(%d)", uint8(k))
+}
+
+// Action is one thing to do on the worker.
+type Action struct {
+	Kind  Kind
+	Task  describer.TaskID // all but KeepOff
+	Token describer.Token  // of the run
+	CPU   int64            // Raise, Throttle: new grant in millicores
+	Until time.Time        // KeepOff
+	Why   string
+}
+
+// Input is what a decision is made from. State and Budget are changed.
+type Input struct {
+	Now      time.Time
+	Worker   *accountant.Worker
+	Services map[string]describer.Service // by name
+	Learner  *learner.Learner
+	State    *State  // of the worker, kept between calls
+	Budget   *Budget // shared by the shard's workers
+	Options  Options
+}
+
+// Options tune the decisions. Zero fields take defaults.
+type Options struct {
+	Enter  float64       // share of the target above which steps are taken
+	Leave  float64       // share of the target below which they are undone
+	Settle time.Duration // between steps, longer than the lag of reports
+	Weight float64       // of the newest report in the smoothed latency
+	Floor  float64       // share of its grant that a throttled task keeps
+	Blame  float64       // relative slow-down by batch below which batch is not to blame
+}
+
+func (o Options) orDefault() Options {
+	set := func(v *float64, otherwise float64) {
+		if *v == 0 {
+			*v = otherwise
+		}
+	}
+	set(&o.Enter, 1)
+	set(&o.Leave, 0.85)
+	set(&o.Weight, 0.3)
+	set(&o.Floor, 0.5)
+	set(&o.Blame, 0.03)
+	if o.Settle == 0 {
+		o.Settle = 45 * time.Second
+	}
+	return o
+}
+
+// State is what is remembered about one worker. Its zero value is ready to use.
+type State struct {
+	Services  map[string]*Smoothed
+	Throttled map[describer.TaskID]int64 // grant before throttling, millicores
+	Acted     time.Time                  // last step or undoing
+	Level     Kind                       // of the last step; Raise when at rest
+}
+
+// Smoothed is the smoothed latency of one service.
+type Smoothed struct {
+	Log  float64 // logarithm of the 99th percentile as a share of the target
+	Last time.Time
+}
+
+// Decide returns what to do on the worker now, or nothing.
+func Decide(in Input) []Action {
+	in.Options = in.Options.orDefault()
+	in.State.take(in)
+	service, ratio := in.State.worst()
+	switch {
+	case service == "":
+		return nil
+	case ratio > in.Options.Enter:
+		return escalate(in, service, ratio)
+	case ratio < in.Options.Leave:
+		return relax(in)
+	}
+	return nil
+}
+
+// take smooths the reports that are new.
+func (s *State) take(in Input) {
+	if s.Services == nil {
+		s.Services = make(map[string]*Smoothed)
+		s.Throttled = make(map[describer.TaskID]int64)
+	}
+	for task := range s.Throttled {
+		if _, ok := in.Worker.Grants[task]; !ok {
+			delete(s.Throttled, task)
+		}
+	}
+	for name, report := range in.Worker.Reports {
+		target := in.Services[name].Target
+		if target <= 0 || report.P99 <= 0 || report.Count <= 0 {
+			continue
+		}
+		value := math.Log(report.P99.Seconds() / target.Seconds())
+		old := s.Services[name]
+		if old == nil {
+			s.Services[name] = &Smoothed{value, report.To}
+			continue
+		}
+		if report.To.After(old.Last) {
+			old.Log += in.Options.Weight * (value - old.Log)
+			old.Last = report.To
+		}
+	}
+}
+
+// worst returns the service with the highest share of its target.
+func (s *State) worst() (service string, ratio float64) {
+	for name, v := range s.Services {
+		r := math.Exp(v.Log)
+		if r > ratio || r == ratio && name < service {
+			service, ratio = name, r
+		}
+	}
+	return service, ratio
+}
--- /dev/null
+++ b/internal/control/escalator/step.go
@@ -0,0 +1,157 @@
+package escalator
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+// suspect is a batch task with its part in the slow-down of a service.
+type suspect struct {
+	task  describer.TaskID
+	coeff float64 // log slow-down for all of the worker's processors
+	cpu   int64   // granted, millicores
+	slow  float64 // log slow-down at its grant
+}
+
+// escalate takes the next step.
+func escalate(in Input, service string, ratio float64) []Action {
+	actions := []Action{{
+		Kind:  KeepOff,
+		Until: in.Now.Add(2 * in.Options.Settle),
+		Why:   fmt.Sprintf("%s is at %.0f %% of its target", service, 100*ratio),
+	}}
+	if in.Now.Sub(in.State.Acted) < in.Options.Settle {
+		return actions
+	}
+	suspects := suspectsOf(in, service)
+	total := 0.0
+	for _, s := range suspects {
+		total += s.slow
+	}
+	if math.Expm1(total) < in.Options.Blame {
+		return actions // without batch tasks it would be as slow
+	}
+	need := math.Log(ratio / in.Options.Enter)
+	throttles, gain := throttle(in, suspects, service)
+	if len(throttles) > 0 && (gain >= need || in.State.Level < Throttle) {
+		return in.State.acted(in.Now, Throttle, append(actions, throttles...))
+	}
+	kind := Move
+	if in.State.Level >= Move && ratio > 2*in.Options.Enter {
+		kind = Stop
+	}
+	evictions := evict(in, suspects, kind, need, service)
+	if len(evictions) == 0 {
+		return append(actions, throttles...)
+	}
+	return in.State.acted(in.Now, kind, append(actions, evictions...))
+}
+
+// relax undoes throttles, one task at a time, the largest first.
+func relax(in Input) []Action {
+	if in.Now.Sub(in.State.Acted) < 2*in.Options.Settle {
+		return nil
+	}
+	var best describer.TaskID
+	missing := int64(0)
+	for _, task := range in.Worker.Tasks() {
+		before, ok := in.State.Throttled[task]
+		if !ok {
+			continue
+		}
+		if m := before - in.Worker.Grants[task].Resources.CPU; m > missing {
+			best, missing = task, m
+		}
+	}
+	if missing == 0 {
+		in.State.Level = Raise
+		clear(in.State.Throttled)
+		return nil
+	}
+	missing = min(missing, in.Worker.Free().CPU)
+	if missing <= 0 {
+		return nil
+	}
+	g := in.Worker.Grants[best]
+	delete(in.State.Throttled, best)
+	return in.State.acted(in.Now, Raise, []Action{{
+		Kind: Raise, Task: best, Token: g.Token, CPU: g.Resources.CPU + missing,
+		Why: "services are within their targets again",
+	}})
+}
+
+func (s *State) acted(now time.Time, level Kind, actions []Action) []Action {
+	s.Acted = now
+	s.Level = level
+	return actions
+}
+
+// suspectsOf returns the batch tasks, those with the greatest part in the
+// slow-down of the service first.
+func suspectsOf(in Input, service string) []suspect {
+	load := in.Worker.Reports[service].Load
+	capacity := float64(max(in.Worker.Host.Capacity.CPU, 1))
+	var out []suspect
+	for _, task := range in.Worker.Tasks() {
+		g := in.Worker.Grants[task]
+		if g.Kind != describer.Batch {
+			continue
+		}
+		mean := 0.3
+		if in.Learner != nil {
+			mean, _ = in.Learner.Estimate(service, g.Class, load)
+		}
+		slow := max(mean, 0) * float64(g.Resources.CPU) / capacity
+		out = append(out, suspect{task, mean, g.Resources.CPU, slow})
+	}
+	slices.SortStableFunc(out, func(a, b suspect) int { return cmp.Compare(b.slow, a.slow) })
+	return out
+}
+
+// throttle lowers the grants of those that matter to the floor, and returns
+// the log slow-down that is won.
+func throttle(in Input, suspects []suspect, service string) (actions []Action, gain float64) {
+	for _, s := range suspects {
+		_, done := in.State.Throttled[s.task]
+		to := int64(float64(s.cpu) * in.Options.Floor)
+		if done || to < 1 || s.slow <= 0 {
+			continue
+		}
+		in.State.Throttled[s.task] = s.cpu
+		gain += s.slow * (1 - in.Options.Floor)
+		actions = append(actions, Action{
+			Kind: Throttle, Task: s.task, Token: in.Worker.Grants[s.task].Token, CPU: to,
+			Why: "slows " + service,
+		})
+	}
+	return actions, gain
+}
+
+// evict picks as few runs as are expected to restore the target, as far as
+// the budget goes. Urgent tasks stay.
+func evict(in Input, suspects []suspect, kind Kind, need float64, service string) []Action {
+	var actions []Action
+	for _, s := range suspects {
+		g := in.Worker.Grants[s.task]
+		if need <= 0 || s.slow <= 0 {
+			break
+		}
+		if g.Priority == describer.Urgent {
+			continue
+		}
+		if in.Budget != nil && !in.Budget.Take(in.Now) {
+			break
+		}
+		need -= s.slow
+		actions = append(actions, Action{
+			Kind: kind, Task: s.task, Token: g.Token,
+			Why: fmt.Sprintf("slows %s, and throttling was not enough", service),
+		})
+	}
+	return actions
+}
--- /dev/null
+++ b/internal/control/learner/model.go
@@ -0,0 +1,155 @@
+package learner
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// Model is the regression of one service and band. Index 0 is the baseline,
+// the others are classes in order of appearance, the last possible one is
+// shared by all further classes.
+type Model struct {
+	Index      map[string]int
+	Seen       map[string]int // reports beside each class
+	Mean       []float64
+	Covariance [][]float64
+	Updated    time.Time
+}
+
+const (
+	baselineDeviation = 1.0  // of the first report's log latency
+	minShare          = 0.01 // a class below this share of processors is not counted as seen
+	clip              = 2.5  // standard deviations beyond which a residual is cut
+)
+
+func newModel(seconds float64) *Model {
+	m := &Model{Index: make(map[string]int), Seen: make(map[string]int)}
+	m.grow(math.Log(seconds), baselineDeviation*baselineDeviation)
+	return m
+}
+
+// observe is one step of a Kalman filter whose state is the coefficients.
+func (m *Model) observe(o Options, s Sample) {
+	m.age(o, s.Latency.To)
+	x := m.regressors(o, s.Shares)
+	px := m.times(x)
+	predicted, variance := 0.0, noise(o, s.Latency.Count)
+	for i, xi := range x {
+		predicted += xi * m.Mean[i]
+		variance += xi * px[i]
+	}
+	residual := math.Log(s.Latency.P99.Seconds()) - predicted
+	limit := clip * math.Sqrt(variance)
+	residual = min(max(residual, -limit), limit)
+	for i := range m.Mean {
+		m.Mean[i] += px[i] / variance * residual
+	}
+	for i := range m.Covariance {
+		for j := range m.Covariance[i] {
+			m.Covariance[i][j] -= px[i] * px[j] / variance
+		}
+	}
+}
+
+// age lets evidence lose its weight: means decay towards the prior and
+// variances grow towards the prior's. The baseline only becomes less certain.
+func (m *Model) age(o Options, now time.Time) {
+	passed := now.Sub(m.Updated)
+	if m.Updated.IsZero() {
+		passed = 0
+	}
+	if passed < 0 {
+		return // a report later than a newer one
+	}
+	m.Updated = now
+	keep := math.Exp2(-passed.Seconds() / o.HalfLife.Seconds())
+	scale := math.Sqrt(keep)
+	for i := range m.Covariance {
+		for j := range m.Covariance[i] {
+			m.Covariance[i][j] *= keep
+		}
+		prior := o.Deviation * o.Deviation
+		if i == 0 {
+			prior = baselineDeviation * baselineDeviation / 4
+		} else {
+			m.Mean[i] = o.Prior + scale*(m.Mean[i]-o.Prior)
+		}
+		m.Covariance[i][i] += (1 - keep) * prior
+	}
+}
+
+// regressors returns the vector of a report and adds unknown classes.
+func (m *Model) regressors(o Options, shares map[string]float64) []float64 {
+	for _, class := range slices.Sorted(maps.Keys(shares)) {
+		if shares[class] < minShare {
+			continue
+		}
+		m.Seen[class]++
+		if _, ok := m.Index[class]; ok {
+			continue
+		}
+		if len(m.Mean) <= o.Classes {
+			m.grow(o.Prior, o.Deviation*o.Deviation)
+		}
+		m.Index[class] = len(m.Mean) - 1
+	}
+	x := make([]float64, len(m.Mean))
+	x[0] = 1
+	for _, class := range slices.Sorted(maps.Keys(shares)) {
+		if i, ok := m.Index[class]; ok {
+			x[i] += shares[class]
+		}
+	}
+	return x
+}
+
+// estimate returns mean and upper bound of the log slow-down.
+func (m *Model) estimate(o Options, shares map[string]float64) (mean, upper float64) {
+	x := make([]float64, len(m.Mean))
+	variance := 0.0
+	for _, class := range slices.Sorted(maps.Keys(shares)) {
+		share := shares[class]
+		i, ok := m.Index[class]
+		if !ok {
+			mean += share * o.Prior
+			variance += share * share * o.Deviation * o.Deviation
+			continue
+		}
+		x[i] += share
+	}
+	px := m.times(x)
+	for i, xi := range x {
+		mean += xi * m.Mean[i]
+		variance += xi * px[i]
+	}
+	return mean, mean + o.Caution*math.Sqrt(max(variance, 0))
+}
+
+func (m *Model) times(x []float64) []float64 {
+	out := make([]float64, len(x))
+	for i, row := range m.Covariance {
+		for j, v := range row {
+			out[i] += v * x[j]
+		}
+	}
+	return out
+}
+
+func (m *Model) grow(mean, variance float64) {
+	for i := range m.Covariance {
+		m.Covariance[i] = append(m.Covariance[i], 0)
+	}
+	m.Mean = append(m.Mean, mean)
+	row := make([]float64, len(m.Mean))
+	row[len(row)-1] = variance
+	m.Covariance = append(m.Covariance, row)
+}
+
+// noise returns the variance of a report; few requests make it noisier.
+func noise(o Options, count int64) float64 {
+	const enough = 200 // requests from which a 99th percentile is as good as it gets
+	scarce := max(1, enough/float64(count))
+	return o.Noise * o.Noise * min(scarce, 20)
+}
--- a/internal/control/placer/placer.go
+++ b/internal/control/placer/placer.go
@@ -16,7 +16,7 @@
 type Request struct {
 	Task     describer.TaskID
 	Job      *describer.Job
-	Want     describer.Resources // to be granted
+	Want     describer.Resources // to be granted, see Size
 	HomeTo   string              // drained worker it is owed back to, or empty
 	Avoid    map[string]bool     // workers on which it failed
 	Deadline time.Time
@@ -33,23 +33,3 @@
 type Policy interface {
 	Place(fleet *accountant.Fleet, r Request, now time.Time) Choice
 }
-
-// FirstFit takes the first open worker by name with room.
-type FirstFit struct{}
-
-// Place implements Policy.
-func (FirstFit) Place(fleet *accountant.Fleet, r Request, _ time.Time) Choice {
-	best := ""
-	for name, w := range fleet.Workers {
-		if w.Closed || r.Avoid[name] || !r.Want.Fits(w.Free()) {
-			continue
-		}
-		if best == "" || name < best {
-			best = name
-		}
-	}
-	if best == "" {
-		return Choice{Why: "no open worker has room"}
-	}
-	return Choice{Worker: best}
-}
--- /dev/null
+++ b/internal/control/planner/apply.go
@@ -0,0 +1,177 @@
+package planner
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+)
+
+// Apply returns the configuration that confirmation writes: a changed copy
+// with the same revision, which the write raises. Run, and cancel of a job,
+// leave it as it is. Applying an intent twice changes nothing more. Errors
+// are *classifier.Error values with verdict NotRun and the offending field.
+func Apply(cfg describer.Configuration, intent describer.Intent, now time.Time) (describer.Configuration, error) {
+	cfg.Services = slices.Clone(cfg.Services)
+	cfg.Drains = slices.Clone(cfg.Drains)
+	if intent.ID == "" {
+		return cfg, invalid("id", "an intent needs an id")
+	}
+	switch intent.Action {
+	case describer.SetTarget:
+		return setTarget(cfg, intent)
+	case describer.Run:
+		return cfg, checkJob(cfg, intent.Job)
+	case describer.DrainOff:
+		return drainOff(cfg, intent, now)
+	case describer.Restore:
+		return restore(cfg, intent)
+	case describer.Cancel:
+		return cancel(cfg, intent)
+	}
+	return cfg, invalid("action", "unknown action "+string(intent.Action))
+}
+
+func setTarget(cfg describer.Configuration, intent describer.Intent) (describer.Configuration, error) {
+	if intent.Target <= 0 {
+		return cfg, invalid("target", "a latency target must be positive")
+	}
+	for i := range cfg.Services {
+		if cfg.Services[i].Name == intent.Service {
+			cfg.Services[i].Target = intent.Target
+			cfg.Services[i].Intent = intent.ID
+			return cfg, nil
+		}
+	}
+	return cfg, unknown("service", "unknown service "+intent.Service)
+}
+
+func checkJob(cfg describer.Configuration, job *describer.Job) error {
+	switch {
+	case job == nil:
+		return invalid("job", "run needs a job")
+	case job.ID == "":
+		return invalid("job.id", "a job needs an id")
+	case job.Tasks < 1:
+		return invalid("job.tasks", "a job has at least 1 task")
+	case !job.Declared.IsValid():
+		return invalid("job.declared", "a task must declare what it needs")
+	}
+	known := func(t describer.Team) bool { return t.Name == job.Team }
+	if !slices.ContainsFunc(cfg.Teams, known) {
+		return unknown("job.team", "unknown team "+job.Team)
+	}
+	return nil
+}
+
+func drainOff(cfg describer.Configuration, intent describer.Intent, now time.Time) (describer.Configuration, error) {
+	if len(intent.Workers) == 0 {
+		return cfg, invalid("workers", "a drain needs workers")
+	}
+	if intent.For < 0 {
+		return cfg, invalid("for", "the time of a drain must not be negative")
+	}
+	if findDrain(cfg, intent.ID) != nil {
+		return cfg, nil
+	}
+	workers := slices.Compact(slices.Sorted(slices.Values(intent.Workers)))
+	for i := range cfg.Drains {
+		for _, worker := range unrestored(&cfg.Drains[i]) {
+			if slices.Contains(workers, worker) {
+				return cfg, conflict("workers", worker+" is in drain "+cfg.Drains[i].ID)
+			}
+		}
+	}
+	d := describer.Drain{ID: intent.ID, Workers: workers, State: describer.Draining}
+	if intent.For > 0 {
+		d.Until = now.Add(intent.For)
+	}
+	cfg.Drains = append(cfg.Drains, d)
+	return cfg, nil
+}
+
+func restore(cfg describer.Configuration, intent describer.Intent) (describer.Configuration, error) {
+	d := findDrain(cfg, intent.Drain)
+	if d == nil {
+		return cfg, unknown("drain", "unknown drain "+intent.Drain)
+	}
+	d.State = describer.Restoring
+	return cfg, nil
+}
+
+// MarkRestored returns the configuration after a worker got its work back. A
+// drain is removed when all of its workers have. It changes nothing if the
+// drain is gone or not being restored.
+func MarkRestored(cfg describer.Configuration, drain, worker string) describer.Configuration {
+	cfg.Drains = slices.Clone(cfg.Drains)
+	d := findDrain(cfg, drain)
+	if d == nil || d.State != describer.Restoring || !slices.Contains(unrestored(d), worker) {
+		return cfg
+	}
+	d.Restored = append(slices.Clone(d.Restored), worker)
+	if len(unrestored(d)) == 0 {
+		cfg.Drains = slices.DeleteFunc(cfg.Drains, func(o describer.Drain) bool { return o.ID == drain })
+	}
+	return cfg
+}
+
+// BeginRestore returns the configuration in which a drain whose time is over
+// is being restored.
+func BeginRestore(cfg describer.Configuration, drain string) describer.Configuration {
+	cfg.Drains = slices.Clone(cfg.Drains)
+	if d := findDrain(cfg, drain); d != nil {
+		d.State = describer.Restoring
+	}
+	return cfg
+}
+
+func cancel(cfg describer.Configuration, intent describer.Intent) (describer.Configuration, error) {
+	if intent.Drain == "" {
+		if intent.Job == nil || intent.Job.ID == "" {
+			return cfg, invalid("drain", "cancel needs a drain or a job")
+		}
+		return cfg, nil
+	}
+	if findDrain(cfg, intent.Drain) == nil {
+		return cfg, unknown("drain", "unknown drain "+intent.Drain)
+	}
+	cfg.Drains = slices.DeleteFunc(cfg.Drains, func(d describer.Drain) bool { return d.ID == intent.Drain })
+	return cfg, nil
+}
+
+func findDrain(cfg describer.Configuration, id string) *describer.Drain {
+	i := slices.IndexFunc(cfg.Drains, func(d describer.Drain) bool { return d.ID == id })
+	if i < 0 {
+		return nil
+	}
+	return &cfg.Drains[i]
+}
+
+// unrestored returns the drain's workers that do not have their work back.
+func unrestored(d *describer.Drain) []string {
+	return slices.DeleteFunc(slices.Clone(d.Workers), func(worker string) bool {
+		return slices.Contains(d.Restored, worker)
+	})
+}
+
+func invalid(field, message string) error {
+	return failure(http.StatusBadRequest, "invalid", field, message)
+}
+
+func unknown(field, message string) error {
+	return failure(http.StatusNotFound, "unknown", field, message)
+}
+
+func conflict(field, message string) error {
+	return failure(http.StatusConflict, "conflict", field, message)
+}
+
+func failure(status int, code, field, message string) error {
+	return &classifier.Error{
+		Verdict: classifier.NotRun, Status: status, Code: code, Field: field,
+		Message: "planner: " + strings.TrimSpace(message),
+	}
+}
