--- /dev/null
+++ b/internal/standin/registrar/registrar_test.go
@@ -0,0 +1,49 @@
+package registrar_test
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/platform/lister"
+	"dotterelcart.dev/dotterelcart/internal/standin/registrar"
+)
+
+var _ = Describe("Registrar", func() {
+	ctx := context.Background()
+	start := func(lag time.Duration) *registrar.Registrar {
+		r, err := registrar.New("127.0.0.1:0", lag)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(func() { r.Close() })
+		r.Set([]describer.Host{{Name: "w1", State: describer.Live, Address: "10.0.0.1:80"}})
+		return r
+	}
+
+	It("shows a change only after the lag", func() {
+		r := start(time.Hour)
+		r.Change("w1", describer.Leaving)
+		hosts, err := lister.New("http://"+r.Address, http.DefaultClient).Hosts(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(hosts).To(HaveExactElements(HaveField("State", describer.Live)))
+	})
+
+	It("shows and removes changed hosts, rewritten in a view", func() {
+		r := start(0)
+		r.View("fnq", func(h describer.Host) describer.Host {
+			h.Address = "10.0.0.9:80"
+			return h
+		})
+		c := lister.New("http://"+r.Address+"/fnq", http.DefaultClient)
+		r.Change("w1", describer.Leaving)
+		hosts, err := c.Hosts(ctx)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(hosts).To(HaveExactElements(And(
+			HaveField("State", describer.Leaving), HaveField("Address", "10.0.0.9:80"))))
+		r.Change("w1", "")
+		Expect(c.Hosts(ctx)).To(BeEmpty())
+	})
+})
