--- /dev/null
+++ b/internal/control/executor/effects.go
@@ -0,0 +1,111 @@
+package executor
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+)
+
+// carryOut begins an effect and never waits for it.
+func (e *Executor) carryOut(ctx context.Context, running *sync.WaitGroup, effect reducer.Effect) {
+	switch f := effect.(type) {
+	case reducer.Claim, reducer.Release, reducer.Append, reducer.SaveSnapshot:
+		e.options.Ledger.Do(effect)
+	case reducer.Reply:
+		e.answer(f)
+	case reducer.Publish:
+		e.options.Publish(f.Table)
+	case reducer.StartTask:
+		e.call(ctx, running, func(ctx context.Context) reducer.Event { return e.start(ctx, f) })
+	case reducer.StopTask:
+		e.call(ctx, running, func(ctx context.Context) reducer.Event { return e.stopTask(ctx, f) })
+	case reducer.ThrottleTask:
+		e.call(ctx, running, func(ctx context.Context) reducer.Event { return e.throttle(ctx, f) })
+	case reducer.SyncWorker:
+		e.call(ctx, running, func(ctx context.Context) reducer.Event { return e.sync(ctx, f) })
+	case reducer.Propose:
+		e.call(ctx, running, func(ctx context.Context) reducer.Event { return e.propose(ctx, f) })
+	default:
+		e.options.Log.Error().Type("effect", effect).Msg("unknown effect")
+	}
+}
+
+// call runs one bounded call in its own goroutine and posts its outcome.
+func (e *Executor) call(ctx context.Context, running *sync.WaitGroup, do func(context.Context) reducer.Event) {
+	running.Go(func() {
+		select {
+		case e.calls <- struct{}{}:
+		case <-ctx.Done():
+			return
+		}
+		limited, cancel := context.WithTimeout(ctx, e.options.Timeout)
+		event := do(limited)
+		cancel()
+		<-e.calls
+		if event == nil {
+			return
+		}
+		select {
+		case e.inbox <- event:
+		case <-ctx.Done():
+		}
+	})
+}
+
+func (e *Executor) start(ctx context.Context, f reducer.StartTask) reducer.Event {
+	answer := reducer.StartAnswered{
+		Shard: f.Shard, Epoch: f.Epoch, Worker: f.Worker, Task: f.Start.Task, Token: f.Start.Token, Verdict: classifier.Ran,
+	}
+	if err := e.options.Worker.Start(ctx, f.Address, f.Start); err != nil {
+		answer.Verdict = classifier.Of(err)
+		answer.Err = err.Error()
+		e.options.Log.Info().Err(err).Stringer("task", f.Start.Task).Str("worker", f.Worker).Msg("start failed")
+	}
+	return answer
+}
+
+func (e *Executor) stopTask(ctx context.Context, f reducer.StopTask) reducer.Event {
+	answer := reducer.StopAnswered{
+		Shard: f.Shard, Epoch: f.Epoch, Worker: f.Worker, Task: f.Stop.Task, Token: f.Stop.Token,
+	}
+	stopped, err := e.options.Worker.Stop(ctx, f.Address, f.Stop)
+	if err != nil {
+		answer.Err = err.Error()
+		return answer
+	}
+	answer.Stopped = stopped
+	return answer
+}
+
+func (e *Executor) throttle(ctx context.Context, f reducer.ThrottleTask) reducer.Event {
+	if err := e.options.Worker.Throttle(ctx, f.Address, f.Throttle); err != nil {
+		e.options.Log.Info().Err(err).Stringer("task", f.Throttle.Task).Str("worker", f.Worker).Msg("throttle failed")
+	}
+	return nil
+}
+
+func (e *Executor) sync(ctx context.Context, f reducer.SyncWorker) reducer.Event {
+	sent := time.Now()
+	synced, err := e.options.Worker.Sync(ctx, f.Address, f.Sync)
+	if err != nil {
+		return reducer.WorkerFailed{
+			Shard: f.Sync.Shard, Epoch: f.Sync.Epoch, Worker: f.Worker, Fenced: errors.Is(err, runner.ErrFenced),
+		}
+	}
+	return reducer.WorkerSynced{
+		Shard: f.Sync.Shard, Epoch: f.Sync.Epoch, Worker: f.Worker, Sent: sent, Synced: synced,
+	}
+}
+
+func (e *Executor) propose(ctx context.Context, f reducer.Propose) reducer.Event {
+	err := e.options.Propose(ctx, f)
+	if err != nil {
+		e.options.Log.Info().Err(err).Str("drain", f.Drain).Msg("proposal failed")
+	}
+	return reducer.Proposed{Drain: f.Drain, Worker: f.Worker, OK: err == nil}
+}
--- /dev/null
+++ b/internal/operator/commander/intent.go
@@ -0,0 +1,214 @@
+package commander
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+const operatorsUsage = "address of a daemon's operators' port, ip:port"
+
+// presetOperators is where `serve` listens for operators in the examples.
+const presetOperators = "127.0.0.1:7002"
+
+// plan is a daemon's answer about a plan.
+type plan struct {
+	describer.Plan
+	Confirmed bool  `json:"confirmed"`
+	InForce   int64 `json:"inforce,omitempty"`
+}
+
+func newIntent() *cobra.Command {
+	var daemon string
+	cmd := &cobra.Command{
+		Use:   "intent",
+		Short: "State an intent and get its plan; nothing happens before it is confirmed",
+	}
+	cmd.PersistentFlags().StringVar(&daemon, "daemon", presetOperators, operatorsUsage)
+	cmd.PersistentFlags().String("format", "text", "text or json")
+	cmd.PersistentFlags().String("id", "", "id of the intent, made up if empty")
+	cmd.AddCommand(newTarget(&daemon), newRunIntent(&daemon), newDrain(&daemon), newRestore(&daemon), newCancelIntent(&daemon))
+	return cmd
+}
+
+func newTarget(daemon *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "latency-target SERVICE TIME",
+		Short:   "Keep the 99th percentile of a service's latency within a time",
+		Example: "  dotterelcart intent latency-target menu-desk 250ms",
+		Args:    cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			target, err := time.ParseDuration(args[1])
+			if err != nil {
+				return misused(err)
+			}
+			return state(cmd, *daemon, describer.Intent{Action: describer.SetTarget, Service: args[0], Target: target})
+		},
+	}
+}
+
+func newRunIntent(daemon *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "run JOBFILE",
+		Short:   "Run a job to its end; the file holds the job as JSON",
+		Example: "  dotterelcart intent run precinct.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			job, err := readJob(cmd.InOrStdin(), args[0])
+			if err != nil {
+				return err
+			}
+			return state(cmd, *daemon, describer.Intent{Action: describer.Run, Job: &job})
+		},
+	}
+}
+
+func newDrain(daemon *string) *cobra.Command {
+	var lasting time.Duration
+	cmd := &cobra.Command{
+		Use:   "drain WORKER...",
+		Short: "Move work off workers; they are owed it back until a restore is complete",
+		Example: `  dotterelcart intent drain bne-w1 bne-w2
+  dotterelcart intent drain bne-w1 --for 2h`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return state(cmd, *daemon, describer.Intent{Action: describer.DrainOff, Workers: args, For: lasting})
+		},
+	}
+	cmd.Flags().DurationVar(&lasting, "for", 0, "restore by itself after this time; 0 waits for a restore intent")
+	return cmd
+}
+
+func newRestore(daemon *string) *cobra.Command {
+	return &cobra.Command{
+		Use:     "restore DRAIN",
+		Short:   "Bring work back to the workers of a drain, by the drain's id",
+		Example: "  dotterelcart intent restore kernel-upgrade",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return state(cmd, *daemon, describer.Intent{Action: describer.Restore, Drain: args[0]})
+		},
+	}
+}
+
+func newCancelIntent(daemon *string) *cobra.Command {
+	var drain, job string
+	cmd := &cobra.Command{
+		Use:     "cancel",
+		Short:   "Cancel a drain or a job",
+		Example: "  dotterelcart intent cancel --drain kernel-upgrade",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			intent := describer.Intent{Action: describer.Cancel, Drain: drain}
+			if job != "" {
+				intent.Job = &describer.Job{ID: job}
+			}
+			return state(cmd, *daemon, intent)
+		},
+	}
+	cmd.Flags().StringVar(&drain, "drain", "", "id of the drain")
+	cmd.Flags().StringVar(&job, "job", "", "id of the job")
+	cmd.MarkFlagsOneRequired("drain", "job")
+	cmd.MarkFlagsMutuallyExclusive("drain", "job")
+	return cmd
+}
+
+// state sends the intent and prints its plan.
+func state(cmd *cobra.Command, daemon string, intent describer.Intent) error {
+	id, err := cmd.Flags().GetString("id")
+	if err != nil {
+		return misused(err)
+	}
+	intent.ID = id
+	var made plan
+	if err := ask(cmd.Context(), http.MethodPost, "http://"+daemon+"/v1/intents", intent, &made); err != nil {
+		return err
+	}
+	return output(cmd, made, printPlan)
+}
+
+func newPlan() *cobra.Command {
+	var daemon string
+	cmd := &cobra.Command{
+		Use:     "plan ID",
+		Short:   "Show a plan",
+		Example: "  dotterelcart plan 6f0c0e6e-8d8c-4f6d-9a55-0d6a3a1f1b2c --format json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var shown plan
+			if err := ask(cmd.Context(), http.MethodGet, "http://"+daemon+"/v1/plans/"+args[0], nil, &shown); err != nil {
+				return err
+			}
+			return output(cmd, shown, printPlan)
+		},
+	}
+	addDaemon(cmd, &daemon, operatorsUsage, presetOperators)
+	addFormat(cmd)
+	return cmd
+}
+
+func newConfirm() *cobra.Command {
+	var daemon string
+	cmd := &cobra.Command{
+		Use:     "confirm ID",
+		Short:   "Confirm a plan; refused with the difference if it no longer holds",
+		Example: "  dotterelcart confirm 6f0c0e6e-8d8c-4f6d-9a55-0d6a3a1f1b2c",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			var confirmed plan
+			url := "http://" + daemon + "/v1/plans/" + args[0] + "/confirm"
+			if err := ask(cmd.Context(), http.MethodPost, url, nil, &confirmed); err != nil {
+				return err
+			}
+			return output(cmd, confirmed, printPlan)
+		},
+	}
+	addDaemon(cmd, &daemon, operatorsUsage, presetOperators)
+	addFormat(cmd)
+	return cmd
+}
+
+func printPlan(w io.Writer, p plan) {
+	fmt.Fprintf(w, "plan %s: %s %s, made from revision %d\n", p.ID, p.Intent.Action, p.Intent.ID, p.Revision)
+	for _, step := range p.Steps {
+		fmt.Fprintf(w, "  %s\n", step)
+	}
+	fmt.Fprintf(w, "expected: tail latency %+.1f %%, batch throughput %+.1f %%, %d evictions\n",
+		100*p.Expected.Latency, 100*p.Expected.Throughput, p.Expected.Evictions)
+	if !p.Confirmed {
+		fmt.Fprintf(w, "nothing happens before: dotterelcart confirm %s\n", p.ID)
+		return
+	}
+	fmt.Fprintln(w, "confirmed")
+}
+
+// readJob reads a job from a file, or from in when the name is "-".
+func readJob(in io.Reader, name string) (describer.Job, error) {
+	source := in
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return describer.Job{}, misused(err)
+		}
+		defer file.Close()
+		source = file
+	}
+	decoder := json.NewDecoder(source)
+	decoder.DisallowUnknownFields()
+	var job describer.Job
+	if err := decoder.Decode(&job); err != nil {
+		return job, misused(fmt.Errorf("%s: %w", name, err))
+	}
+	if job.ID == "" {
+		return job, misused(errors.New(name + ": the job has no id"))
+	}
+	return job, nil
+}
--- /dev/null
+++ b/internal/operator/commander/serve.go
@@ -0,0 +1,114 @@
+package commander
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/mattn/go-isatty"
+	"github.com/rs/zerolog"
+	"github.com/spf13/cobra"
+
+	"dotterelcart.dev/dotterelcart/internal/operator/parser"
+	"dotterelcart.dev/dotterelcart/internal/operator/server"
+)
+
+func newServe() *cobra.Command {
+	return &cobra.Command{
+		Use:   "serve FILE",
+		Short: "Run the entry daemon with the settings in FILE",
+		Long: `Run the entry daemon. The settings are checked in full before anything
+starts. SIGTERM or SIGINT begins a planned stop: readiness fails, requests in
+flight end, shards are released. A second signal ends it at once.`,
+		Example: "  dotterelcart serve entry.hujson",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			settings, err := readSettings(args[0])
+			if err != nil {
+				return err
+			}
+			return serve(cmd.Context(), settings, newLogger(cmd.ErrOrStderr(), settings.Log.Level))
+		},
+	}
+}
+
+func newCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Check a settings file and list every fault with its place",
+		Example: "  dotterelcart check entry.hujson",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if _, err := readSettings(args[0]); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), args[0]+": ok")
+			return nil
+		},
+	}
+}
+
+func readSettings(name string) (parser.Settings, error) {
+	source, err := os.ReadFile(name)
+	if err != nil {
+		return parser.Settings{}, misused(err)
+	}
+	settings, err := parser.Read(source)
+	return settings, faultsOf(name, err)
+}
+
+// faultsOf puts each fault of a file on a line of its own.
+func faultsOf(name string, err error) error {
+	var faults parser.FaultErrors
+	if !errors.As(err, &faults) {
+		return err
+	}
+	text := fmt.Sprintf("%d faults in %s", len(faults), name)
+	for _, fault := range faults {
+		text += "\n" + name + ":" + fault.String()
+	}
+	return misused(errors.New(text))
+}
+
+func serve(ctx context.Context, settings parser.Settings, log zerolog.Logger) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+	daemon, err := server.New(ctx, settings, log)
+	if err != nil {
+		return failed(err)
+	}
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	}
+	limited, cancel := context.WithTimeout(context.Background(), time.Duration(settings.Traffic.DrainLimit))
+	defer cancel()
+	go func() {
+		<-signals
+		log.Warn().Str("part", "serve").Msg("second signal, stopping at once")
+		cancel()
+	}()
+	cut := daemon.Shutdown(limited)
+	if cut > 0 {
+		return failed(fmt.Errorf("planned stop cut %d requests in flight", cut))
+	}
+	return nil
+}
+
+// newLogger writes JSON lines, or coloured text on a terminal.
+func newLogger(w io.Writer, level string) zerolog.Logger {
+	parsed, err := zerolog.ParseLevel(level)
+	if err != nil {
+		parsed = zerolog.InfoLevel
+	}
+	if file, ok := w.(*os.File); ok && isatty.IsTerminal(file.Fd()) {
+		w = zerolog.ConsoleWriter{Out: w, TimeFormat: time.TimeOnly}
+	}
+	return zerolog.New(w).Level(parsed).With().Timestamp().Logger()
+}
--- /dev/null
+++ b/internal/operator/commander/standin.go
@@ -0,0 +1,147 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/standin/hoster"
+	"dotterelcart.dev/dotterelcart/internal/standin/keeper"
+	"dotterelcart.dev/dotterelcart/internal/standin/registrar"
+)
+
+func newStandin() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "standin",
+		Short: "Run a stand-in for a part of the platform, for trials and tests only",
+		Long:  "Run a stand-in for a part of the platform, for trials and tests only. The\nprotocols are in docs/PLATFORM.md. The first line on stdout is the address.",
+	}
+	cmd.AddCommand(newStore(), newHosts(), newWorkers())
+	return cmd
+}
+
+func newStore() *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:     "store",
+		Short:   "The key-value store, in memory",
+		Example: "  dotterelcart standin store --listen 127.0.0.1:7100",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			store, err := keeper.New(listen)
+			if err != nil {
+				return failed(err)
+			}
+			return standBy(cmd, store.Address, store.Close)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address, ip:port")
+	return cmd
+}
+
+func newHosts() *cobra.Command {
+	var (
+		listen string
+		lag    time.Duration
+	)
+	cmd := &cobra.Command{
+		Use:     "hosts",
+		Short:   "The lagging host list; PUT /v1/hosts sets it",
+		Example: "  dotterelcart standin hosts --listen 127.0.0.1:7200 --lag 2s",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			hosts, err := registrar.New(listen, lag)
+			if err != nil {
+				return failed(err)
+			}
+			return standBy(cmd, hosts.Address, hosts.Close)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address, ip:port")
+	cmd.Flags().DurationVar(&lag, "lag", 2*time.Second, "time until a change shows")
+	return cmd
+}
+
+func newWorkers() *cobra.Command {
+	var (
+		listen, hosts, region, domain, service string
+		count                                  int
+	)
+	cmd := &cobra.Command{
+		Use:     "workers",
+		Short:   "Workers of one failure domain, 8 to a rack, added to the host list",
+		Example: "  dotterelcart standin workers --domain seq-bne --region seq --count 6 --service menu-desk --hosts 127.0.0.1:7200",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			fleet, err := hoster.NewFleet(listen, workerOptions(region, domain, service, count))
+			if err != nil {
+				return failed(err)
+			}
+			if hosts != "" {
+				if err := addHosts(cmd.Context(), hosts, fleet.Hosts()); err != nil {
+					return err
+				}
+			}
+			return standBy(cmd, fleet.Address, fleet.Close)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&listen, "listen", "127.0.0.1:0", "address of the switches, ip:port")
+	flags.StringVar(&hosts, "hosts", "", "host list to add the workers to, ip:port")
+	flags.StringVar(&region, "region", "seq", "region")
+	flags.StringVar(&domain, "domain", "seq-bne", "failure domain")
+	flags.StringVar(&service, "service", "menu-desk", "service that the backend servers answer for")
+	flags.IntVar(&count, "count", 6, "number of workers")
+	return cmd
+}
+
+// workersPerRack is the number of workers that share a rack.
+const workersPerRack = 8
+
+func workerOptions(region, domain, service string, count int) []hoster.Options {
+	options := make([]hoster.Options, count)
+	for i := range options {
+		options[i] = hoster.Options{
+			Host: describer.Host{
+				Name:     fmt.Sprintf("%s-w%d", domain, i+1),
+				Role:     describer.Worker,
+				Region:   region,
+				Domain:   domain,
+				Rack:     fmt.Sprintf("%s-r%d", domain, i/workersPerRack+1),
+				State:    describer.Live,
+				Capacity: describer.Resources{CPU: 64_000, Memory: 250 << 10},
+				Services: []string{service},
+			},
+			Service: 5 * time.Millisecond,
+			Lag:     time.Second,
+		}
+	}
+	return options
+}
+
+// addHosts appends to the list that the stand-in holds now.
+func addHosts(ctx context.Context, address string, added []describer.Host) error {
+	var present []describer.Host
+	url := "http://" + address + "/v1/hosts"
+	if err := ask(ctx, "GET", url, nil, &present); err != nil {
+		return err
+	}
+	var ignored json.RawMessage
+	return ask(ctx, "PUT", url, append(present, added...), &ignored)
+}
+
+// standBy prints the address and waits for a signal.
+func standBy(cmd *cobra.Command, address string, end func() error) error {
+	ctx, stop := signal.NotifyContext(cmd.Context(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	fmt.Fprintln(cmd.OutOrStdout(), address)
+	<-ctx.Done()
+	return end()
+}
--- /dev/null
+++ b/internal/operator/responder/configuration.go
@@ -0,0 +1,134 @@
+package responder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+// statusTime bounds how long a status waits for owners that do not answer.
+const statusTime = 2 * time.Second
+
+func (r *Responder) showStatus(w http.ResponseWriter, request *http.Request) {
+	ctx, cancel := context.WithTimeout(request.Context(), statusTime)
+	defer cancel()
+	writeJSON(w, http.StatusOK, r.reports(ctx, request.URL.Query().Get("worker")))
+}
+
+func (r *Responder) showConfiguration(w http.ResponseWriter, _ *http.Request) {
+	configuration, ok := r.options.Configuration.Current()
+	if !ok {
+		writeError(w, unavailable("not-ready", "no configuration is known yet"))
+		return
+	}
+	writeJSON(w, http.StatusOK, configuration)
+}
+
+// setConfiguration replaces services, teams, shards and weights. The body's
+// revision must be the one in force, 0 for the first. Drains are changed by
+// intents only.
+func (r *Responder) setConfiguration(w http.ResponseWriter, request *http.Request) {
+	var wanted describer.Configuration
+	if err := readJSON(w, request, r.options.MaxBody, &wanted); err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := checkConfiguration(wanted); err != nil {
+		writeError(w, err)
+		return
+	}
+	accepted, err := r.options.Configuration.Propose(request.Context(), func(c describer.Configuration) (describer.Configuration, error) {
+		if c.Revision != wanted.Revision {
+			return c, stale(configurationChanges(wanted.Revision, c))
+		}
+		wanted.Drains = c.Drains
+		return wanted, checkShardsKept(c.Shards, wanted.Shards)
+	})
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, accepted)
+}
+
+func checkConfiguration(c describer.Configuration) error {
+	if len(c.Shards) == 0 {
+		return invalid("shards", "at least one shard is needed")
+	}
+	if err := checkNames("services", c.Services, func(s describer.Service) string { return s.Name }); err != nil {
+		return err
+	}
+	if err := checkNames("teams", c.Teams, func(t describer.Team) string { return t.Name }); err != nil {
+		return err
+	}
+	if err := checkNames("shards", c.Shards, func(s describer.Shard) string { return s.ID }); err != nil {
+		return err
+	}
+	for i, team := range c.Teams {
+		if team.Weight < 1 {
+			return invalid(fmt.Sprintf("teams[%d].weight", i), fmt.Sprintf("must be at least 1, is %d", team.Weight))
+		}
+	}
+	return checkRacks(c.Shards)
+}
+
+// checkShardsKept refuses to move a rack to another shard, whose owner would
+// not know what runs there, and to change the set of shards, which decides the
+// home of job IDs and idempotency keys. Racks may be added.
+func checkShardsKept(old, wanted []describer.Shard) error {
+	if len(old) == 0 {
+		return nil
+	}
+	if len(old) != len(wanted) {
+		return invalid("shards", "shards cannot be added or removed")
+	}
+	for i, shard := range wanted {
+		if shard.ID != old[i].ID || shard.Domain != old[i].Domain {
+			return invalid(fmt.Sprintf("shards[%d]", i), "must stay shard "+old[i].ID+" in "+old[i].Domain)
+		}
+		for _, rack := range old[i].Racks {
+			if !slices.Contains(shard.Racks, rack) {
+				return invalid(fmt.Sprintf("shards[%d].racks", i), "rack "+rack+" cannot be removed")
+			}
+		}
+	}
+	return nil
+}
+
+// checkRacks refuses a rack in two shards: its workers would have two owners.
+func checkRacks(shards []describer.Shard) error {
+	type place struct{ domain, rack string }
+	first := make(map[place]string)
+	for i, shard := range shards {
+		if shard.Domain == "" || len(shard.Racks) == 0 {
+			return invalid(fmt.Sprintf("shards[%d]", i), "needs a domain and at least one rack")
+		}
+		for _, rack := range shard.Racks {
+			at := place{shard.Domain, rack}
+			if other, ok := first[at]; ok {
+				return invalid(fmt.Sprintf("shards[%d].racks", i), "rack "+rack+" belongs to shard "+other+" already")
+			}
+			first[at] = shard.ID
+		}
+	}
+	return nil
+}
+
+func checkNames[T any](field string, values []T, name func(T) string) error {
+	seen := make(map[string]bool)
+	for i, v := range values {
+		n := name(v)
+		if n == "" {
+			return invalid(fmt.Sprintf("%s[%d]", field, i), "has no name")
+		}
+		if seen[n] {
+			return invalid(fmt.Sprintf("%s[%d]", field, i), n+" stands twice")
+		}
+		seen[n] = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/responder/keys.go
@@ -0,0 +1,59 @@
+package responder
+
+import (
+	"context"
+	"encoding/json"
+
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/peer/messenger"
+)
+
+// keyRequest is the peer message that claims an idempotency key.
+type keyRequest struct {
+	Key   string `json:"key"`
+	Owner string `json:"owner"`
+}
+
+// Claim records, durably and before the request is sent, that owner is about
+// to send the non-idempotent request with the given key. fresh is false when
+// the key was claimed before, by firstOwner.
+func (r *Responder) Claim(ctx context.Context, key, owner string) (fresh bool, firstOwner string, err error) {
+	address, local, err := r.homeOf(key)
+	if err != nil {
+		return false, "", err
+	}
+	request := keyRequest{Key: key, Owner: owner}
+	if local {
+		claim, err := r.claimHere(ctx, request)
+		if err != nil {
+			return false, "", err
+		}
+		return claim.Fresh, claim.Owner, nil
+	}
+	var claim reducer.KeyClaim
+	if err := r.options.Peers.Call(ctx, address, messenger.ClaimKey, request, &claim); err != nil {
+		return false, "", err
+	}
+	return claim.Fresh, claim.Owner, nil
+}
+
+func (r *Responder) claimHere(ctx context.Context, request keyRequest) (*reducer.KeyClaim, error) {
+	configuration, ok := r.options.Configuration.Current()
+	if !ok || len(configuration.Shards) == 0 {
+		return nil, unavailable("not-ready", "no configuration with shards is known yet")
+	}
+	reply, err := r.options.Control.Ask(ctx, func(id reducer.RequestID) reducer.Event {
+		return reducer.KeyRequested{
+			Request: id, Shard: reducer.HomeShard(configuration, request.Key), Key: request.Key, Owner: request.Owner,
+		}
+	})
+	return reply.Key, err
+}
+
+func (r *Responder) handleClaimKey(ctx context.Context, params json.RawMessage) (any, error) {
+	var request keyRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, bodyError(err)
+	}
+	return r.claimHere(ctx, request)
+}
--- /dev/null
+++ b/internal/operator/responder/plans.go
@@ -0,0 +1,201 @@
+package responder
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/planner"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+)
+
+// planPrefix is the store's prefix for plans; the plan's ID follows.
+const planPrefix = "plans/"
+
+// storedPlan is a plan as the store keeps it.
+type storedPlan struct {
+	Plan      describer.Plan `json:"plan"`
+	Confirmed bool           `json:"confirmed"`
+}
+
+// planView is the answer to an operator.
+type planView struct {
+	describer.Plan
+	Confirmed bool  `json:"confirmed"`
+	InForce   int64 `json:"inforce,omitempty"` // revision that the confirmation made
+}
+
+func (r *Responder) planIntent(w http.ResponseWriter, request *http.Request) {
+	var intent describer.Intent
+	if err := readJSON(w, request, r.options.MaxBody, &intent); err != nil {
+		writeError(w, err)
+		return
+	}
+	if intent.ID == "" {
+		intent.ID = uuid.NewString()
+	}
+	plan, err := r.makePlan(request.Context(), intent)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	plan.ID = uuid.NewString()
+	if err := r.savePlan(request.Context(), storedPlan{Plan: plan}, 0); err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusCreated, planView{Plan: plan})
+}
+
+func (r *Responder) showPlan(w http.ResponseWriter, request *http.Request) {
+	stored, _, err := r.loadPlan(request.Context(), request.PathValue("id"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, planView{Plan: stored.Plan, Confirmed: stored.Confirmed})
+}
+
+func (r *Responder) confirmPlan(w http.ResponseWriter, request *http.Request) {
+	view, err := r.confirm(request.Context(), request.PathValue("id"))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, view)
+}
+
+// confirm makes a plan's intent take effect. Confirming twice has the effect
+// of once.
+func (r *Responder) confirm(ctx context.Context, id string) (planView, error) {
+	stored, revision, err := r.loadPlan(ctx, id)
+	if err != nil {
+		return planView{}, err
+	}
+	if stored.Confirmed {
+		return planView{Plan: stored.Plan, Confirmed: true}, nil
+	}
+	inForce, err := r.carryOut(ctx, stored.Plan)
+	if err != nil {
+		return planView{}, err
+	}
+	stored.Confirmed = true
+	if err := r.savePlan(ctx, stored, revision); err != nil {
+		r.options.Log.Warn().Err(err).Str("plan", id).Msg("plan in force, mark not saved")
+	}
+	return planView{Plan: stored.Plan, Confirmed: true, InForce: inForce}, nil
+}
+
+// carryOut returns the revision of the configuration that holds the intent.
+func (r *Responder) carryOut(ctx context.Context, plan describer.Plan) (int64, error) {
+	intent := plan.Intent
+	current, ok := r.options.Configuration.Current()
+	if !ok {
+		return 0, unavailable("not-ready", "no configuration is known yet")
+	}
+	if holdsIntent(current, intent) {
+		return current.Revision, nil // an earlier confirmation whose answer was lost
+	}
+	renewed, err := r.makePlan(ctx, intent)
+	if err != nil {
+		return 0, err
+	}
+	if changes := planner.Difference(plan.Steps, renewed.Steps); len(changes) > 0 {
+		return 0, stale(changes)
+	}
+	if intent.Action == describer.Run {
+		_, err := r.submit(ctx, *intent.Job)
+		return renewed.Revision, err
+	}
+	if intent.Action == describer.Cancel && intent.Job != nil {
+		_, err := r.cancel(ctx, intent.Job.ID)
+		return renewed.Revision, err
+	}
+	changed, err := r.options.Configuration.Propose(ctx, func(c describer.Configuration) (describer.Configuration, error) {
+		if c.Revision != renewed.Revision {
+			return c, stale(configurationChanges(renewed.Revision, c))
+		}
+		return planner.Apply(c, intent, time.Now())
+	})
+	return changed.Revision, err
+}
+
+// makePlan asks the owners of all shards that the intent may touch.
+func (r *Responder) makePlan(ctx context.Context, intent describer.Intent) (describer.Plan, error) {
+	parts, err := r.partsOf(ctx, intent)
+	if err != nil {
+		return describer.Plan{}, err
+	}
+	plan, err := planner.Merge(parts)
+	if err != nil {
+		return describer.Plan{}, err
+	}
+	plan.Intent = intent
+	plan.Made = time.Now().UTC()
+	return plan, nil
+}
+
+func (r *Responder) savePlan(ctx context.Context, stored storedPlan, expected int64) error {
+	value, err := json.Marshal(stored)
+	if err != nil {
+		return err
+	}
+	_, err = r.options.Store.Swap(ctx, planPrefix+stored.Plan.ID, value, expected, 0)
+	return err
+}
+
+func (r *Responder) loadPlan(ctx context.Context, id string) (storedPlan, int64, error) {
+	item, err := r.options.Store.Get(ctx, planPrefix+id)
+	if errors.Is(err, storer.ErrNotFound) {
+		return storedPlan{}, 0, &classifier.Error{
+			Verdict: classifier.NotRun, Status: http.StatusNotFound, Code: "unknown", Message: "no plan " + id, Field: "id",
+		}
+	}
+	if err != nil {
+		return storedPlan{}, 0, err
+	}
+	var stored storedPlan
+	err = json.Unmarshal(item.Value, &stored)
+	return stored, item.Revision, err
+}
+
+func stale(changes []string) error {
+	return &classifier.Error{
+		Verdict: classifier.NotRun, Status: http.StatusConflict, Code: "stale",
+		Message: "the plan no longer holds; make a new one", RetryAfter: time.Second, Details: changes,
+	}
+}
+
+// configurationChanges says what stands against a confirmation that was made
+// for revision planned.
+func configurationChanges(planned int64, now describer.Configuration) []string {
+	changes := []string{fmt.Sprintf("configuration is at revision %d, the plan was made for %d", now.Revision, planned)}
+	for _, drain := range now.Drains {
+		changes = append(changes, fmt.Sprintf("drain %s of %s is %s", drain.ID, strings.Join(drain.Workers, ", "), drain.State))
+	}
+	return changes
+}
+
+// holdsIntent reports whether the configuration already shows the intent.
+func holdsIntent(c describer.Configuration, intent describer.Intent) bool {
+	switch intent.Action {
+	case describer.DrainOff:
+		return slices.ContainsFunc(c.Drains, func(d describer.Drain) bool { return d.ID == intent.ID })
+	case describer.SetTarget:
+		return slices.ContainsFunc(c.Services, func(s describer.Service) bool { return s.Intent == intent.ID })
+	case describer.Restore:
+		return slices.ContainsFunc(c.Drains, func(d describer.Drain) bool {
+			return d.ID == intent.Drain && d.State == describer.Restoring
+		})
+	}
+	return false
+}
--- /dev/null
+++ b/internal/operator/responder/shards.go
@@ -0,0 +1,132 @@
+package responder
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+
+	"golang.org/x/sync/errgroup"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/peer/messenger"
+)
+
+// statusRequest is the peer message that asks for a report.
+type statusRequest struct {
+	Worker string `json:"worker,omitempty"`
+}
+
+// partsOf asks every owner concerned for its part of the plan. An intent that
+// runs a job concerns the job's home shard alone.
+func (r *Responder) partsOf(ctx context.Context, intent describer.Intent) ([]describer.Plan, error) {
+	owners, err := r.ownersFor(intent)
+	if err != nil {
+		return nil, err
+	}
+	return gather(ctx, owners, func(ctx context.Context, owner string) (describer.Plan, error) {
+		if owner == "" {
+			return r.stepsHere(ctx, intent)
+		}
+		var part describer.Plan
+		err := r.options.Peers.Call(ctx, owner, messenger.Steps, intent, &part)
+		return part, err
+	})
+}
+
+// ownersFor returns the addresses of owners; the empty one is this daemon.
+func (r *Responder) ownersFor(intent describer.Intent) ([]string, error) {
+	if intent.Action == describer.Run && intent.Job != nil {
+		owner, _, err := r.homeOf(intent.Job.ID)
+		return []string{owner}, err
+	}
+	configuration, ok := r.options.Configuration.Current()
+	if !ok {
+		return nil, unavailable("not-ready", "no configuration is known yet")
+	}
+	owners := make(map[string]bool)
+	for _, shard := range configuration.Shards {
+		owner, _, err := r.ownerOf(shard.ID)
+		if err != nil {
+			return nil, err
+		}
+		owners[owner] = true
+	}
+	return slices.Sorted(maps.Keys(owners)), nil
+}
+
+// reports collects the status of this daemon and of every owner of a shard
+// that can be reached.
+func (r *Responder) reports(ctx context.Context, worker string) []reducer.Status {
+	owners := map[string]bool{"": true}
+	for shard, owner := range r.options.Table().Owners {
+		if _, own := r.options.Table().Owned[shard]; !own {
+			owners[owner] = true
+		}
+	}
+	reports, _ := gather(ctx, slices.Sorted(maps.Keys(owners)), func(ctx context.Context, owner string) (reducer.Status, error) {
+		if owner == "" {
+			return r.statusHere(ctx, worker)
+		}
+		var status reducer.Status
+		if err := r.options.Peers.Call(ctx, owner, messenger.Report, statusRequest{Worker: worker}, &status); err != nil {
+			r.options.Log.Info().Err(err).Str("peer", owner).Msg("no report")
+			return reducer.Status{Daemon: owner + " (unreachable)"}, nil
+		}
+		return status, nil
+	})
+	return reports
+}
+
+// gather calls ask for every owner at the same time; results are in the order
+// of owners.
+func gather[T any](ctx context.Context, owners []string, ask func(context.Context, string) (T, error)) ([]T, error) {
+	group, ctx := errgroup.WithContext(ctx)
+	results := make([]T, len(owners))
+	for i, owner := range owners {
+		group.Go(func() error {
+			var err error
+			results[i], err = ask(ctx, owner)
+			return err
+		})
+	}
+	err := group.Wait()
+	return results, err
+}
+
+func (r *Responder) stepsHere(ctx context.Context, intent describer.Intent) (describer.Plan, error) {
+	reply, err := r.options.Control.Ask(ctx, func(id reducer.RequestID) reducer.Event {
+		return reducer.PlanRequested{Request: id, Intent: intent}
+	})
+	if err != nil {
+		return describer.Plan{}, err
+	}
+	return *reply.Plan, nil
+}
+
+func (r *Responder) statusHere(ctx context.Context, worker string) (reducer.Status, error) {
+	reply, err := r.options.Control.Ask(ctx, func(id reducer.RequestID) reducer.Event {
+		return reducer.StatusRequested{Request: id, Worker: worker}
+	})
+	if err != nil {
+		return reducer.Status{}, err
+	}
+	return *reply.Status, nil
+}
+
+func (r *Responder) handleSteps(ctx context.Context, params json.RawMessage) (any, error) {
+	var intent describer.Intent
+	if err := json.Unmarshal(params, &intent); err != nil {
+		return nil, bodyError(err)
+	}
+	return r.stepsHere(ctx, intent)
+}
+
+func (r *Responder) handleReport(ctx context.Context, params json.RawMessage) (any, error) {
+	var request statusRequest
+	if err := json.Unmarshal(params, &request); err != nil {
+		return nil, bodyError(err)
+	}
+	return r.statusHere(ctx, request.Worker)
+}
--- a/internal/traffic/classifier/classifier.go
+++ b/internal/traffic/classifier/classifier.go
@@ -59,6 +59,7 @@
 	Code       string        // one word for programs, such as "overloaded"
 	Message    string        // for people
 	Field      string        // the offending input field, if any
+	Details    []string      // one line each, such as what has changed since a plan was made
 	RetryAfter time.Duration // when to come back; 0 is unstated
 	Err        error         // cause, may be nil
 }
