control/reducer: jobs, starts, inventories, drains and keys as one pure function

First version of the whole path: a job is accepted, started, finished and acknowledged only after the record of it is durable; a successor replays the ledger and keeps a started task until an inventory under its epoch or the lapse of its lease says more.

runner: Sync and Start carry Until, by the worker's own clock (Synced.Clock). Without it a late message from a paused former owner could extend a lease past the time at which its successor restarts the task; with it no message extends a lease past what its sender allowed when it decided.

Found by the first specs: a drain's restore was proposed before its record was durable; the proposal now waits for it.

--- /dev/null
+++ b/internal/control/reducer/routing.go
@@ -0,0 +1,120 @@
+package reducer
+
+import (
+	"slices"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+// publish hands a new routing table to the traffic side. Hosts are sorted by
+// name, so each service's backends are too.
+func (s *State) publish() {
+	s.published = true
+	if s.config.Revision == 0 {
+		return
+	}
+	table := &describer.RoutingTable{
+		Revision: s.config.Revision,
+		Services: s.backends(),
+		Owners:   make(map[string]string, len(s.config.Shards)),
+		Owned:    make(map[string]int64),
+		Ready:    s.isReady(),
+	}
+	for _, p := range s.peers {
+		for _, id := range p.Shards {
+			table.Owners[id] = p.Address
+		}
+	}
+	for _, h := range s.order {
+		if h.book != nil && h.phase == owning {
+			table.Owned[h.id] = h.epoch
+			table.Owners[h.id] = s.address()
+		}
+	}
+	s.emit(Publish{Table: table})
+}
+
+// isReady reports whether the daemon may serve: it has a configuration and a
+// host list, and isn't stopping.
+func (s *State) isReady() bool {
+	return s.config.Revision > 0 && len(s.hosts) > 0 && !s.stopping
+}
+
+// address is this daemon's own for peers, as membership knows it.
+func (s *State) address() string {
+	for _, p := range s.peers {
+		if p.Name == s.options.Daemon {
+			return p.Address
+		}
+	}
+	return ""
+}
+
+func (s *State) backends() map[string][]describer.Backend {
+	shards := s.shardsByRack()
+	out := make(map[string][]describer.Backend, len(s.config.Services))
+	for i := range s.config.Services {
+		out[s.config.Services[i].Name] = nil
+	}
+	for i := range s.hosts {
+		host := &s.hosts[i]
+		if host.Role != describer.Worker {
+			continue
+		}
+		b := s.backend(host, shards[rack{host.Domain, host.Rack}])
+		for _, service := range host.Services {
+			if _, ok := out[service]; ok {
+				out[service] = append(out[service], b)
+			}
+		}
+	}
+	return out
+}
+
+// rack names a rack within its failure domain.
+type rack struct{ domain, name string }
+
+func (s *State) shardsByRack() map[rack]string {
+	out := make(map[rack]string)
+	for _, c := range s.config.Shards {
+		for _, name := range c.Racks {
+			out[rack{c.Domain, name}] = c.ID
+		}
+	}
+	return out
+}
+
+// backend describes a worker as a target of requests. One that is leaving or
+// draining gets no new ones.
+func (s *State) backend(host *describer.Host, shard string) describer.Backend {
+	d, drained := s.drains[host.Name]
+	return describer.Backend{
+		Worker:      host.Name,
+		Address:     host.Address,
+		Region:      host.Region,
+		Domain:      host.Domain,
+		Shard:       shard,
+		Slots:       host.Slots,
+		Connections: host.Connections,
+		Closed:      host.State == describer.Leaving || drained && d.state == describer.Draining,
+	}
+}
+
+func compareText(a, b string) int {
+	if a < b {
+		return -1
+	}
+	if a > b {
+		return 1
+	}
+	return 0
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/control/reducer/shard_test.go
@@ -0,0 +1,125 @@
+package reducer
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+)
+
+// successor replays the records in a new State under the next epoch.
+func successor(records []describer.Record, workers ...string) *desk {
+	d := &desk{State: New(testOptions(), Policies{})}
+	d.do(Tick{Now: start.Add(time.Hour)})
+	d.do(HostsListed{Hosts: testHosts(workers...)})
+	d.do(Configured{Configuration: testConfiguration()})
+	d.do(ShardClaimed{Shard: "bne-1", Epoch: 2, Records: records})
+	return d
+}
+
+var _ = Describe("a successor", func() {
+	It("keeps a started task until an inventory under its epoch lacks it", func() {
+		d := newDesk("w1")
+		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
+		records := d.durable()
+
+		s := successor(records, "w1")
+		s.wait(time.Second)
+		Expect(taken[StartTask](s)).To(BeEmpty())
+		s.inventory(runner.Synced{})
+		Expect(kinds(s.durable())).To(Equal([]describer.RecordKind{describer.TaskReleased, describer.TaskStarted}))
+		Expect(taken[StartTask](s)).To(HaveLen(1))
+	})
+
+	It("adopts a run that its worker still has", func() {
+		d := newDesk("w1")
+		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
+		records := d.durable()
+		run := runOf(d.started()[0])
+
+		s := successor(records, "w1")
+		s.inventory(runner.Synced{Running: []runner.Running{{Run: run}}})
+		Expect(taken[SyncWorker](s)[0].Sync.Renew).To(Equal([]runner.Run{run}))
+		s.wait(time.Second)
+		Expect(taken[Append](s)).To(BeEmpty())
+	})
+
+	It("restarts a silent worker's task after lease and margin", func() {
+		d := newDesk("w1")
+		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
+		records := d.durable()
+
+		s := successor(records, "w1", "w2")
+		for _, c := range taken[SyncWorker](s) {
+			if c.Worker == "w2" {
+				s.do(WorkerSynced{Shard: "bne-1", Epoch: 2, Worker: "w2", Sent: s.now})
+			} else {
+				s.do(WorkerFailed{Shard: "bne-1", Epoch: 2, Worker: "w1"})
+			}
+		}
+		fail := func() {
+			s.wait(time.Second)
+			for _, c := range taken[SyncWorker](s) {
+				s.do(WorkerFailed{Shard: "bne-1", Epoch: 2, Worker: c.Worker})
+			}
+		}
+		for range 33 {
+			fail()
+		}
+		Expect(taken[Append](s)).To(BeEmpty())
+		for range 5 {
+			fail()
+		}
+		Expect(s.durable()[0].Kind).To(Equal(describer.TaskReleased))
+	})
+})
+
+var _ = Describe("a drain", func() {
+	It("moves work off with a checkpoint and ends in a restore", func() {
+		d := newDesk("w1", "w2")
+		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
+		d.durable()
+		Expect(d.started()[0].Worker).To(Equal("w1"))
+
+		c := testConfiguration()
+		c.Revision = 2
+		c.Drains = []describer.Drain{{
+			ID: "d1", Workers: []string{"w1"}, State: describer.Draining, Until: d.now.Add(time.Minute),
+		}}
+		d.do(Configured{Configuration: c})
+		tables := taken[Publish](d)
+		Expect(tables[len(tables)-1].Table.Services["menu-desk"][0].Closed).To(BeTrue())
+		d.wait(2 * time.Second)
+		stop := taken[StopTask](d)[0]
+		Expect(stop.Stop.Checkpoint).To(BeTrue())
+		d.do(StopAnswered{
+			Shard: "bne-1", Epoch: 1, Worker: "w1", Task: stop.Stop.Task, Token: stop.Stop.Token,
+			Stopped: runner.Stopped{Ran: true, Checkpoint: "half"},
+		})
+		records := d.durable()
+		Expect(records[0].DrainedOff).To(Equal("w1"))
+		again := d.started()
+		Expect(again[0].Worker).To(Equal("w2"))
+		Expect(again[0].Start.Checkpoint).To(Equal("half"))
+
+		d.wait(time.Minute)
+		d.inventory(runner.Synced{Running: []runner.Running{{Run: runOf(again[0])}}})
+		proposals := taken[Propose](d)
+		Expect(proposals[0]).To(Equal(Propose{Drain: "d1"}))
+		Expect(len(proposals)).To(BeNumerically("<=", 2))
+
+		c.Revision = 3
+		c.Drains = []describer.Drain{{ID: "d1", Workers: []string{"w1"}, State: describer.Restoring}}
+		d.do(Configured{Configuration: c})
+		for range 10 {
+			d.wait(5 * time.Second)
+			d.inventory(runner.Synced{Running: []runner.Running{{Run: runOf(again[0])}}})
+		}
+		Expect(taken[Propose](d)).To(BeEmpty(), "its end isn't durable")
+		Expect(kinds(d.durable())).To(ContainElement(describer.DrainRestored))
+		Expect(taken[Propose](d)).To(ContainElement(Propose{Drain: "d1", Worker: "w1"}))
+	})
+})
--- a/internal/platform/runner/runner.go
+++ b/internal/platform/runner/runner.go
@@ -30,9 +30,10 @@
 	Token      describer.Token     `json:"token"`
 	Class      string              `json:"class"`
 	Kind       describer.Kind      `json:"kind"`
-	Granted    describer.Resources `json:"granted"` // enforced by throttling
-	Lease      time.Duration       `json:"lease"`   // the worker stops the task when it lapses
-	RunTime    time.Duration       `json:"runtime"` // declared
+	Granted    describer.Resources `json:"granted"`        // enforced by throttling
+	Lease      time.Duration       `json:"lease"`          // the worker stops the task when it lapses
+	Until      time.Time           `json:"until,omitzero"` // by the worker's clock; see Sync.Until
+	RunTime    time.Duration       `json:"runtime"`        // declared
 	Checkpoint string              `json:"checkpoint,omitempty"`
 	Payload    json.RawMessage     `json:"payload,omitempty"`
 }
@@ -68,16 +69,22 @@
 
 // Sync renews leases in bulk and exchanges state: one call a worker and
 // interval. It raises the worker's epoch.
+//
+// Until bounds what a late message can do: a lease that the call grants ends
+// no later than Until by the worker's own clock, and a start that arrives
+// after it is refused. Zero leaves Lease from the arrival as the only bound.
 type Sync struct {
 	Shard string        `json:"shard"`
 	Epoch int64         `json:"epoch"`
 	Lease time.Duration `json:"lease"`
+	Until time.Time     `json:"until,omitzero"`
 	Renew []Run         `json:"renew,omitempty"` // runs to keep; others keep their remaining lease
 	Ack   []Run         `json:"ack,omitempty"`   // finished runs whose end is durable; the worker forgets them
 }
 
 // Synced is the worker's inventory.
 type Synced struct {
+	Clock    time.Time           `json:"clock,omitzero"` // the worker's, when it answered
 	Capacity describer.Resources `json:"capacity"`
 	Running  []Running           `json:"running"`
 	Finished []Finished          `json:"finished"` // kept until acknowledged
