--- /dev/null
+++ b/internal/standin/delayer/link.go
@@ -0,0 +1,100 @@
+package delayer
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Cut is how a link is cut.
+type Cut uint8
+
+// Ways to cut a link.
+const (
+	None      Cut = iota
+	Drop          // connections are reset and new ones refused
+	Blackhole     // bytes wait for the link to heal, as TCP sends them again
+)
+
+func (c Cut) String() string { return [...]string{"none", "drop", "blackhole"}[c] }
+
+// Link joins two places. Its direction up leads towards the relays' targets.
+type Link struct {
+	delay time.Duration // one way
+	rate  float64       // bytes a second each way; 0 is unlimited
+	up    direction
+	down  direction
+
+	mu      sync.Mutex
+	cut     Cut
+	changed chan struct{} // closed at the next change
+	relays  []*Relay
+}
+
+// direction is the queue and the count of one way.
+type direction struct {
+	mu    sync.Mutex
+	free  time.Time // when the bytes reserved so far have been sent
+	bytes int64
+}
+
+// NewLink returns a link with a one-way delay and a rate each way, in bytes a
+// second; a rate of 0 is unlimited.
+func NewLink(delay time.Duration, rate float64) *Link {
+	return &Link{delay: delay, rate: rate, changed: make(chan struct{})}
+}
+
+// Cut cuts the link until Heal.
+func (l *Link) Cut(c Cut) {
+	l.mu.Lock()
+	l.cut = c
+	close(l.changed)
+	l.changed = make(chan struct{})
+	relays := slices.Clone(l.relays)
+	l.mu.Unlock()
+	if c == Drop {
+		for _, r := range relays {
+			r.drop()
+		}
+	}
+}
+
+// Heal lets the link pass again.
+func (l *Link) Heal() { l.Cut(None) }
+
+// Bytes returns the bytes carried towards the targets and back.
+func (l *Link) Bytes() (up, down int64) { return l.up.count(), l.down.count() }
+
+func (l *Link) add(r *Relay) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.relays = append(l.relays, r)
+}
+
+func (l *Link) state() (Cut, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut, l.changed
+}
+
+// reserve queues n bytes and returns when the last of them has been sent.
+func (d *direction) reserve(n int, rate float64) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bytes += int64(n)
+	now := time.Now()
+	if rate <= 0 {
+		return now
+	}
+	if d.free.Before(now) {
+		d.free = now
+	}
+	d.free = d.free.Add(time.Duration(float64(n) / rate * float64(time.Second)))
+	return d.free
+}
+
+func (d *direction) count() int64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.bytes
+}
