--- a/internal/operator/responder/jobs.go
+++ b/internal/operator/responder/jobs.go
@@ -114,7 +114,7 @@
 	if !ok || len(configuration.Shards) == 0 {
 		return "", false, unavailable("not-ready", "no configuration with shards is known yet")
 	}
-	return r.ownerOf(reducer.HomeShard(configuration, id))
+	return r.ownerOf(reducer.HomeShard(&configuration, id))
 }
 
 func (r *Responder) ownerOf(shard string) (owner string, local bool, err error) {
--- a/internal/operator/responder/keys.go
+++ b/internal/operator/responder/keys.go
@@ -44,7 +44,7 @@
 	}
 	reply, err := r.options.Control.Ask(ctx, func(id reducer.RequestID) reducer.Event {
 		return reducer.KeyRequested{
-			Request: id, Shard: reducer.HomeShard(configuration, request.Key), Key: request.Key, Owner: request.Owner,
+			Request: id, Shard: reducer.HomeShard(&configuration, request.Key), Key: request.Key, Owner: request.Owner,
 		}
 	})
 	return reply.Key, err
