--- /dev/null
+++ b/internal/state/holder/holder_test.go
@@ -0,0 +1,132 @@
+package holder_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+	"dotterelcart.dev/dotterelcart/internal/state/holder"
+)
+
+const shard = "bne-1"
+
+// daemon is a holder with the events it reported.
+type daemon struct {
+	*holder.Holder
+	client *faker.Client
+
+	mu     sync.Mutex
+	events []reducer.Event
+}
+
+func start(s *faker.Store, name string) *daemon {
+	d := &daemon{client: s.Client(name)}
+	d.Holder = holder.New(holder.Options{Daemon: name, Log: zerolog.Nop()}, d.client, func(e reducer.Event) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.events = append(d.events, e)
+	})
+	return d
+}
+
+func (d *daemon) stop() {
+	_ = d.Close(context.Background())
+	<-d.Done
+}
+
+// take returns the events so far, after everything has come to rest, without
+// those about the store.
+func (d *daemon) take() []reducer.Event {
+	synctest.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []reducer.Event
+	for _, e := range d.events {
+		if _, ok := e.(reducer.StoreReached); !ok {
+			out = append(out, e)
+		}
+	}
+	d.events = nil
+	return out
+}
+
+// claim returns the event that the claim ended with.
+func (d *daemon) claim() reducer.Event {
+	d.take()
+	d.Do(reducer.Claim{Shard: shard})
+	for range 100 {
+		time.Sleep(100 * time.Millisecond)
+		if out := d.take(); len(out) > 0 {
+			return out[0]
+		}
+	}
+	return nil
+}
+
+func (d *daemon) append(epoch, batch int64, jobs ...string) {
+	var records []describer.Record
+	for _, j := range jobs {
+		records = append(records, describer.Record{Kind: describer.JobCancelled, JobID: j})
+	}
+	d.Do(reducer.Append{Shard: shard, Epoch: epoch, Batch: batch, Records: records})
+}
+
+func jobs(e reducer.Event) []string {
+	claimed, ok := e.(reducer.ShardClaimed)
+	Expect(ok).To(BeTrue(), "%#v", e)
+	out := []string{}
+	for _, r := range claimed.Records {
+		out = append(out, r.JobID)
+	}
+	return out
+}
+
+// virtual runs a spec in a bubble with virtual time. A failed expectation
+// panics, which has to be carried out of the bubble.
+func virtual(f func()) func() {
+	return func() {
+		var failure any
+		synctest.Test(current, func(*testing.T) {
+			defer func() { failure = recover() }()
+			f()
+		})
+		if failure != nil {
+			panic(failure)
+		}
+	}
+}
+
+var _ = Describe("Holder", func() {
+	It("claims, appends and hands over", virtual(func() {
+		s := faker.New()
+		a, b := start(s, "a"), start(s, "b")
+		defer b.stop()
+		defer a.stop()
+		Expect(a.claim()).To(Equal(reducer.ShardClaimed{Shard: shard, Epoch: 1}))
+		a.append(1, 1, "one")
+		a.append(1, 2, "two", "three")
+		time.Sleep(time.Second)
+		Expect(a.take()).To(Equal([]reducer.Event{
+			reducer.Appended{Shard: shard, Epoch: 1, Batch: 1},
+			reducer.Appended{Shard: shard, Epoch: 1, Batch: 2},
+		}))
+		Expect(b.claim()).To(Equal(reducer.ClaimFailed{Shard: shard, Owner: "a"}))
+		a.append(1, 3, "four")
+		a.Do(reducer.Release{Shard: shard, Epoch: 1})
+		time.Sleep(time.Second)
+		Expect(a.take()).To(Equal([]reducer.Event{
+			reducer.Appended{Shard: shard, Epoch: 1, Batch: 3},
+			reducer.ShardLost{Shard: shard, Epoch: 1},
+		}))
+		Expect(jobs(b.claim())).To(Equal([]string{"one", "two", "three", "four"}))
+	}))
+})
