state/distributor: first tests of peers, membership and configuration

A change whose first revision a host learnt by a pull was not relayed to its domain, and a relay to a host without configuration sent changes that it could not apply, twice. The watcher now relays after a pull as well, and a host without configuration gets the whole.

--- /dev/null
+++ b/internal/peer/gossiper/gossiper_test.go
@@ -0,0 +1,114 @@
+package gossiper_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/peer/gossiper"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+)
+
+func virtual(f func()) func() { return faker.Virtual(&current, f) }
+
+// cluster is a set of gossipers, named by their addresses domain/number.
+type cluster struct {
+	network *faker.Network
+	hosts   map[string]*gossiper.Gossiper
+	seen    map[string]int64
+}
+
+func newCluster() *cluster {
+	return &cluster{faker.NewNetwork(), map[string]*gossiper.Gossiper{}, map[string]int64{}}
+}
+
+func (c *cluster) start(name string, seeds ...string) *gossiper.Gossiper {
+	domain, _, _ := strings.Cut(name, "/")
+	g := gossiper.New(gossiper.Options{
+		Self:  reducer.Peer{Name: name, Domain: domain, Region: "r", Address: name},
+		Seeds: seeds,
+		Seed:  uint64(len(c.hosts) + 1),
+		Log:   zerolog.Nop(),
+	}, c.network.Node(name), func([]reducer.Peer) {})
+	c.hosts[name] = g
+	return g
+}
+
+func (c *cluster) startAll(n int) {
+	for i := range n {
+		c.start(fmt.Sprintf("d%d/%d", i%3, i), "d0/0")
+	}
+}
+
+func (c *cluster) stop(name string) {
+	c.network.Remove(name)
+	c.hosts[name].Close()
+	<-c.hosts[name].Done
+	delete(c.hosts, name)
+}
+
+func (c *cluster) stopAll() {
+	for name := range c.hosts {
+		c.stop(name)
+	}
+}
+
+// views returns the names of the members in each host's view, sorted and
+// joined; leaving ones are marked.
+func (c *cluster) views() map[string]string {
+	synctest.Wait()
+	out := map[string]string{}
+	for name, g := range c.hosts {
+		var names []string
+		for _, p := range g.Alive() {
+			if p.Leaving {
+				p.Name += " leaving"
+			}
+			names = append(names, p.Name)
+		}
+		out[name] = strings.Join(names, ",")
+	}
+	return out
+}
+
+var _ = Describe("Gossiper", func() {
+	It("finds all members from one seed, and drops a dead one", virtual(func() {
+		c := newCluster()
+		defer c.stopAll()
+		c.startAll(4)
+		time.Sleep(20 * time.Second)
+		Expect(c.views()).To(HaveEach("d0/0,d0/3,d1/1,d2/2"))
+		c.stop("d1/1")
+		time.Sleep(15 * time.Second)
+		Expect(c.views()).To(HaveEach("d0/0,d0/3,d2/2"))
+	}))
+
+	It("knows at once that a member is leaving, and then drops it without suspicion", virtual(func() {
+		c := newCluster()
+		defer c.stopAll()
+		c.startAll(4)
+		time.Sleep(20 * time.Second)
+		c.hosts["d0/3"].Leave(context.Background())
+		Expect(c.views()).To(HaveEach(ContainSubstring("d0/3 leaving")))
+		c.stop("d0/3")
+		time.Sleep(4 * time.Second)
+		Expect(c.views()).To(HaveEach("d0/0,d1/1,d2/2"))
+	}))
+
+	It("finds members by the host list", virtual(func() {
+		c := newCluster()
+		defer c.stopAll()
+		c.start("a/1")
+		c.start("a/2").UpdateHosts([]describer.Host{{Role: describer.Entry, State: describer.Live, Control: "a/1"}})
+		time.Sleep(3 * time.Second)
+		Expect(c.views()).To(HaveEach("a/1,a/2"))
+	}))
+})
--- /dev/null
+++ b/internal/peer/messenger/messenger_test.go
@@ -0,0 +1,147 @@
+package messenger_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/peer/messenger"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+)
+
+func open(o messenger.Options) *messenger.Node {
+	if o.Listener == nil {
+		o.Listen = "127.0.0.1:0"
+	}
+	n, err := messenger.New(o)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() {
+		Expect(n.Close()).To(Succeed())
+		<-n.Done
+	})
+	return n
+}
+
+func echo(_ context.Context, params json.RawMessage) (any, error) { return params, nil }
+
+var _ = Describe("Node", func() {
+	var a, b *messenger.Node
+	ctx := context.Background()
+
+	BeforeEach(func() {
+		a, b = open(messenger.Options{}), open(messenger.Options{})
+		b.Handle("echo", echo)
+	})
+
+	It("calls over one kept connection and counts the same bytes on both sides", func() {
+		for _, word := range []string{"one", "two"} {
+			var out string
+			Expect(a.Call(ctx, b.Address, "echo", word, &out)).To(Succeed())
+			Expect(out).To(Equal(word))
+		}
+		Expect(a.Sent()["echo"]).To(BeNumerically(">", 0))
+		Expect(b.Received()).To(Equal(a.Sent()))
+		Expect(a.Received()).To(Equal(b.Sent()))
+	})
+
+	It("says NotRun when nobody listens, when refused, and when there is no such method", func() {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		l.Close()
+		Expect(classifier.Of(a.Call(ctx, l.Addr().String(), "echo", nil, nil))).To(Equal(classifier.NotRun))
+		Expect(classifier.Of(a.Call(ctx, b.Address, "other", nil, nil))).To(Equal(classifier.NotRun))
+		refusal := &classifier.Error{Verdict: classifier.NotRun, Status: 503, Code: "busy", Message: "m", Field: "f", RetryAfter: time.Second}
+		b.Handle("busy", func(context.Context, json.RawMessage) (any, error) { return nil, refusal })
+		Expect(a.Call(ctx, b.Address, "busy", nil, nil)).To(Equal(refusal))
+	})
+
+	It("says MayHaveRun for a panic and for any other failure of a handler", func() {
+		b.Handle("panic", func(context.Context, json.RawMessage) (any, error) { panic("bug") })
+		b.Handle("fail", func(context.Context, json.RawMessage) (any, error) { return nil, io.EOF })
+		for _, method := range []string{"panic", "fail"} {
+			Expect(classifier.Of(a.Call(ctx, b.Address, method, nil, nil))).To(Equal(classifier.MayHaveRun), method)
+		}
+	})
+
+	It("replaces a connection that went silent", func() {
+		mute := &atomic.Bool{}
+		var dials atomic.Int32
+		c := open(messenger.Options{Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			dials.Add(1)
+			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+			return &silent{Conn: conn, mute: mute}, err
+		}})
+		Expect(c.Call(ctx, b.Address, "echo", 1, nil)).To(Succeed())
+		mute.Store(true)
+		short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+		defer cancel()
+		Expect(classifier.Of(c.Call(short, b.Address, "echo", 2, nil))).To(Equal(classifier.MayHaveRun))
+		mute.Store(false)
+		Expect(c.Call(ctx, b.Address, "echo", 3, nil)).To(Succeed())
+		Expect(dials.Load()).To(BeEquivalentTo(2))
+	})
+
+	It("dials again after the peer was replaced", func() {
+		Expect(a.Call(ctx, b.Address, "echo", 1, nil)).To(Succeed())
+		Expect(b.Close()).To(Succeed())
+		<-b.Done
+		l, err := net.Listen("tcp", b.Address)
+		Expect(err).NotTo(HaveOccurred())
+		open(messenger.Options{Listener: l}).Handle("echo", echo)
+		// The end of the kept connection may not have been noticed yet.
+		Eventually(func() error { return a.Call(ctx, b.Address, "echo", 2, nil) }).Should(Succeed())
+	})
+
+	It("closes connections that send too much or nonsense, and serves others", func() {
+		small := open(messenger.Options{Limit: 64})
+		small.Handle("echo", echo)
+		for _, raw := range []string{"\xff\xff\xff\xff\x0f{", "\x05{}}}}", "\x02[]", "\x04null", "\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff\xff", "GET / HTTP/1.1\r\n\r\n"} {
+			c, err := net.Dial("tcp", small.Address)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = c.Write([]byte(raw))
+			Expect(err).NotTo(HaveOccurred())
+			c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			_, err = io.ReadAll(c)
+			Expect(err).To(Or(BeNil(), MatchError(ContainSubstring("reset"))), "%q", raw)
+			c.Close()
+		}
+		Expect(a.Call(ctx, small.Address, "echo", 1, nil)).To(Succeed())
+		big := open(messenger.Options{Limit: 32})
+		Expect(classifier.Of(big.Call(ctx, b.Address, "echo", make([]byte, 64), nil))).To(Equal(classifier.NotRun))
+	})
+
+	It("refuses more calls on a connection than it may serve at once", func() {
+		narrow := open(messenger.Options{Pending: 1})
+		entered, free := make(chan struct{}), make(chan struct{})
+		narrow.Handle("hold", func(context.Context, json.RawMessage) (any, error) {
+			close(entered)
+			<-free
+			return nil, nil
+		})
+		held := make(chan error, 1)
+		go func() { held <- a.Call(ctx, narrow.Address, "hold", nil, nil) }()
+		<-entered
+		Expect(classifier.Of(a.Call(ctx, narrow.Address, "hold", nil, nil))).To(Equal(classifier.NotRun))
+		close(free)
+		Expect(<-held).To(Succeed())
+	})
+})
+
+// silent swallows what is written while muted.
+type silent struct {
+	net.Conn
+	mute *atomic.Bool
+}
+
+func (s *silent) Write(p []byte) (int, error) {
+	if s.mute.Load() {
+		return len(p), nil
+	}
+	return s.Conn.Write(p)
+}
--- /dev/null
+++ b/internal/state/distributor/distributor_test.go
@@ -0,0 +1,157 @@
+package distributor_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/state/distributor"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+)
+
+func virtual(f func()) func() { return faker.Virtual(&current, f) }
+
+var ctx = context.Background()
+
+// fleet is a set of distributors that know each other.
+type fleet struct {
+	store   *faker.Store
+	network *faker.Network
+	hosts   map[string]*host
+}
+
+type host struct {
+	*distributor.Distributor
+	client *faker.Client
+
+	mu        sync.Mutex
+	revisions []int64 // in the order in which they came into force
+}
+
+func newFleet() *fleet {
+	return &fleet{faker.New(), faker.NewNetwork(), map[string]*host{}}
+}
+
+// start starts hosts named domain/number.
+func (f *fleet) start(names ...string) {
+	for _, name := range names {
+		domain, _, _ := strings.Cut(name, "/")
+		h := &host{client: f.store.Client(name)}
+		h.Distributor = distributor.New(
+			distributor.Options{Daemon: name, Domain: domain, Log: zerolog.New(GinkgoWriter).With().Str("host", name).Logger()},
+			h.client, f.network.Node(name), func(c describer.Configuration) {
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.revisions = append(h.revisions, c.Revision)
+			})
+		f.hosts[name] = h
+	}
+	f.meet()
+}
+
+// meet tells all hosts about each other.
+func (f *fleet) meet() {
+	var peers []reducer.Peer
+	for name := range f.hosts {
+		domain, _, _ := strings.Cut(name, "/")
+		peers = append(peers, reducer.Peer{Name: name, Domain: domain, Address: name})
+	}
+	for _, h := range f.hosts {
+		h.SetPeers(peers)
+	}
+}
+
+func (f *fleet) stop(names ...string) {
+	for _, name := range names {
+		f.network.Remove(name)
+		f.hosts[name].Close()
+		<-f.hosts[name].Done
+		delete(f.hosts, name)
+	}
+}
+
+func (f *fleet) stopAll() {
+	for name := range f.hosts {
+		f.stop(name)
+	}
+}
+
+func (f *fleet) revisions() map[string]int64 {
+	synctest.Wait()
+	out := map[string]int64{}
+	for name, h := range f.hosts {
+		out[name] = h.Current().Revision
+	}
+	return out
+}
+
+// addTeam returns an edit that adds a team.
+func addTeam(name string) distributor.Edit {
+	return func(c describer.Configuration) (describer.Configuration, error) {
+		c.Teams = append(c.Teams, describer.Team{Name: name, Weight: 1})
+		return c, nil
+	}
+}
+
+func (f *fleet) propose(name, team string) {
+	GinkgoHelper()
+	_, err := f.hosts[name].Propose(ctx, addTeam(team))
+	Expect(err).NotTo(HaveOccurred())
+}
+
+var _ = Describe("Distributor", func() {
+	It("brings a change into force everywhere, with one watcher for each domain", virtual(func() {
+		f := newFleet()
+		defer f.stopAll()
+		f.start("a/1", "a/2", "a/3", "b/1", "b/2", "b/3")
+		Expect(f.hosts["a/1"].IsReady()).To(BeFalse())
+		f.propose("a/2", "one")
+		f.propose("b/1", "two")
+		time.Sleep(5 * time.Second)
+		Expect(f.revisions()).To(HaveEach(int64(2)))
+		watching := 0
+		for _, h := range f.hosts {
+			if h.client.Count("watch") > 0 {
+				watching++
+			}
+		}
+		Expect(watching).To(Equal(2))
+	}))
+
+	It("passes on an edit's error with NotRun", virtual(func() {
+		f := newFleet()
+		defer f.stopAll()
+		f.start("a/1")
+		refusal := errors.New("changed in the meantime")
+		_, err := f.hosts["a/1"].Propose(ctx, func(c describer.Configuration) (describer.Configuration, error) { return c, refusal })
+		Expect(err).To(MatchError(refusal))
+		Expect(classifier.Of(err)).To(Equal(classifier.NotRun))
+	}))
+
+	It("keeps all changes of racing proposals", virtual(func() {
+		f := newFleet()
+		defer f.stopAll()
+		f.start("a/1", "a/2", "b/1")
+		var all sync.WaitGroup
+		for name := range f.hosts {
+			for i := range 10 {
+				all.Go(func() { f.propose(name, fmt.Sprint(name, i)) })
+			}
+		}
+		all.Wait()
+		time.Sleep(5 * time.Second)
+		Expect(f.revisions()).To(HaveEach(int64(30)))
+		Expect(f.hosts["b/1"].Current().Teams).To(HaveLen(30))
+	}))
+})
--- a/internal/state/distributor/relay.go
+++ b/internal/state/distributor/relay.go
@@ -55,7 +55,7 @@
 		return out
 	}
 	for i, g := range d.recent {
-		if g.Revision == revision+1 {
+		if revision > 0 && g.Revision == revision+1 {
 			out.Changes = d.recent[i:]
 			return out
 		}
@@ -140,7 +140,12 @@
 	if answer.Whole == nil && len(answer.Changes) == 0 {
 		return fmt.Errorf("distributor: peer knows no more than revision %d", answer.Revision)
 	}
+	before := d.Current().Revision
 	d.take(answer)
+	if d.Current().Revision > before && d.rank() == 0 {
+		// The watch will not bring this revision any more.
+		d.begin(d.relay)
+	}
 	return nil
 }
 
--- a/internal/state/holder/holder_test.go
+++ b/internal/state/holder/holder_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"testing"
 	"testing/synctest"
 	"time"
 
@@ -90,20 +89,7 @@
 	return out
 }
 
-// virtual runs a spec in a bubble with virtual time. A failed expectation
-// panics, which has to be carried out of the bubble.
-func virtual(f func()) func() {
-	return func() {
-		var failure any
-		synctest.Test(current, func(*testing.T) {
-			defer func() { failure = recover() }()
-			f()
-		})
-		if failure != nil {
-			panic(failure)
-		}
-	}
-}
+func virtual(f func()) func() { return faker.Virtual(&current, f) }
 
 var _ = Describe("Holder", func() {
 	It("claims, appends and hands over", virtual(func() {
