--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -16,7 +16,7 @@
 //	g.UpdateHosts(hosts)       // from the lagging host list
 //	g.SetShards([]string{"bne-1"})
 //	g.SetRevision(42)          // of the configuration in force here
-//	g.Leave(ctx)
+//	g.Leave()
 //
 // # Budget
 //
@@ -178,7 +178,7 @@
 
 // Leave tells the other hosts that this one is leaving. It goes on answering
 // until Close.
-func (g *Gossiper) Leave(ctx context.Context) {
+func (g *Gossiper) Leave() {
 	g.mu.Lock()
 	g.self.Leaving = true
 	g.renew()
@@ -187,7 +187,7 @@
 	g.mu.Unlock()
 	var pings sync.WaitGroup
 	for _, address := range targets {
-		pings.Go(func() { _ = g.ping(ctx, address, "") })
+		pings.Go(func() { _ = g.ping(g.ctx, address, "") })
 	}
 	pings.Wait()
 }
--- a/internal/peer/gossiper/gossiper_test.go
+++ b/internal/peer/gossiper/gossiper_test.go
@@ -1,7 +1,6 @@
 package gossiper_test
 
 import (
-	"context"
 	"fmt"
 	"strings"
 	"testing/synctest"
@@ -96,7 +95,7 @@
 		defer c.stopAll()
 		c.startAll(4)
 		time.Sleep(20 * time.Second)
-		c.hosts["d0/3"].Leave(context.Background())
+		c.hosts["d0/3"].Leave()
 		Expect(c.views()).To(HaveEach(ContainSubstring("d0/3 leaving")))
 		c.stop("d0/3")
 		time.Sleep(4 * time.Second)
