--- /dev/null
+++ b/internal/state/journaler/journaler_test.go
@@ -0,0 +1,279 @@
+package journaler_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+	"dotterelcart.dev/dotterelcart/internal/state/journaler"
+)
+
+const shard = "bne/1"
+
+var ctx = context.Background()
+
+func virtual(f func()) func() { return faker.Virtual(&current, f) }
+
+// writer is an open ledger with what it reported.
+type writer struct {
+	*journaler.Ledger
+	content journaler.Content
+
+	mu    sync.Mutex
+	acked []int64
+	lost  bool
+}
+
+func open(c *faker.Client) *writer {
+	GinkgoHelper()
+	w := &writer{}
+	var err error
+	w.Ledger, w.content, err = journaler.Open(ctx, journaler.Options{
+		Shard: shard,
+		Owner: c.Name,
+		Log:   zerolog.Nop(),
+		Appended: func(batch int64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.acked = append(w.acked, batch)
+		},
+		Lost: func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.lost = true
+		},
+	}, c)
+	Expect(err).NotTo(HaveOccurred())
+	return w
+}
+
+func (w *writer) stop() {
+	w.Close()
+	<-w.Done
+}
+
+// write appends batches of one record each, named by epoch and batch.
+func (w *writer) write(batches ...int64) {
+	for _, b := range batches {
+		name := fmt.Sprintf("%d.%d", w.Epoch, b)
+		Expect(w.Append(b, []describer.Record{{Kind: describer.JobCancelled, JobID: name}})).To(Succeed())
+		synctest.Wait() // no group commit, for a longer chain
+	}
+}
+
+func (w *writer) state() (acked []int64, lost bool) {
+	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.acked, w.lost
+}
+
+func (w *writer) records() string {
+	var out []string
+	for _, r := range w.content.Records {
+		out = append(out, r.JobID)
+	}
+	return strings.Join(out, " ")
+}
+
+var _ = Describe("Ledger", func() {
+	var store *faker.Store
+
+	BeforeEach(func() { store = faker.New() })
+
+	It("replays what was appended, and what follows a snapshot", virtual(func() {
+		a := open(store.Client("a"))
+		a.write(1, 2, 3)
+		a.Save(2, []byte("two"))
+		a.write(4)
+		a.Finish()
+		<-a.Done
+		b := open(store.Client("b"))
+		defer b.stop()
+		Expect(b.Epoch).To(BeEquivalentTo(2))
+		Expect(string(b.content.Snapshot)).To(Equal("two"))
+		Expect(b.records()).To(Equal("1.3 1.4"))
+	}))
+
+	It("fences an owner that was paused while its successor compacted the ledger", virtual(func() {
+		a := open(store.Client("a"))
+		defer a.stop()
+		a.write(1, 2, 3)
+		b := open(store.Client("b"))
+		defer b.stop()
+		for i := range int64(20) {
+			b.write(i + 1)
+			b.Save(i+1, []byte("state"))
+		}
+		a.write(4)
+		time.Sleep(time.Second)
+		acked, lost := a.state()
+		Expect(acked).To(Equal([]int64{1, 2, 3}))
+		Expect(lost).To(BeTrue())
+		c := open(store.Client("c"))
+		defer c.stop()
+		Expect(c.records()).To(BeEmpty())
+	}))
+
+	It("fences an owner whose snapshot is overtaken, and keeps the successor's chunks", virtual(func() {
+		client := store.Client("a")
+		a := open(client)
+		defer a.stop()
+		a.write(1)
+		a.Save(1, []byte("one"))
+		synctest.Wait()
+		// a is paused before it lists old snapshots, and before its delete.
+		client.Delay = func(c faker.Call) time.Duration {
+			if c.Operation == "list" || c.Operation == "delete" {
+				return time.Second
+			}
+			return 0
+		}
+		a.Save(1, []byte("one again"))
+		synctest.Wait()
+		b := open(store.Client("b"))
+		b.write(1)
+		b.Save(1, []byte("successor"))
+		synctest.Wait()
+		b.stop()
+		time.Sleep(10 * time.Second)
+		c := open(store.Client("c"))
+		defer c.stop()
+		Expect(string(c.content.Snapshot)).To(Equal("successor"))
+	}))
+
+	It("takes in an append that lands during the claim", virtual(func() {
+		client := store.Client("a")
+		a := open(client)
+		defer a.stop()
+		a.write(1)
+		client.Delay = func(c faker.Call) time.Duration { return 100 * time.Millisecond }
+		go func() { _ = a.Append(2, nil) }()
+		slow := store.Client("b")
+		slow.Delay = func(c faker.Call) time.Duration {
+			if c.Operation == "swap" && strings.Contains(c.Key, "log/") {
+				return time.Second // after the end of the chain was read
+			}
+			return 0
+		}
+		b := open(slow)
+		defer b.stop()
+		acked, _ := a.state()
+		Expect(acked).To(Equal([]int64{1, 2}))
+		a.write(3)
+		time.Sleep(time.Second)
+		acked, lost := a.state()
+		Expect(acked).To(Equal([]int64{1, 2}))
+		Expect(lost).To(BeTrue())
+	}))
+
+	DescribeTable("loses and doubles nothing when answers are lost or old",
+		func(fate faker.Fate, share float64) {
+			virtual(func() {
+				client := store.Client("a")
+				random := rand.New(rand.NewPCG(4, 4))
+				client.Fault = func(faker.Call) faker.Fate {
+					if random.Float64() < share {
+						return fate
+					}
+					return faker.Answer
+				}
+				a := open(client)
+				for i := range int64(30) {
+					a.write(i + 1)
+					if i%7 == 6 {
+						a.Save(i, fmt.Appendf(nil, "state %d", i))
+					}
+				}
+				a.Finish()
+				<-a.Done
+				acked, lost := a.state()
+				Expect(lost).To(BeFalse())
+				Expect(acked).To(HaveLen(30))
+				b := open(store.Client("b"))
+				defer b.stop()
+				Expect(string(b.content.Snapshot)).To(Equal("state 27"))
+				Expect(b.records()).To(Equal("1.28 1.29 1.30"))
+			})()
+		},
+		Entry("lost now and then", faker.LoseAnswer, 0.2),
+		Entry("lost mostly", faker.LoseAnswer, 0.7),
+		Entry("dropped mostly", faker.Drop, 0.7),
+		Entry("old now and then", faker.Stale, 0.2),
+		Entry("old mostly", faker.Stale, 0.7),
+	)
+
+	It("splits a snapshot and a batch above the store's limit", virtual(func() {
+		a := open(store.Client("a"))
+		data := bytes.Repeat([]byte("0123456789"), 300_000)
+		a.write(1)
+		a.Save(1, data)
+		big := describer.Record{Kind: describer.TaskFinished, Reason: strings.Repeat("x", 2_500_000)}
+		Expect(a.Append(2, []describer.Record{big})).To(Succeed())
+		a.Finish()
+		<-a.Done
+		b := open(store.Client("b"))
+		defer b.stop()
+		Expect(bytes.Equal(b.content.Snapshot, data)).To(BeTrue())
+		Expect(b.content.Records).To(HaveLen(1))
+		Expect(b.content.Records[0].Reason).To(HaveLen(2_500_000))
+	}))
+
+	It("drops a large batch of which only a part was written", virtual(func() {
+		client := store.Client("a")
+		a := open(client)
+		segments := 0
+		client.Fault = func(c faker.Call) faker.Fate {
+			if c.Operation == "swap" {
+				segments++
+			}
+			if segments > 2 {
+				return faker.Drop
+			}
+			return faker.Answer
+		}
+		a.write(1)
+		big := describer.Record{Reason: strings.Repeat("x", 2_500_000)}
+		Expect(a.Append(2, []describer.Record{big, big})).To(Succeed())
+		time.Sleep(time.Second)
+		a.stop()
+		b := open(store.Client("b"))
+		b.write(1)
+		b.stop()
+		c := open(store.Client("c"))
+		defer c.stop()
+		Expect(c.records()).To(Equal("1.1 2.1"))
+	}))
+
+	It("leaves no chunks of unfinished snapshots behind", virtual(func() {
+		client := store.Client("a")
+		a := open(client)
+		client.Fault = func(c faker.Call) faker.Fate {
+			if strings.HasSuffix(c.Key, "head") {
+				return faker.Drop
+			}
+			return faker.Answer
+		}
+		a.Save(1, []byte("never in force"))
+		time.Sleep(time.Second)
+		a.stop()
+		b := open(store.Client("b"))
+		defer b.stop()
+		for i := range int64(3) {
+			b.Save(i, []byte("state"))
+			synctest.Wait()
+		}
+		Expect(store.Items(journaler.Key(shard, "snapshot/"))).To(HaveLen(1))
+	}))
+})
