control: specs and properties for the colocation parts

Evictions need a target that is missed without a break for 90 s. The learner's filter scaled the covariance between baseline and classes as if the baseline decayed too; it does not.

--- a/internal/control/accountant/accountant.go
+++ b/internal/control/accountant/accountant.go
@@ -50,6 +50,7 @@
 	Resources describer.Resources
 	Used      describer.Resources // latest lagging report
 	Progress  float64             // latest lagging report, 0 to 1
+	Ceiling   int64               // millicores it is throttled to for a service's sake; 0 is not throttled
 	HomeTo    string              // drained worker that the task is owed back to, or empty
 	Since     time.Time
 }
@@ -133,7 +134,7 @@
 	if _, ok := w.Grants[task]; ok {
 		return fmt.Errorf("accountant: %s already holds a grant on %s", task, w.Host.Name)
 	}
-	if !g.Resources.Fits(w.Free()) {
+	if isNegative(g.Resources) || !g.Resources.Fits(w.Free()) {
 		return fmt.Errorf("accountant: %s does not fit on %s", task, w.Host.Name)
 	}
 	if w.Grants == nil {
@@ -153,7 +154,7 @@
 		return fmt.Errorf("accountant: %s holds no grant under this token on %s", task, w.Host.Name)
 	}
 	more := to.Sub(g.Resources)
-	if !fitsGrowth(more, w.Free()) {
+	if isNegative(to) || !fitsGrowth(more, w.Free()) {
 		return fmt.Errorf("accountant: %s does not fit on %s at its new size", task, w.Host.Name)
 	}
 	g.Resources = to
@@ -180,6 +181,12 @@
 		(more.Accelerators <= 0 || more.Accelerators <= free.Accelerators)
 }
 
+// isNegative guards the accounts: a negative grant would make room that is
+// not there.
+func isNegative(r describer.Resources) bool {
+	return r.CPU < 0 || r.Memory < 0 || r.Accelerators < 0
+}
+
 func compareTasks(a, b describer.TaskID) int {
 	if c := strings.Compare(a.Job, b.Job); c != 0 {
 		return c
--- /dev/null
+++ b/internal/control/accountant/room_test.go
@@ -0,0 +1,45 @@
+package accountant
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+var _ = Describe("Worker", func() {
+	var w *Worker
+	id := describer.TaskID{Job: "j"}
+	token := describer.Token{Epoch: 1, Sequence: 1}
+
+	BeforeEach(func() {
+		w = &Worker{Host: describer.Host{Name: "w", Capacity: describer.Resources{CPU: 1000, Memory: 100}}}
+		grant := Grant{Token: token, Class: "c", Resources: describer.Resources{CPU: 300, Memory: 90}}
+		Expect(w.Hold(id, grant)).To(Succeed())
+	})
+
+	It("keeps room within the limit of a restore", func() {
+		w.Limited, w.Limit = true, 500
+		Expect(w.Room().CPU).To(BeEquivalentTo(200))
+		w.Closed = true
+		Expect(w.Room()).To(BeZero())
+	})
+
+	It("relieves a worker whose capacity fell", func() {
+		w.Host.Capacity.Memory = 50
+		Expect(w.Resize(id, token, describer.Resources{CPU: 300, Memory: 60})).To(Succeed())
+		Expect(w.Resize(id, token, describer.Resources{CPU: 300, Memory: 61})).NotTo(Succeed())
+	})
+
+	It("ignores a drop under an old token", func() {
+		w.Drop(id, describer.Token{})
+		Expect(w.Tasks()).To(Equal([]describer.TaskID{id}))
+		Expect(w.Shares()).To(Equal(map[string]float64{"c": 0.3}))
+	})
+
+	It("clones grants", func() {
+		c := w.Clone()
+		c.Drop(id, token)
+		Expect(w.Grants).To(HaveLen(1))
+	})
+})
--- a/internal/control/escalator/escalator.go
+++ b/internal/control/escalator/escalator.go
@@ -80,6 +80,7 @@
 	Enter  float64       // share of the target above which steps are taken
 	Leave  float64       // share of the target below which they are undone
 	Settle time.Duration // between steps, longer than the lag of reports
+	Endure time.Duration // for which a target must be missed without a break before evictions
 	Weight float64       // of the newest report in the smoothed latency
 	Floor  float64       // share of its grant that a throttled task keeps
 	Blame  float64       // relative slow-down by batch below which batch is not to blame
@@ -99,6 +100,9 @@
 	if o.Settle == 0 {
 		o.Settle = 45 * time.Second
 	}
+	if o.Endure == 0 {
+		o.Endure = 2 * o.Settle
+	}
 	return o
 }
 
@@ -107,6 +111,10 @@
 	Services  map[string]*Smoothed
 	Throttled map[describer.TaskID]int64 // grant before throttling, millicores
 	Acted     time.Time                  // last step or undoing
+	Missed    time.Time                  // since when a target is missed without a break; zero if met
+	Calm      time.Time                  // since when all targets are kept with ease; zero if not
+	Raised    time.Time                  // last undoing
+	Hold      time.Duration              // of calm before the next undoing; doubles when one was premature
 	Level     Kind                       // of the last step; Raise when at rest
 }
 
@@ -121,6 +129,8 @@
 	in.Options = in.Options.orDefault()
 	in.State.take(in)
 	service, ratio := in.State.worst()
+	in.State.Missed = since(in.State.Missed, in.Now, ratio > in.Options.Enter)
+	in.State.Calm = since(in.State.Calm, in.Now, ratio < in.Options.Leave)
 	switch {
 	case service == "":
 		return nil
@@ -171,3 +181,14 @@
 	}
 	return service, ratio
 }
+
+// since returns the time from which a condition holds without a break.
+func since(before, now time.Time, holds bool) time.Time {
+	switch {
+	case !holds:
+		return time.Time{}
+	case before.IsZero():
+		return now
+	}
+	return before
+}
--- a/internal/control/escalator/step.go
+++ b/internal/control/escalator/step.go
@@ -10,6 +10,11 @@
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
 
+const (
+	premature   = 30 * time.Minute // an undoing after which a throttle comes sooner was premature
+	longestHold = time.Hour
+)
+
 // suspect is a batch task with its part in the slow-down of a service.
 type suspect struct {
 	task  describer.TaskID
@@ -37,24 +42,28 @@
 		return actions // without batch tasks it would be as slow
 	}
 	need := math.Log(ratio / in.Options.Enter)
-	throttles, gain := throttle(in, suspects, service)
-	if len(throttles) > 0 && (gain >= need || in.State.Level < Throttle) {
+	if throttles := throttle(in, suspects, need, service); len(throttles) > 0 {
+		in.State.backOff(in.Now)
 		return in.State.acted(in.Now, Throttle, append(actions, throttles...))
 	}
+	if in.Now.Sub(in.State.Missed) < in.Options.Endure {
+		return actions // a wave passes, an eviction does not
+	}
 	kind := Move
 	if in.State.Level >= Move && ratio > 2*in.Options.Enter {
 		kind = Stop
 	}
 	evictions := evict(in, suspects, kind, need, service)
 	if len(evictions) == 0 {
-		return append(actions, throttles...)
+		return actions
 	}
 	return in.State.acted(in.Now, kind, append(actions, evictions...))
 }
 
 // relax undoes throttles, one task at a time, the largest first.
 func relax(in Input) []Action {
-	if in.Now.Sub(in.State.Acted) < 2*in.Options.Settle {
+	in.State.Hold = max(in.State.Hold, 2*in.Options.Settle)
+	if in.Now.Sub(in.State.Acted) < in.Options.Settle || in.Now.Sub(in.State.Calm) < in.State.Hold {
 		return nil
 	}
 	var best describer.TaskID
@@ -77,6 +86,7 @@
 	if missing <= 0 {
 		return nil
 	}
+	in.State.Raised = in.Now
 	g := in.Worker.Grants[best]
 	delete(in.State.Throttled, best)
 	return in.State.acted(in.Now, Raise, []Action{{
@@ -85,6 +95,19 @@
 	}})
 }
 
+// backOff doubles the calm that the next undoing needs if the last one was
+// premature, and halves it otherwise.
+func (s *State) backOff(now time.Time) {
+	if s.Raised.IsZero() {
+		return
+	}
+	if now.Sub(s.Raised) < premature {
+		s.Hold = min(2*s.Hold, longestHold)
+	} else {
+		s.Hold /= 2
+	}
+}
+
 func (s *State) acted(now time.Time, level Kind, actions []Action) []Action {
 	s.Acted = now
 	s.Level = level
@@ -113,23 +136,27 @@
 	return out
 }
 
-// throttle lowers the grants of those that matter to the floor, and returns
-// the log slow-down that is won.
-func throttle(in Input, suspects []suspect, service string) (actions []Action, gain float64) {
+// throttle lowers the grants of as few tasks as are expected to restore the
+// target, or of all.
+func throttle(in Input, suspects []suspect, need float64, service string) []Action {
+	var actions []Action
 	for _, s := range suspects {
 		_, done := in.State.Throttled[s.task]
 		to := int64(float64(s.cpu) * in.Options.Floor)
 		if done || to < 1 || s.slow <= 0 {
 			continue
 		}
+		if need <= 0 {
+			break
+		}
 		in.State.Throttled[s.task] = s.cpu
-		gain += s.slow * (1 - in.Options.Floor)
+		need -= s.slow * (1 - in.Options.Floor)
 		actions = append(actions, Action{
 			Kind: Throttle, Task: s.task, Token: in.Worker.Grants[s.task].Token, CPU: to,
 			Why: "slows " + service,
 		})
 	}
-	return actions, gain
+	return actions
 }
 
 // evict picks as few runs as are expected to restore the target, as far as
--- /dev/null
+++ b/internal/control/learner/learner_test.go
@@ -0,0 +1,125 @@
+package learner
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+)
+
+var start = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+// report is a noisy report of a service whose latency is 20 ms alone and grows
+// by exp(0.8 * share of "heavy").
+func report(r *rand.Rand, at time.Time, heavy, light float64) Sample {
+	seconds := 0.02 * math.Exp(0.8*heavy+0.2*r.NormFloat64())
+	return Sample{
+		Worker: "w",
+		Latency: runner.Latency{
+			Service: "desk", From: at.Add(-10 * time.Second), To: at, Load: 0.6, Count: 500,
+			P99: time.Duration(seconds * float64(time.Second)),
+		},
+		Shares: map[string]float64{"heavy": heavy, "light": light},
+	}
+}
+
+func trained(reports int) *Learner {
+	l := New(Options{})
+	r := rand.New(rand.NewPCG(7, 7))
+	for i := range reports {
+		at := start.Add(time.Duration(i) * 10 * time.Second)
+		l.Observe(report(r, at, 0.5*r.Float64(), 0.5*r.Float64()))
+	}
+	return l
+}
+
+var _ = Describe("Learner", func() {
+	It("stays at the prior without evidence", func() {
+		l := New(Options{})
+		mean, upper := l.Estimate("desk", "heavy", 0.6)
+		Expect(mean).To(Equal(l.Options.Prior))
+		Expect(upper).To(BeNumerically(">", mean))
+	})
+
+	It("tells classes apart from noisy reports", func() {
+		l := trained(600)
+		heavy, upper := l.Estimate("desk", "heavy", 0.6)
+		light, _ := l.Estimate("desk", "light", 0.6)
+		Expect(heavy).To(BeNumerically("~", 0.8, 0.3))
+		Expect(light).To(BeNumerically("~", 0, 0.3))
+		Expect(upper - heavy).To(BeNumerically("<", 0.2))
+		base, ok := l.Baseline("desk", 0.6)
+		Expect(ok).To(BeTrue())
+		Expect(base).To(BeNumerically("~", 20*time.Millisecond, 2*time.Millisecond))
+	})
+
+	It("shrinks towards the prior with few reports", func() {
+		heavy, _ := trained(3).Estimate("desk", "heavy", 0.6)
+		Expect(heavy).To(BeNumerically("~", 0.4, 0.25))
+	})
+
+	It("grows less certain with age", func() {
+		l := trained(600)
+		mean, upper := l.Estimate("desk", "heavy", 0.6)
+		late := report(rand.New(rand.NewPCG(1, 1)), start.Add(24*time.Hour), 0, 0)
+		l.Observe(late)
+		agedMean, agedUpper := l.Estimate("desk", "heavy", 0.6)
+		Expect(agedUpper - agedMean).To(BeNumerically(">", 2*(upper-mean)))
+		Expect(math.Abs(agedMean - l.Options.Prior)).To(BeNumerically("<", math.Abs(mean-l.Options.Prior)))
+	})
+
+	It("cuts off single wild reports", func() {
+		l := trained(600)
+		before, _ := l.Estimate("desk", "heavy", 0.6)
+		wild := report(rand.New(rand.NewPCG(1, 1)), start.Add(2*time.Hour), 0.5, 0)
+		wild.Latency.P99 = 20 * time.Second
+		l.Observe(wild)
+		after, _ := l.Estimate("desk", "heavy", 0.6)
+		Expect(after - before).To(BeNumerically("<", 0.3))
+	})
+
+	It("shares one coefficient between classes beyond its limit", func() {
+		l := New(Options{Classes: 1})
+		s := report(rand.New(rand.NewPCG(1, 1)), start, 0.3, 0.3)
+		l.Observe(s)
+		model := l.Models[Key{"desk", Band(0.6)}]
+		Expect(model.Mean).To(HaveLen(2))
+		Expect(model.Index["heavy"]).To(Equal(model.Index["light"]))
+	})
+
+	It("explains what it saw", func() {
+		lines := trained(600).Explain("desk", "heavy")
+		Expect(lines).To(HaveLen(1))
+		Expect(lines[0]).To(HavePrefix("desk beside heavy at load 50-75 %: half of the worker slows it by "))
+	})
+})
+
+var _ = Describe("Timeline", func() {
+	It("attributes only over the time when both ran", func() {
+		var t Timeline
+		t.Set("w", start, nil)
+		t.Set("w", start.Add(15*time.Second), map[string]float64{"heavy": 0.4})
+		shares, ok := t.Between("w", start.Add(10*time.Second), start.Add(20*time.Second))
+		Expect(ok).To(BeTrue())
+		Expect(shares["heavy"]).To(BeNumerically("~", 0.2, 1e-9))
+	})
+
+	It("knows nothing before its beginning", func() {
+		var t Timeline
+		t.Set("w", start, nil)
+		_, ok := t.Between("w", start.Add(-time.Second), start.Add(time.Second))
+		Expect(ok).To(BeFalse())
+	})
+
+	It("keeps a bounded past", func() {
+		t := Timeline{Keep: time.Minute}
+		for i := range 1000 {
+			t.Set("w", start.Add(time.Duration(i)*time.Second), nil)
+		}
+		Expect(len(t.Workers["w"])).To(BeNumerically("<=", 62))
+	})
+})
--- a/internal/control/learner/model.go
+++ b/internal/control/learner/model.go
@@ -20,6 +20,7 @@
 
 const (
 	baselineDeviation = 1.0  // of the first report's log latency
+	baselineDrift     = 0.3  // standard deviation that the baseline gains in a half-life
 	minShare          = 0.01 // a class below this share of processors is not counted as seen
 	clip              = 2.5  // standard deviations beyond which a residual is cut
 )
@@ -66,13 +67,19 @@
 	m.Updated = now
 	keep := math.Exp2(-passed.Seconds() / o.HalfLife.Seconds())
 	scale := math.Sqrt(keep)
+	decay := func(i int) float64 {
+		if i == 0 {
+			return 1
+		}
+		return scale
+	}
 	for i := range m.Covariance {
 		for j := range m.Covariance[i] {
-			m.Covariance[i][j] *= keep
+			m.Covariance[i][j] *= decay(i) * decay(j)
 		}
 		prior := o.Deviation * o.Deviation
 		if i == 0 {
-			prior = baselineDeviation * baselineDeviation / 4
+			prior = baselineDrift * baselineDrift
 		} else {
 			m.Mean[i] = o.Prior + scale*(m.Mean[i]-o.Prior)
 		}
--- /dev/null
+++ b/internal/control/placer/placer_test.go
@@ -0,0 +1,233 @@
+package placer_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"dotterelcart.dev/dotterelcart/internal/control/accountant"
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/learner"
+	"dotterelcart.dev/dotterelcart/internal/control/placer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+)
+
+var now = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+func worker(name string, services ...string) *accountant.Worker {
+	return &accountant.Worker{Host: describer.Host{
+		Name: name, Rack: "r-" + name, Services: services,
+		Capacity: describer.Resources{CPU: 16000, Memory: 60000},
+	}}
+}
+
+func fleet(workers ...*accountant.Worker) *accountant.Fleet {
+	f := &accountant.Fleet{Workers: make(map[string]*accountant.Worker)}
+	for _, w := range workers {
+		f.Workers[w.Host.Name] = w
+	}
+	return f
+}
+
+func request(index int, cpu int64) placer.Request {
+	job := &describer.Job{ID: "j", Class: "translate", Declared: describer.Resources{CPU: cpu}}
+	return placer.Request{Task: describer.TaskID{Job: "j", Index: index}, Job: job, Want: job.Declared}
+}
+
+func hold(w *accountant.Worker, index int, cpu int64) {
+	r := request(100+index, cpu)
+	Expect(w.Hold(r.Task, accountant.Grant{Class: "translate", Resources: r.Want})).To(Succeed())
+}
+
+var _ = Describe("Default", func() {
+	target := map[string]describer.Service{"desk": {Name: "desk", Target: 100 * time.Millisecond}}
+
+	It("prefers a worker without a service", func() {
+		f := fleet(worker("a", "desk"), worker("b"))
+		policy := placer.Default{Learner: learner.New(learner.Options{}), Services: target}
+		Expect(policy.Place(f, request(0, 1000), now).Worker).To(Equal("b"))
+	})
+
+	It("says why it keeps a task off", func() {
+		f := fleet(worker("a", "desk"))
+		policy := placer.Default{Learner: learner.New(learner.Options{Prior: 3}), Services: target}
+		choice := policy.Place(f, request(0, 8000), now)
+		Expect(choice.Worker).To(BeEmpty())
+		Expect(choice.Why).To(HavePrefix("would slow desk by up to "))
+	})
+
+	It("keeps off while services recover, except for urgent tasks", func() {
+		f := fleet(worker("a", "desk"))
+		f.Workers["a"].KeepOff = now.Add(time.Second)
+		policy := placer.Default{Services: target}
+		Expect(policy.Place(f, request(0, 100), now).Why).To(Equal("kept off while services recover"))
+		urgent := request(0, 100)
+		urgent.Job.Priority = describer.Urgent
+		Expect(policy.Place(f, urgent, now).Worker).To(Equal("a"))
+	})
+
+	It("brings drained tasks home", func() {
+		f := fleet(worker("a"), worker("b"), worker("c"))
+		r := request(0, 1000)
+		r.HomeTo = "c"
+		Expect(placer.Default{}.Place(f, r, now).Worker).To(Equal("c"))
+	})
+
+	It("spreads a job over racks", func() {
+		f := fleet(worker("a"), worker("b"), worker("c"))
+		used := map[string]bool{}
+		for i := range 3 {
+			r := request(i, 1000)
+			choice := placer.Default{}.Place(f, r, now)
+			Expect(f.Workers[choice.Worker].Hold(r.Task, accountant.Grant{Resources: r.Want})).To(Succeed())
+			used[choice.Worker] = true
+		}
+		Expect(used).To(HaveLen(3))
+	})
+
+	It("stays within the limit of a restore", func() {
+		f := fleet(worker("a"))
+		f.Workers["a"].Limited, f.Workers["a"].Limit = true, 500
+		Expect(placer.Default{}.Place(f, request(0, 501), now).Worker).To(BeEmpty())
+		Expect(placer.Default{}.Place(f, request(0, 500), now).Worker).To(Equal("a"))
+	})
+})
+
+var _ = Describe("baselines", func() {
+	It("differ in their choice", func() {
+		f := fleet(worker("a", "desk"), worker("b", "desk"), worker("c"))
+		hold(f.Workers["c"], 0, 4000)
+		r := request(0, 1000)
+		Expect(placer.FirstFit{}.Place(f, r, now).Worker).To(Equal("a"))
+		Expect(placer.LeastLoaded{}.Place(f, r, now).Worker).To(Equal("a"))
+		Expect(placer.NoColocation{}.Place(f, r, now).Worker).To(Equal("c"))
+		f.Workers["a"].Reports = map[string]runner.Latency{"desk": {Load: 0.9}}
+		Expect(placer.StaticThreshold{Share: 0.5, Load: 0.8}.Place(f, r, now).Worker).To(Equal("b"))
+		Expect(placer.StaticThreshold{Share: 0.05, Load: 0.8}.Place(f, r, now).Worker).To(Equal("c"))
+	})
+})
+
+var _ = Describe("sizes", func() {
+	capacity := describer.Resources{CPU: 16000, Memory: 60000, Accelerators: 1}
+	job := &describer.Job{Team: "t", Class: "c", Declared: describer.Resources{CPU: 8000, Memory: 1000}}
+
+	It("follow measured use with a margin", func() {
+		var u placer.Usage
+		for range 50 {
+			u.Observe(accountant.Grant{
+				Team: "t", Class: "c", Resources: job.Declared,
+				Used: describer.Resources{CPU: 2000, Memory: 500},
+			})
+		}
+		Expect(placer.Size(&u, job, capacity).CPU).To(BeNumerically("~", 2300, 30))
+		Expect(placer.Size(nil, job, capacity)).To(Equal(job.Declared))
+	})
+
+	It("grow when use reaches the grant, within the factor that declarations may be off by", func() {
+		var u placer.Usage
+		grant := accountant.Grant{Team: "t", Class: "c", Resources: job.Declared}
+		for range 200 {
+			grant.Used = grant.Resources
+			u.Observe(grant)
+			grant.Resources = placer.Size(&u, job, describer.Resources{CPU: 1 << 40, Memory: 1 << 40})
+		}
+		Expect(grant.Resources.CPU).To(BeNumerically("<=", 80000))
+		Expect(grant.Resources.CPU).To(BeNumerically(">", 16000))
+		Expect(placer.Size(&u, job, capacity).CPU).To(Equal(capacity.CPU))
+	})
+
+	It("leave a throttled task as it is", func() {
+		g := accountant.Grant{Resources: job.Declared, Used: job.Declared, Ceiling: 8000}
+		Expect(placer.Resize(g, capacity).CPU).To(BeEquivalentTo(8000))
+		g.Ceiling = 0
+		Expect(placer.Resize(g, capacity).CPU).To(BeEquivalentTo(12000))
+	})
+})
+
+var _ = Describe("MakeRoom", func() {
+	var w *accountant.Worker
+
+	BeforeEach(func() {
+		w = worker("a")
+		for i := range 4 {
+			hold(w, i, 4000)
+		}
+	})
+
+	It("throttles before it evicts", func() {
+		room := placer.MakeRoom(fleet(w), request(0, 8000), placer.Costs{}, 9, 0)
+		Expect(room.Worker).To(Equal("a"))
+		Expect(room.Evict).To(BeEmpty())
+		Expect(room.Throttle).To(HaveLen(4))
+		Expect(room.Freed.CPU).To(BeEquivalentTo(8000))
+	})
+
+	It("evicts the fewest when throttling is not enough", func() {
+		room := placer.MakeRoom(fleet(w), request(0, 9000), placer.Costs{}, 9, 0)
+		Expect(room.Evict).To(HaveLen(1))
+	})
+
+	It("says why it refuses", func() {
+		Expect(placer.MakeRoom(fleet(w), request(0, 9000), placer.Costs{}, 0, 0).Why).To(Equal("the eviction budget is used up"))
+		Expect(placer.MakeRoom(fleet(w), request(0, 90000), placer.Costs{}, 9, 0).Why).To(Equal("no open worker is large enough"))
+		late := placer.MakeRoom(fleet(w), request(0, 9000), placer.Costs{}, 9, 3*time.Second)
+		Expect(late.Why).To(HavePrefix("making room takes 4.5s"))
+	})
+})
+
+// TestMakeRoomIsEnough checks on random accounts that an urgent task has its
+// place in bound, within the budget and without touching urgent or
+// latency-critical tasks, or a reason why not.
+func TestMakeRoomIsEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleet(worker("a"), worker("b", "desk"), worker("c"))
+		for i := range rapid.IntRange(0, 30).Draw(t, "grants") {
+			name := rapid.SampledFrom(f.Names()).Draw(t, "worker")
+			_ = f.Workers[name].Hold(describer.TaskID{Job: "x", Index: i}, accountant.Grant{
+				Kind:      rapid.SampledFrom([]describer.Kind{describer.Batch, describer.LatencyCritical}).Draw(t, "kind"),
+				Priority:  rapid.SampledFrom([]describer.Priority{describer.Normal, describer.Urgent}).Draw(t, "priority"),
+				Resources: describer.Resources{CPU: rapid.Int64Range(1, 8000).Draw(t, "cpu"), Memory: rapid.Int64Range(0, 30000).Draw(t, "memory")},
+			})
+		}
+		budget := rapid.IntRange(0, 4).Draw(t, "budget")
+		elapsed := time.Duration(rapid.IntRange(0, 8).Draw(t, "elapsed")) * time.Second
+		r := request(0, rapid.Int64Range(1, 20000).Draw(t, "want"))
+		r.Want.Memory = rapid.Int64Range(0, 60000).Draw(t, "memory")
+		room := placer.MakeRoom(f, r, placer.Costs{}, budget, elapsed)
+		if room.Worker == "" {
+			if room.Why == "" {
+				t.Fatal("refused without a reason")
+			}
+			return
+		}
+		if len(room.Evict) > budget || elapsed+room.Wait > placer.UrgentBound {
+			t.Fatalf("%d evictions with a budget of %d, starts after %s", len(room.Evict), budget, elapsed+room.Wait)
+		}
+		w := f.Workers[room.Worker]
+		for _, task := range room.Evict {
+			mustGiveWay(t, w.Grants[task])
+			w.Drop(task, describer.Token{})
+		}
+		for _, s := range room.Throttle {
+			g := w.Grants[s.Task]
+			mustGiveWay(t, g)
+			g.Resources.CPU = s.To
+			if err := w.Resize(s.Task, g.Token, g.Resources); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := w.Hold(r.Task, accountant.Grant{Resources: r.Want}); err != nil {
+			t.Fatal(fmt.Errorf("room was not enough: %w", err))
+		}
+	})
+}
+
+func mustGiveWay(t *rapid.T, g accountant.Grant) {
+	if g.Kind != describer.Batch || g.Priority == describer.Urgent {
+		t.Fatalf("%v %v task had to give way", g.Priority, g.Kind)
+	}
+}
--- a/internal/control/placer/size.go
+++ b/internal/control/placer/size.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"dotterelcart.dev/dotterelcart/internal/control/accountant"
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
 
@@ -40,25 +41,27 @@
 	growth        = 1.5  // assumed need in that case
 	minimalCPU    = 100  // millicores
 	minimalMemory = 64   // MiB
+	offBy         = 10   // factor by which declarations may be wrong
 )
 
-// Observe takes in one report of a running task. Use that reaches the grant
-// is throttled use, so it counts as a multiple of the grant.
-func (u *Usage) Observe(team, class string, used, granted describer.Resources) {
-	if used.IsZero() {
+// Observe takes in the latest report of a running task. Use that reaches the
+// grant is throttled use, so it counts as a multiple of the grant; a task that
+// is throttled for a service's sake shows nothing about its need.
+func (u *Usage) Observe(g accountant.Grant) {
+	if g.Used.IsZero() || g.Ceiling > 0 {
 		return
 	}
 	if u.Classes == nil {
 		u.Classes = make(map[ClassKey]*ClassUsage)
 	}
-	key := ClassKey{team, class}
+	key := ClassKey{g.Team, g.Class}
 	c := u.Classes[key]
 	if c == nil {
 		c = &ClassUsage{}
 		u.Classes[key] = c
 	}
-	c.CPU.add(uncensored(used.CPU, granted.CPU), c.Count)
-	c.Memory.add(uncensored(used.Memory, granted.Memory), c.Count)
+	c.CPU.add(uncensored(g.Used.CPU, g.Resources.CPU), c.Count)
+	c.Memory.add(uncensored(g.Used.Memory, g.Resources.Memory), c.Count)
 	c.Count++
 }
 
@@ -80,12 +83,16 @@
 }
 
 // Resize returns the grant that a running task should have by its own use:
-// more when it is throttled, less when it leaves most of it unused, and the
-// same otherwise, so that small changes cause no calls.
-func Resize(used, granted, free describer.Resources) describer.Resources {
-	to := granted
-	to.CPU = resized(used.CPU, granted.CPU, free.CPU, minimalCPU)
-	to.Memory = resized(used.Memory, granted.Memory, free.Memory, minimalMemory)
+// more when it uses all of it, less when it leaves most of it unused, and the
+// same otherwise, so that small changes cause no calls. It stays within free,
+// and a task that is throttled for a service's sake gets no more processors.
+func Resize(g accountant.Grant, free describer.Resources) describer.Resources {
+	if g.Ceiling > 0 {
+		free.CPU = 0
+	}
+	to := g.Resources
+	to.CPU = resized(g.Used.CPU, g.Resources.CPU, free.CPU, minimalCPU)
+	to.Memory = resized(g.Used.Memory, g.Resources.Memory, free.Memory, minimalMemory)
 	return to
 }
 
@@ -97,7 +104,7 @@
 	case float64(used) >= fullGrant*float64(granted):
 		return granted + max(0, min(free, int64(float64(granted)*(growth-1))))
 	case float64(used)*margin < idle*float64(granted):
-		return max(minimal, int64(float64(used)*margin*1.2))
+		return min(granted, max(minimal, int64(float64(used)*margin*1.2)))
 	}
 	return granted
 }
@@ -105,6 +112,7 @@
 func mixed(declared int64, m Moments, count int) int64 {
 	measured := margin * (m.Mean + deviations*math.Sqrt(m.Variance))
 	trust := min(1, float64(count)/trustedCount)
+	measured = min(max(measured, float64(declared)/offBy), float64(declared)*offBy)
 	// The mix is geometric: declarations are off by factors.
 	return int64(math.Exp((1-trust)*math.Log(float64(max(declared, 1))) + trust*math.Log(max(measured, 1))))
 }
--- a/internal/control/planner/planner.go
+++ b/internal/control/planner/planner.go
@@ -73,7 +73,8 @@
 	evictions int
 	closed    int // workers closed by the plan
 	opened    int
-	serving   int // workers that answer for a service, before
+	serving   int     // workers that answer for a service, before
+	load      float64 // sum of their loads
 }
 
 func newDraft(
@@ -92,6 +93,7 @@
 			p.running += w.BatchCPU()
 			if !w.Closed && len(w.Host.Services) > 0 {
 				p.serving++
+				p.load += w.Load()
 			}
 		}
 	}
@@ -107,9 +109,9 @@
 	})
 }
 
-// expected returns the expected effect on the three measures. Latency follows
-// from the load that the remaining open workers take over: a first-order
-// estimate, which says so in the notes.
+// expected returns the expected effect on the three measures. Latency is that
+// of a queue with one server at the load that the remaining open workers have:
+// a first-order estimate from late reports.
 func (p *draft) expected() describer.Expectation {
 	e := describer.Expectation{Evictions: p.evictions}
 	if p.running > 0 {
@@ -117,9 +119,14 @@
 	} else if p.gained > 0 {
 		e.Throughput = 1
 	}
-	if left := p.serving - p.closed + p.opened; p.serving > 0 && left > 0 {
-		e.Latency = float64(p.closed-p.opened) / float64(left)
+	left := p.serving - p.closed + p.opened
+	if p.serving == 0 || left <= 0 || p.closed == p.opened {
+		return e
 	}
+	const full = 0.95 // load above which the estimate would grow without bound
+	before := min(p.load/float64(p.serving), full)
+	after := min(p.load/float64(left), full)
+	e.Latency = (1-before)/(1-after) - 1
 	return e
 }
 
