--- /dev/null
+++ b/internal/traffic/router/link.go
@@ -0,0 +1,39 @@
+package router
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Link is this entry host's byte budget to other regions. Bytes that were
+// sent are charged also when the budget is used up; the debt keeps later
+// requests off the link until it is paid.
+type Link struct{ limiter *rate.Limiter }
+
+// NewLink returns a budget in bytes a second; a second's worth may be used
+// at once. 0 forbids the link.
+func NewLink(bytes int64) *Link {
+	if bytes <= 0 {
+		return nil
+	}
+	return &Link{limiter: rate.NewLimiter(rate.Limit(bytes), int(bytes))}
+}
+
+// Allow reports whether the budget covers the expected bytes. It charges
+// nothing.
+func (l *Link) Allow(bytes int64, now time.Time) bool {
+	return l != nil && l.limiter.TokensAt(now) >= float64(max(bytes, 1))
+}
+
+// Charge takes n bytes from the budget.
+func (l *Link) Charge(n int64, now time.Time) {
+	if l == nil {
+		return
+	}
+	for n > 0 {
+		part := min(n, int64(l.limiter.Burst()))
+		l.limiter.ReserveN(now, int(part))
+		n -= part
+	}
+}
