operator/server: entry daemon from end to end

Not run here: the whole of go test; the gossiper's suite did not end within 10 minutes and is being looked into.

--- a/cmd/dotterelcart/main.go
+++ b/cmd/dotterelcart/main.go
@@ -2,4 +2,13 @@
 // stand-ins for the platform.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"dotterelcart.dev/dotterelcart/internal/operator/commander"
+)
+
+func main() {
+	os.Exit(commander.Run(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- a/internal/control/executor/effects.go
+++ b/internal/control/executor/effects.go
@@ -14,8 +14,6 @@
 // carryOut begins an effect and never waits for it.
 func (e *Executor) carryOut(ctx context.Context, running *sync.WaitGroup, effect reducer.Effect) {
 	switch f := effect.(type) {
-	case reducer.Claim, reducer.Release, reducer.Append, reducer.SaveSnapshot:
-		e.options.Ledger.Do(effect)
 	case reducer.Reply:
 		e.answer(f)
 	case reducer.Publish:
@@ -31,7 +29,9 @@
 	case reducer.Propose:
 		e.call(ctx, running, func(ctx context.Context) reducer.Event { return e.propose(ctx, f) })
 	default:
-		e.options.Log.Error().Type("effect", effect).Msg("unknown effect")
+		if !e.options.Ledger.Do(effect) {
+			e.options.Log.Error().Type("effect", effect).Msg("unknown effect")
+		}
 	}
 }
 
--- a/internal/control/executor/executor.go
+++ b/internal/control/executor/executor.go
@@ -30,9 +30,9 @@
 const inboxSize = 4096
 
 // Ledger carries out Claim, Release, Append and SaveSnapshot without blocking
-// and answers with events.
+// and answers with events. It returns false for other effects.
 type Ledger interface {
-	Do(effect reducer.Effect)
+	Do(effect reducer.Effect) bool
 }
 
 // Options are the surroundings of an Executor.
--- a/internal/operator/commander/client.go
+++ b/internal/operator/commander/client.go
@@ -101,7 +101,7 @@
 	cmd.Flags().String("format", "text", "text or json")
 }
 
-// addDaemon adds the flag for the daemon's address.
-func addDaemon(cmd *cobra.Command, address *string, usage, preset string) {
-	cmd.Flags().StringVar(address, "daemon", preset, usage)
+// addDaemon adds the flag for the address of the operators' port.
+func addDaemon(cmd *cobra.Command, address *string) {
+	cmd.Flags().StringVar(address, "daemon", presetOperators, operatorsUsage)
 }
--- a/internal/operator/commander/configuration.go
+++ b/internal/operator/commander/configuration.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,8 +11,6 @@
 	"github.com/spf13/cobra"
 	"github.com/tailscale/hujson"
 
-	"encoding/json"
-
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
 
@@ -45,7 +44,7 @@
 			return output(cmd, shown, printConfiguration)
 		},
 	}
-	addDaemon(cmd, &daemon, operatorsUsage, presetOperators)
+	addDaemon(cmd, &daemon)
 	addFormat(cmd)
 	cmd.Flags().StringVar(&file, "set", "", "file with the configuration to put in force")
 	return cmd
--- a/internal/operator/commander/intent.go
+++ b/internal/operator/commander/intent.go
@@ -150,7 +150,7 @@
 			return output(cmd, shown, printPlan)
 		},
 	}
-	addDaemon(cmd, &daemon, operatorsUsage, presetOperators)
+	addDaemon(cmd, &daemon)
 	addFormat(cmd)
 	return cmd
 }
@@ -171,7 +171,7 @@
 			return output(cmd, confirmed, printPlan)
 		},
 	}
-	addDaemon(cmd, &daemon, operatorsUsage, presetOperators)
+	addDaemon(cmd, &daemon)
 	addFormat(cmd)
 	return cmd
 }
--- a/internal/operator/commander/status.go
+++ b/internal/operator/commander/status.go
@@ -30,7 +30,7 @@
 			return output(cmd, reports, printStatus)
 		},
 	}
-	addDaemon(cmd, &daemon, operatorsUsage, presetOperators)
+	addDaemon(cmd, &daemon)
 	addFormat(cmd)
 	cmd.Flags().StringVar(&worker, "why", "", "explain the decisions about this worker")
 	return cmd
--- a/internal/operator/responder/configuration.go
+++ b/internal/operator/responder/configuration.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 )
 
 // statusTime bounds how long a status waits for owners that do not answer.
@@ -20,8 +21,8 @@
 }
 
 func (r *Responder) showConfiguration(w http.ResponseWriter, _ *http.Request) {
-	configuration, ok := r.options.Configuration.Current()
-	if !ok {
+	configuration := r.options.Configuration.Current()
+	if configuration.Revision == 0 {
 		writeError(w, unavailable("not-ready", "no configuration is known yet"))
 		return
 	}
@@ -41,10 +42,7 @@
 		writeError(w, err)
 		return
 	}
-	accepted, err := r.options.Configuration.Propose(request.Context(), func(c describer.Configuration) (describer.Configuration, error) {
-		if c.Revision != wanted.Revision {
-			return c, stale(configurationChanges(wanted.Revision, c))
-		}
+	accepted, err := r.propose(request.Context(), wanted.Revision, func(c describer.Configuration) (describer.Configuration, error) {
 		wanted.Drains = c.Drains
 		return wanted, checkShardsKept(c.Shards, wanted.Shards)
 	})
@@ -55,6 +53,24 @@
 	writeJSON(w, http.StatusOK, accepted)
 }
 
+// propose changes the configuration if it is at the given revision. An error
+// of edit is returned as it is.
+func (r *Responder) propose(ctx context.Context, revision int64, edit distributor.Edit) (describer.Configuration, error) {
+	var refused error
+	accepted, err := r.options.Configuration.Propose(ctx, func(c describer.Configuration) (describer.Configuration, error) {
+		if c.Revision != revision {
+			refused = stale(configurationChanges(revision, c))
+			return c, refused
+		}
+		c, refused = edit(c)
+		return c, refused
+	})
+	if err != nil && refused != nil {
+		return accepted, refused
+	}
+	return accepted, err
+}
+
 func checkConfiguration(c describer.Configuration) error {
 	if len(c.Shards) == 0 {
 		return invalid("shards", "at least one shard is needed")
--- a/internal/operator/responder/jobs.go
+++ b/internal/operator/responder/jobs.go
@@ -110,8 +110,8 @@
 
 // homeOf returns the address of the owner of the job's or key's home shard.
 func (r *Responder) homeOf(id string) (owner string, local bool, err error) {
-	configuration, ok := r.options.Configuration.Current()
-	if !ok || len(configuration.Shards) == 0 {
+	configuration := r.options.Configuration.Current()
+	if len(configuration.Shards) == 0 {
 		return "", false, unavailable("not-ready", "no configuration with shards is known yet")
 	}
 	return r.ownerOf(reducer.HomeShard(&configuration, id))
--- a/internal/operator/responder/keys.go
+++ b/internal/operator/responder/keys.go
@@ -38,8 +38,8 @@
 }
 
 func (r *Responder) claimHere(ctx context.Context, request keyRequest) (*reducer.KeyClaim, error) {
-	configuration, ok := r.options.Configuration.Current()
-	if !ok || len(configuration.Shards) == 0 {
+	configuration := r.options.Configuration.Current()
+	if len(configuration.Shards) == 0 {
 		return nil, unavailable("not-ready", "no configuration with shards is known yet")
 	}
 	reply, err := r.options.Control.Ask(ctx, func(id reducer.RequestID) reducer.Event {
--- a/internal/operator/responder/plans.go
+++ b/internal/operator/responder/plans.go
@@ -98,8 +98,8 @@
 // carryOut returns the revision of the configuration that holds the intent.
 func (r *Responder) carryOut(ctx context.Context, plan describer.Plan) (int64, error) {
 	intent := plan.Intent
-	current, ok := r.options.Configuration.Current()
-	if !ok {
+	current := r.options.Configuration.Current()
+	if current.Revision == 0 {
 		return 0, unavailable("not-ready", "no configuration is known yet")
 	}
 	if holdsIntent(current, intent) {
@@ -120,10 +120,7 @@
 		_, err := r.cancel(ctx, intent.Job.ID)
 		return renewed.Revision, err
 	}
-	changed, err := r.options.Configuration.Propose(ctx, func(c describer.Configuration) (describer.Configuration, error) {
-		if c.Revision != renewed.Revision {
-			return c, stale(configurationChanges(renewed.Revision, c))
-		}
+	changed, err := r.propose(ctx, renewed.Revision, func(c describer.Configuration) (describer.Configuration, error) {
 		return planner.Apply(c, intent, time.Now())
 	})
 	return changed.Revision, err
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -19,6 +19,7 @@
 	"dotterelcart.dev/dotterelcart/internal/control/reducer"
 	"dotterelcart.dev/dotterelcart/internal/peer/messenger"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 )
 
 // Asker puts a question to the local control plane.
@@ -34,8 +35,8 @@
 
 // Configurer holds the configuration in force.
 type Configurer interface {
-	Current() (configuration describer.Configuration, ok bool)
-	Propose(ctx context.Context, change func(describer.Configuration) (describer.Configuration, error)) (describer.Configuration, error)
+	Current() describer.Configuration // revision 0 while none is known
+	Propose(ctx context.Context, edit distributor.Edit) (describer.Configuration, error)
 }
 
 // PlanStore is the part of the store that keeps plans.
--- a/internal/operator/responder/shards.go
+++ b/internal/operator/responder/shards.go
@@ -41,8 +41,8 @@
 		owner, _, err := r.homeOf(intent.Job.ID)
 		return []string{owner}, err
 	}
-	configuration, ok := r.options.Configuration.Current()
-	if !ok {
+	configuration := r.options.Configuration.Current()
+	if configuration.Revision == 0 {
 		return nil, unavailable("not-ready", "no configuration is known yet")
 	}
 	owners := make(map[string]bool)
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -41,7 +41,7 @@
 	tickInterval   = 100 * time.Millisecond
 	hostsInterval  = time.Second // between reads of the host list
 	gossipInterval = 500 * time.Millisecond
-	workerCalls    = 128     // at a time
+	workerCalls    = 128 // at a time
 	headerTime     = 5 * time.Second
 	idleTime       = 2 * time.Minute
 	maxHeader      = 64 << 10 // bytes
@@ -70,6 +70,7 @@
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 	ending    sync.Once
+	stopping  atomic.Bool
 }
 
 // New starts a daemon. It is ready once it has a configuration and a routing
--- a/internal/operator/server/stop.go
+++ b/internal/operator/server/stop.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	balancerTime = time.Second            // for the balancer to see that readiness fails
+	balancerTime = time.Second // for the balancer to see that readiness fails
 	releasePoll  = 20 * time.Millisecond
 )
 
@@ -18,6 +18,7 @@
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
 	s.ending.Do(func() {
 		s.log.Info().Str("part", "server").Msg("planned stop")
+		s.stopping.Store(true)
 		s.metrics.Ready.Store(false)
 		s.members.Leave()
 		s.control.Post(reducer.StopRequested{})
@@ -57,7 +58,7 @@
 	s.config.Close()
 	s.members.Close()
 	_ = s.node.Close()
-	s.forwarder.Close()
+	_ = s.forwarder.Close()
 	s.tasks.Wait()
 	_ = s.metrics.Close()
 	close(s.Done)
--- a/internal/traffic/forwarder/forwarder_test.go
+++ b/internal/traffic/forwarder/forwarder_test.go
@@ -53,7 +53,7 @@
 		})
 		b.start()
 		in, out := io.Pipe()
-		r, _ := http.NewRequest("POST", b.front.URL+"/svc/desk/echo", in)
+		r, _ := http.NewRequest(http.MethodPost, b.front.URL+"/svc/desk/echo", in)
 		r.Header.Set(forwarder.TenantHeader, "minara")
 		go out.Write([]byte("one "))
 		answer, err := http.DefaultClient.Do(r)
