platform/runner: bounds on late messages, fencing of stops and throttles

Stop and Throttle carry the caller's epoch beside the run's token: a successor has to stop runs of a former owner, whose tokens are of an epoch that the worker refuses since the successor's first inventory. Throttle carries a sequence, so that a late one can't raise a grant that was lowered since. The stand-in worker reports its clock and honours Until.

--- a/internal/platform/runner/runner.go
+++ b/internal/platform/runner/runner.go
@@ -38,8 +38,10 @@
 	Payload    json.RawMessage     `json:"payload,omitempty"`
 }
 
-// Stop asks for the end of a run.
+// Stop asks for the end of a run. The run may be of a former owner, so Epoch
+// is that of the caller's ownership, and it fences.
 type Stop struct {
+	Epoch      int64            `json:"epoch"`
 	Task       describer.TaskID `json:"task"`
 	Token      describer.Token  `json:"token"`
 	Checkpoint bool             `json:"checkpoint"` // save progress first
@@ -54,11 +56,16 @@
 	Result     json.RawMessage `json:"result,omitempty"`
 }
 
-// Throttle sets the processor grant of a run.
+// Throttle sets the processor grant of a run. Epoch is that of the caller's
+// ownership, and it fences. A worker ignores a call whose Epoch and Sequence
+// are not after those of the last one for the run, so that a late message
+// can't undo a newer one.
 type Throttle struct {
-	Task  describer.TaskID `json:"task"`
-	Token describer.Token  `json:"token"`
-	CPU   int64            `json:"cpu"` // millicores
+	Epoch    int64            `json:"epoch"`
+	Sequence int64            `json:"sequence"`
+	Task     describer.TaskID `json:"task"`
+	Token    describer.Token  `json:"token"`
+	CPU      int64            `json:"cpu"` // millicores
 }
 
 // Run names one run of a task.
--- a/internal/standin/hoster/machine.go
+++ b/internal/standin/hoster/machine.go
@@ -79,7 +79,11 @@
 	if r := m.runs[s.Task]; r != nil {
 		m.end(r, auditor.Stopped, r.checkpoint())
 	}
-	r, err := newRun(s, time.Now())
+	now := time.Now()
+	if !s.Until.IsZero() && now.After(s.Until) {
+		return fenced("the start is too late for " + s.Task.String())
+	}
+	r, err := newRun(s, now)
 	if err != nil {
 		return listener.Refuse(http.StatusBadRequest, "malformed", err.Error())
 	}
@@ -103,7 +107,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
-	if err := m.fence(s.Token.Epoch); err != nil {
+	if err := m.fence(max(s.Epoch, s.Token.Epoch)); err != nil {
 		return runner.Stopped{}, err
 	}
 	if m.fences[s.Task].Less(s.Token) {
@@ -129,13 +133,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
-	if err := m.fence(t.Token.Epoch); err != nil {
+	if err := m.fence(max(t.Epoch, t.Token.Epoch)); err != nil {
 		return err
 	}
 	r := m.runs[t.Task]
 	if r == nil || r.start.Token != t.Token {
 		return listener.Refuse(http.StatusNotFound, "unknown", "no such run")
 	}
+	order := describer.Token{Epoch: t.Epoch, Sequence: t.Sequence}
+	if order.Less(r.throttled) {
+		return fenced("a newer grant is in force")
+	}
+	r.throttled = order
 	r.start.Granted.CPU = t.CPU
 	m.checkCapacity()
 	m.schedule()
@@ -156,7 +165,7 @@
 	now := time.Now()
 	for _, id := range s.Renew {
 		if r := m.runs[id.Task]; r != nil && r.start.Token == id.Token {
-			r.ends = now.Add(s.Lease)
+			r.ends = later(r.ends, leaseEnd(now, s.Lease, s.Until))
 		}
 	}
 	m.schedule()
@@ -164,7 +173,7 @@
 }
 
 func (m *Machine) inventory(now time.Time) runner.Synced {
-	out := runner.Synced{Capacity: m.options.Host.Capacity, Latency: m.meter.take(now)}
+	out := runner.Synced{Clock: now, Capacity: m.options.Host.Capacity, Latency: m.meter.take(now)}
 	for _, r := range m.runs {
 		out.Running = append(out.Running, r.report(now, m.options.Lag))
 	}
--- a/internal/standin/hoster/run.go
+++ b/internal/standin/hoster/run.go
@@ -21,10 +21,28 @@
 	since   time.Time
 	began   time.Time
 	ends    time.Time // of the lease
+
+	throttled describer.Token // epoch and sequence of the last throttle
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// leaseEnd returns when a lease granted now ends.
+func leaseEnd(now time.Time, lease time.Duration, until time.Time) time.Time {
+	end := now.Add(lease)
+	if !until.IsZero() && until.Before(end) {
+		return until
+	}
+	return end
 }
 
 func newRun(s runner.Start, now time.Time) (*run, error) {
-	r := &run{start: s, work: s.RunTime, since: now, began: now, ends: now.Add(s.Lease)}
+	r := &run{start: s, work: s.RunTime, since: now, began: now, ends: leaseEnd(now, s.Lease, s.Until)}
 	if len(s.Payload) > 0 {
 		if err := json.Unmarshal(s.Payload, &r.payload); err != nil {
 			return nil, fmt.Errorf("payload: %w", err)
