--- a/internal/control/reducer/book.go
+++ b/internal/control/reducer/book.go
@@ -119,9 +119,11 @@
 	}
 	switch r.Kind {
 	case describer.TaskResized:
-		h.move(t, r.Time, func() { t.granted = r.Granted })
+		h.applyResize(t, r.Granted)
 	case describer.TaskReleased:
+		before := t.evictions
 		h.move(t, r.Time, func() { t.release(r) })
+		h.book.evicted += int64(t.evictions - before)
 	case describer.TaskFailed:
 		h.move(t, r.Time, func() { t.fail(r) })
 	case describer.TaskFinished:
--- a/internal/control/reducer/drain.go
+++ b/internal/control/reducer/drain.go
@@ -1,16 +1,16 @@
 package reducer
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/restorer"
 )
 
-// Times of a restore.
+// Times of drains.
 const (
-	restoreStep  = 5 * time.Second  // between the tasks that a restoring worker takes
-	restoreSteps = 6                // until a worker is open without a limit
 	goneAfter    = 10 * time.Minute // missing in the host list, a worker can't be restored
 	proposeAgain = 5 * time.Second  // until the configuration shows a proposal
 )
@@ -79,7 +79,6 @@
 }
 
 func (h *shard) reviewDrain(w *worker, d drain) {
-	h.refresh(w)
 	if d.state == describer.Draining {
 		h.drainOff(w)
 		return
@@ -89,9 +88,9 @@
 
 // drainOff stops the worker's runs with a checkpoint, a few at a time.
 func (h *shard) drainOff(w *worker) {
-	w.allow = 0
-	w.opened = 0
+	w.restore = restorer.State{}
 	w.held = ""
+	h.refresh(w)
 	for _, t := range slices.Clone(w.runs) {
 		if w.stops >= maxStops {
 			return
@@ -106,40 +105,39 @@
 // the obligation once no drained task of it waits for a place.
 func (h *shard) restoreTo(w *worker, d drain) {
 	if h.book.restored[w.name] == d.id {
-		w.allow = -1
+		w.limit(false, 0)
 		h.propose(w.name)
 		return
 	}
-	if w.held = h.heldBack(w); w.held == "" {
-		w.batch = h.journal.next()
-		h.append(describer.Record{Kind: describer.DrainRestored, Worker: w.name, Key: d.id})
-		h.journal.then(consequence{trust: w.name})
-		w.allow = -1
+	owed := h.book.owed[w.name]
+	decision := restorer.Decide(restorer.Input{
+		Now:      h.state.now,
+		Worker:   w.account,
+		Services: h.state.services,
+		Owed:     owed,
+		Gone:     !w.listed && h.state.now.Sub(w.gone) >= goneAfter,
+		State:    &w.restore,
+	})
+	w.held = decision.Held
+	w.limit(!decision.Done, decision.Limit)
+	h.refresh(w)
+	h.idle = false
+	if !decision.Done {
 		return
 	}
-	if h.state.now.Sub(w.stepped) >= restoreStep {
-		w.stepped = h.state.now
-		w.allow = max(w.allow, 0) + 1
-		w.opened++
-		h.refresh(w)
+	if owed > 0 && w.listed {
+		w.held = fmt.Sprintf("%d drained tasks wait for a place", owed)
+		return
 	}
+	w.batch = h.journal.next()
+	h.append(describer.Record{Kind: describer.DrainRestored, Worker: w.name, Key: d.id})
+	h.journal.then(consequence{trust: w.name})
 }
 
-// heldBack says what still keeps the worker from being restored.
-func (h *shard) heldBack(w *worker) string {
-	if !w.listed && h.state.now.Sub(w.gone) >= goneAfter {
-		return ""
-	}
-	if w.opened < restoreSteps {
-		return "opening step by step"
-	}
-	if h.book.owed[w.name] > 0 {
-		return "drained tasks wait for a place"
-	}
-	if why := h.closedBy(w); why != "" && w.allow != 0 {
-		return why
-	}
-	return ""
+// limit bounds what batch tasks may hold on the worker.
+func (w *worker) limit(on bool, cpu int64) {
+	w.account.Limited = on
+	w.account.Limit = cpu
 }
 
 // propose asks for the configuration to show that the worker has its work
--- a/internal/control/reducer/event.go
+++ b/internal/control/reducer/event.go
@@ -37,12 +37,13 @@
 	Leaving bool
 }
 
-// StoreReached says whether the last store call had an answer.
+// StoreReached says whether the last store call had an answer. It comes after
+// each renewal of the shards' leases, not only on a change. When a call
+// shows that a shard's lease is over, ShardLost comes first.
 type StoreReached struct{ OK bool }
 
 // ShardClaimed says that this daemon owns a shard from now on. Snapshot and
-// Records are the ledger's content; Snapshot may be nil. Suspended is the time by which
-// task leases granted by the former owner have lapsed for certain.
+// Records are the ledger's content; Snapshot may be nil.
 type ShardClaimed struct {
 	Shard    string
 	Epoch    int64
--- a/internal/control/reducer/fault.go
+++ b/internal/control/reducer/fault.go
@@ -109,12 +109,12 @@
 }
 
 // maySetAside ends a task that no worker of the shard could ever hold.
-func (h *shard) maySetAside(t *task) {
-	if !t.want().IsValid() || len(h.order) == 0 {
+func (h *shard) maySetAside(t *task, want describer.Resources) {
+	if len(h.order) == 0 {
 		return
 	}
 	for _, w := range h.order {
-		if !w.heard || t.want().Fits(w.account.Host.Capacity) {
+		if !w.heard || want.Fits(w.account.Host.Capacity) {
 			return
 		}
 	}
--- /dev/null
+++ b/internal/control/reducer/grant.go
@@ -0,0 +1,138 @@
+package reducer
+
+import (
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/placer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+)
+
+// Bounds on changes of grants.
+const (
+	resizeInterval = 15 * time.Second // between changes on one worker
+	maxResizes     = 4                // at once on one worker
+	maxGrowth      = 4                // times the declared processors
+)
+
+// adaptGrants lets grants follow measured use. A run is resized only when the
+// inventory shows the booked grant in force, so no older change is on its way.
+func (h *shard) adaptGrants(w *worker, running []runner.Running) {
+	if h.state.now.Sub(w.resized) < resizeInterval {
+		return
+	}
+	changes := 0
+	for i := range running {
+		t := h.book.task(running[i].Task)
+		if changes == maxResizes || !isRun(t, w, running[i].Run) {
+			continue
+		}
+		if t.shrinkTo == 0 && t.stop == nil && running[i].Granted.CPU == t.granted.CPU && h.adapt(t, w, &running[i]) {
+			changes++
+			w.resized = h.state.now
+		}
+	}
+}
+
+// adapt resizes one run by its use. Growth leaves room to tasks that wait.
+func (h *shard) adapt(t *task, w *worker, r *runner.Running) bool {
+	if t.job.Kind != describer.Batch {
+		return false
+	}
+	to := placer.Resize(r.Used, t.granted, w.account.Room()).CPU
+	_, throttled := w.escalation.Throttled[r.Task]
+	switch {
+	case to < t.granted.CPU:
+		h.shrink(t, to)
+		return true
+	case to > t.granted.CPU && !throttled && h.isQueueEmpty():
+		to = min(to, maxGrowth*t.job.Declared.CPU)
+		return h.grow(t, to)
+	}
+	return false
+}
+
+func (h *shard) isQueueEmpty() bool {
+	for _, t := range h.teams {
+		if t.pending.Len() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// grow books a greater grant first and tells the worker once that is durable.
+func (h *shard) grow(t *task, cpu int64) bool {
+	w := h.worker(t.worker)
+	more := cpu - t.granted.CPU
+	if more <= 0 || more > w.account.Free().CPU || t.shrinkTo != 0 {
+		return false
+	}
+	h.resize(t, cpu)
+	h.journal.then(consequence{grown: t, token: t.token})
+	return true
+}
+
+// shrink tells the worker first and books the smaller grant once an inventory
+// shows it in force.
+func (h *shard) shrink(t *task, cpu int64) {
+	if cpu <= 0 || cpu >= t.granted.CPU {
+		return
+	}
+	t.shrinkTo = cpu
+	h.throttle(t, cpu)
+}
+
+func (h *shard) resize(t *task, cpu int64) {
+	granted := t.granted
+	granted.CPU = cpu
+	h.append(describer.Record{
+		Kind: describer.TaskResized, Task: t.id(), Token: t.token, Granted: granted,
+	})
+}
+
+// settleGrant compares the grant in force with the booked one, and repeats
+// what was not carried out.
+func (h *shard) settleGrant(t *task, r *runner.Running) {
+	switch {
+	case t.shrinkTo > 0 && r.Granted.CPU <= t.shrinkTo:
+		t.shrinkTo = 0
+		h.resize(t, r.Granted.CPU)
+		h.idle = false
+	case t.shrinkTo > 0:
+		h.throttle(t, t.shrinkTo)
+	case r.Granted.CPU < t.granted.CPU && h.journal.isDurable(t.batch):
+		h.throttle(t, t.granted.CPU)
+	}
+}
+
+func (h *shard) throttle(t *task, cpu int64) {
+	w := h.worker(t.worker)
+	if w.account.Host.Control == "" || h.phase != owning {
+		return
+	}
+	h.sequence++
+	h.state.emit(ThrottleTask{
+		Worker:  w.name,
+		Address: w.account.Host.Control,
+		Throttle: runner.Throttle{
+			Epoch: h.epoch, Sequence: h.sequence, Task: t.id(), Token: t.token, CPU: cpu,
+		},
+	})
+}
+
+// applyResize changes the accounts in place; a run keeps its slot.
+func (h *shard) applyResize(t *task, to describer.Resources) {
+	w := h.worker(t.worker)
+	id := t.id()
+	if w.account.Resize(id, t.token, to) != nil {
+		g := w.account.Grants[id]
+		w.account.Granted = w.account.Granted.Add(to.Sub(g.Resources))
+		g.Resources = to
+		w.account.Grants[id] = g
+	}
+	team := h.team(t.job.Team)
+	team.used = team.used.Add(to.Sub(t.granted))
+	t.granted = to
+	h.noteShares(w)
+}
--- a/internal/control/reducer/journal.go
+++ b/internal/control/reducer/journal.go
@@ -9,11 +9,11 @@
 
 // Bounds of the journal.
 const (
-	maxInFlight    = 2       // appends of a shard without an answer
-	maxAppendBytes = 256_000 // estimated size of one append
-	maxUnsent      = 20_000  // records, above which new work is refused
-	writeBudget    = 200     // appends a second of all shards together
-	snapshotLeast  = 2_000   // records between snapshots, at least
+	maxInFlight          = 2       // appends of a shard without an answer
+	maxAppendBytes       = 256_000 // estimated size of one append
+	maxUnsent            = 20_000  // records, above which new work is refused
+	writeBudget          = 200     // appends a second of all shards together
+	defaultSnapshotLeast = 2_000   // records between snapshots, at least
 )
 
 // journal groups a shard's records into appends. All records that are decided
@@ -36,6 +36,7 @@
 	request RequestID // answer it
 	job     *job      // with the job's status
 	key     *KeyClaim // or with the claim
+	grown   *task     // tell the worker about the greater grant
 	halt    bool      // stop the runs of the job, which is cancelled
 	trust   string    // propose the restored drain of this worker
 }
@@ -174,6 +175,10 @@
 	switch {
 	case c.start != nil:
 		h.ask(c.start, c.token)
+	case c.grown != nil:
+		if c.grown.state == describer.Started && c.grown.token == c.token {
+			h.throttle(c.grown, c.grown.granted.CPU)
+		}
 	case c.trust != "":
 		h.propose(c.trust)
 	case c.key != nil:
--- a/internal/control/reducer/ownership.go
+++ b/internal/control/reducer/ownership.go
@@ -193,6 +193,7 @@
 	h.epoch = e.Epoch
 	h.book = newBook()
 	h.claimed = s.now
+	s.contact = s.now
 	h.sequence = 0
 	h.workers = make(map[string]*worker)
 	h.fleet = &accountant.Fleet{Workers: make(map[string]*accountant.Worker)}
@@ -202,6 +203,7 @@
 	h.idle = false
 	h.tries = 0
 	h.arrangeWorkers()
+	h.budget = h.newBudget(s.now)
 	if h.restore(e.Snapshot) != nil {
 		// A shard whose past can't be read must not decide anything.
 		h.phase = releasing
--- a/internal/control/reducer/place.go
+++ b/internal/control/reducer/place.go
@@ -34,6 +34,7 @@
 	}
 	line := h.candidates()
 	missed := make(map[placeKey]bool)
+	h.useRooms()
 	examined, placed := 0, 0
 	for len(line) > 0 && len(missed) < maxMisses && placed < maxPlaced && examined < maxExamined {
 		best := slices.MinFunc(line, compareCandidates)
@@ -70,7 +71,7 @@
 	if c.task == nil {
 		return
 	}
-	after := c.team.used.Add(c.task.want())
+	after := c.team.used.Add(h.want(c.task))
 	if !isWithin(after, h.quota(c.config)) && !c.team.used.IsZero() {
 		c.task.policy = "the team's quota is used up"
 		c.task = nil
@@ -119,26 +120,25 @@
 	home  string
 }
 
-// want is what a run of the task is granted.
-func (t *task) want() describer.Resources { return t.job.Declared }
-
 // startOne records the start of the task if the policy has a worker for it.
 func (h *shard) startOne(t *task, missed map[placeKey]bool) bool {
-	key := placeKey{t.want(), t.job.Class, t.drainedOff}
+	want := h.want(t)
+	key := placeKey{want, t.job.Class, t.drainedOff}
 	if len(t.failedOn) == 0 && missed[key] {
 		return false
 	}
-	choice := h.state.policies.Place.Place(h.fleet, h.request(t), h.state.now)
+	choice := h.state.placer.Place(h.fleet, h.request(t), h.state.now)
 	w := h.workers[choice.Worker]
-	if w == nil || w.account.Closed || !t.want().Fits(w.account.Free()) {
+	if w == nil || w.account.Closed || !want.Fits(room(t, w.account)) {
 		t.policy = choice.Why
 		if len(t.failedOn) == 0 {
 			missed[key] = true
 		}
-		h.maySetAside(t)
+		h.maySetAside(t, want)
+		h.makeRoom(t)
 		return false
 	}
-	h.start(t, w)
+	h.start(t, w, want)
 	return true
 }
 
@@ -146,11 +146,11 @@
 	r := placer.Request{
 		Task:     t.id(),
 		Job:      t.job.Job,
-		Want:     t.want(),
+		Want:     h.want(t),
 		HomeTo:   t.drainedOff,
 		Deadline: t.job.Deadline,
 	}
-	if len(t.failedOn) > 0 {
+	if h.hasOthers(t.failedOn) {
 		r.Avoid = make(map[string]bool, len(t.failedOn))
 		for _, name := range t.failedOn {
 			r.Avoid[name] = true
@@ -159,9 +159,23 @@
 	return r
 }
 
+// hasOthers reports whether there is a sound worker beside those on which a
+// task failed. Without one the task has to be tried again where it failed.
+func (h *shard) hasOthers(failedOn []string) bool {
+	if len(failedOn) == 0 {
+		return false
+	}
+	for _, w := range h.order {
+		if w.listed && h.book.asides[w.name] == "" && !slices.Contains(failedOn, w.name) {
+			return true
+		}
+	}
+	return false
+}
+
 // start records that the task may run on the worker; the worker is asked once
 // that is durable.
-func (h *shard) start(t *task, w *worker) {
+func (h *shard) start(t *task, w *worker, want describer.Resources) {
 	h.sequence++
 	token := describer.Token{Epoch: h.epoch, Sequence: h.sequence}
 	h.append(describer.Record{
@@ -169,14 +183,11 @@
 		Task:    t.id(),
 		Worker:  w.name,
 		Token:   token,
-		Granted: t.want(),
+		Granted: want,
 	})
 	t.phase = decided
 	t.policy = ""
 	h.journal.then(consequence{start: t, token: token})
-	if w.allow > 0 {
-		w.allow--
-	}
 	w.probing = false
 	h.refresh(w)
 }
--- a/internal/control/reducer/plan.go
+++ b/internal/control/reducer/plan.go
@@ -1,40 +1,68 @@
 package reducer
 
 import (
-	"fmt"
+	"errors"
 
+	"dotterelcart.dev/dotterelcart/internal/control/accountant"
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/placer"
+	"dotterelcart.dev/dotterelcart/internal/control/planner"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 )
 
+// maxPlanned is how many pending tasks a plan looks at.
+const maxPlanned = 5000
+
 // plan answers with the steps that an intent takes on the shards owned here.
+// A job is planned by the owner of its shard alone.
 func (s *State) plan(e PlanRequested) {
-	p := &describer.Plan{ID: e.Intent.ID, Intent: e.Intent, Revision: s.config.Revision, Made: s.now}
-	switch e.Intent.Action {
-	case describer.DrainOff:
-		s.planDrain(p)
-	case describer.SetTarget:
-		p.Steps = append(p.Steps, describer.Step{
-			Verb: describer.Set,
-			Why:  fmt.Sprintf("latency target of %s becomes %s", e.Intent.Service, e.Intent.Target),
+	fleets := make(map[string]*accountant.Fleet)
+	var pending []placer.Request
+	for _, h := range s.order {
+		if h.book == nil || h.phase != owning || !s.isConcerned(h, e.Intent) {
+			continue
+		}
+		fleets[h.id] = h.fleet
+		pending = h.waiting(pending)
+	}
+	steps, expected, err := planner.Steps(s.config, e.Intent, fleets, pending, s.now)
+	if err != nil {
+		s.reply(Reply{Request: e.Request, Err: asError(err)})
+		return
+	}
+	s.reply(Reply{Request: e.Request, Plan: &describer.Plan{
+		ID:       e.Intent.ID,
+		Intent:   e.Intent,
+		Revision: s.config.Revision,
+		Steps:    steps,
+		Expected: expected,
+		Made:     s.now,
+	}})
+}
+
+func (s *State) isConcerned(h *shard, intent describer.Intent) bool {
+	if intent.Job == nil {
+		return true
+	}
+	_, known := h.book.jobs[intent.Job.ID]
+	return known || HomeShard(&s.config, intent.Job.ID) == h.id
+}
+
+// waiting adds the shard's pending tasks, in the order of their teams' names.
+func (h *shard) waiting(out []placer.Request) []placer.Request {
+	for _, name := range sortedKeys(h.teams) {
+		h.teams[name].pending.Ascend(func(t *task) bool {
+			out = append(out, h.request(t))
+			return len(out) < maxPlanned
 		})
 	}
-	s.reply(Reply{Request: e.Request, Plan: p})
+	return out
 }
 
-func (s *State) planDrain(p *describer.Plan) {
-	for _, name := range p.Intent.Workers {
-		for _, h := range s.order {
-			w := h.workers[name]
-			if w == nil {
-				continue
-			}
-			p.Steps = append(p.Steps, describer.Step{Verb: describer.Close, Worker: name})
-			for _, t := range w.runs {
-				p.Steps = append(p.Steps, describer.Step{
-					Verb: describer.Move, Task: t.id().String(), Worker: name,
-				})
-				p.Expected.Evictions++
-			}
-		}
+func asError(err error) *classifier.Error {
+	var e *classifier.Error
+	if errors.As(err, &e) {
+		return e
 	}
+	return &classifier.Error{Verdict: classifier.NotRun, Status: 500, Code: "plan", Message: err.Error(), Err: err}
 }
--- /dev/null
+++ b/internal/control/reducer/property_test.go
@@ -0,0 +1,164 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+// TestInvariants interleaves failures at random. The seed is fixed; -rapid.seed
+// and -rapid.checks ask for others and for more.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(t, "seed"))
+		w.pass(5 * time.Second)
+		for i := range rapid.IntRange(5, 60).Draw(t, "steps") {
+			w.step(i)
+			w.pass(time.Duration(rapid.IntRange(0, 6000).Draw(t, "pass")) * time.Millisecond)
+		}
+		w.heal()
+		w.pass(10 * time.Minute)
+		w.store.check()
+	})
+}
+
+func (w *world) node() *node {
+	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, "node")]
+}
+
+func (w *world) anyMachine() *machine {
+	return w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(w.t, "worker")]
+}
+
+// step does one thing at random, most often something ordinary.
+func (w *world) step(i int) {
+	length := time.Duration(rapid.IntRange(1, 60).Draw(w.t, "seconds")) * time.Second
+	switch rapid.IntRange(0, 15).Draw(w.t, "what") {
+	case 0, 1, 2, 3:
+		w.submit(fmt.Sprintf("job-%d", i), rapid.IntRange(1, 6).Draw(w.t, "tasks"))
+	case 4:
+		w.everywhere(func(n *node) { n.reduce(Cancelled{Job: fmt.Sprintf("job-%d", max(i-2, 0))}) })
+	case 5:
+		n := w.node()
+		n.kill()
+		w.after(length/4, n.boot)
+	case 6:
+		n := w.node()
+		if n.alive && !n.paused {
+			n.paused = true
+			life := n.life
+			w.after(length, func() {
+				if n.life == life {
+					n.resume()
+				}
+			})
+		}
+	case 7:
+		n := w.node()
+		n.cutStore = true
+		w.after(length, func() { n.cutStore = false })
+	case 8:
+		n, m := w.node(), w.anyMachine()
+		n.cut[m.name] = true
+		w.after(length, func() { n.cut[m.name] = false })
+	case 9:
+		w.store.up = false
+		w.after(length, func() { w.store.up = true })
+	case 10:
+		m := w.anyMachine()
+		if !m.dead {
+			m.advance()
+			m.dead = true
+			m.forget()
+			// It forgot its epoch, so it may come back only when no lease is left.
+			w.after(max(length, 15*time.Second), func() { m.dead = false })
+		}
+	case 11:
+		m := w.anyMachine()
+		m.bad = true
+		w.after(length, func() { m.bad = false })
+	case 12:
+		w.drain(fmt.Sprintf("drain-%d", i), w.anyMachine().name, length)
+	case 13:
+		old := w.store.config
+		old.Revision -= int64(rapid.IntRange(0, 3).Draw(w.t, "older"))
+		n := w.node()
+		w.after(length, func() { n.reduce(Configured{Configuration: old}) })
+	case 14:
+		n := w.node()
+		n.blind = true
+		w.after(length, func() { n.blind = false })
+	case 15:
+		n := w.node()
+		n.reduce(StopRequested{})
+		life := n.life
+		w.after(length/2, func() {
+			if n.life == life {
+				n.kill()
+				n.boot()
+			}
+		})
+	}
+}
+
+func (w *world) everywhere(do func(*node)) {
+	for _, n := range w.nodes {
+		do(n)
+	}
+}
+
+// submit tries the daemons in turn, as a caller that isn't told otherwise.
+func (w *world) submit(id string, tasks int) {
+	job := testJob(id, tasks)
+	job.Class = "class-" + id[len(id)-1:]
+	job.Declared.CPU = int64(w.rng.IntN(4)+1) * 500
+	if w.chance(0.3) {
+		job.Priority = describer.Urgent
+	}
+	home := HomeShard(&w.store.config, id)
+	for _, n := range w.nodes {
+		if _, ok := n.owns[home]; ok && n.alive {
+			w.requests++
+			w.asked[w.requests] = id
+			n.reduce(Submitted{Request: w.requests, Job: job})
+			return
+		}
+	}
+}
+
+func (w *world) drain(id, worker string, length time.Duration) {
+	for _, d := range w.store.config.Drains {
+		if d.Workers[0] == worker {
+			return
+		}
+	}
+	c := &w.store.config
+	c.Revision++
+	c.Drains = append(c.Drains[:len(c.Drains):len(c.Drains)], describer.Drain{
+		ID: id, Workers: []string{worker}, State: describer.Draining, Until: w.now.Add(length),
+	})
+}
+
+// heal ends all failures.
+func (w *world) heal() {
+	w.calm = true
+	w.pass(2 * time.Minute)
+	w.store.up = true
+	for _, m := range w.machines {
+		m.dead, m.bad = false, false
+	}
+	for _, n := range w.nodes {
+		if !n.alive {
+			n.boot()
+		}
+		n.cutStore, n.blind = false, false
+		clear(n.cut)
+		if n.paused {
+			n.resume()
+		}
+	}
+}
--- a/internal/control/reducer/reducer.go
+++ b/internal/control/reducer/reducer.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/learner"
 	"dotterelcart.dev/dotterelcart/internal/control/placer"
 )
 
@@ -38,23 +39,31 @@
 	TaskLease    time.Duration // granted to workers with each renewal
 	LeaseMargin  time.Duration // for clock drift, added before a lapsed run counts as over
 	SyncInterval time.Duration // between inventories of one worker
-}
 
-// Policies are the exchangeable decisions. A nil one has a plain default.
-type Policies struct {
-	Place placer.Policy // default placer.FirstFit
+	// OutageLimit is how long an owner that can't reach the store goes on
+	// renewing task leases. A successor waits as long before it counts the
+	// leases on a worker that it can't reach as lapsed. The default is
+	// 15 minutes.
+	OutageLimit time.Duration
 }
 
+const defaultOutageLimit = 15 * time.Minute
+
 // State is the control state of one daemon. Only one goroutine may use it.
 type State struct {
 	options  Options
 	policies Policies
+	placer   placer.Policy
+	services map[string]describer.Service // by name
+	timeline learner.Timeline
+	usage    placer.Usage
 	now      time.Time
 	config   describer.Configuration
 	hosts    []describer.Host
 	peers    []Peer
 	settled  time.Time // when membership last changed
 	reached  bool      // the store answered the last call
+	contact  time.Time // when it last did
 	stopping bool
 
 	shards    map[string]*shard // of the own failure domain
@@ -62,22 +71,32 @@
 	drains    map[string]drain  // by worker
 	timers    timers
 	effects   []Effect
-	published bool // the routing table is up to date
+	published bool      // the routing table is up to date
+	tabled    time.Time // when it was made
 	reviewed  time.Time
+
+	snapshotLeast int // records between snapshots, at least
 }
 
 // New returns the state of a daemon that knows nothing yet.
 func New(o Options, p Policies) *State {
-	if p.Place == nil {
-		p.Place = placer.FirstFit{}
+	if p.Learner == nil {
+		p.Learner = learner.New(learner.Options{})
 	}
-	return &State{
+	if o.OutageLimit <= 0 {
+		o.OutageLimit = defaultOutageLimit
+	}
+	s := &State{
 		options:  o,
 		policies: p,
 		reached:  true,
 		shards:   make(map[string]*shard),
 		drains:   make(map[string]drain),
+
+		snapshotLeast: defaultSnapshotLeast,
 	}
+	s.adaptPolicies()
+	return s
 }
 
 // Reduce takes in one event and returns what is to be done, in order. The
@@ -88,7 +107,7 @@
 	for _, h := range s.order {
 		h.settle()
 	}
-	if !s.published {
+	if !s.published && s.now.Sub(s.tabled) >= publishInterval {
 		s.publish()
 	}
 	return s.effects
@@ -109,6 +128,9 @@
 		s.changePeers(e.Alive)
 	case StoreReached:
 		s.reached = e.OK
+		if e.OK {
+			s.contact = s.now
+		}
 	case StopRequested:
 		s.stop()
 	case Submitted:
@@ -144,6 +166,7 @@
 		}
 	case Appended:
 		if h := s.owned(e.Shard, e.Epoch); h != nil {
+			s.contact = s.now
 			h.appended(e.Batch)
 		}
 	case WorkerSynced:
@@ -193,6 +216,7 @@
 		return
 	}
 	s.config = c
+	s.adaptPolicies()
 	s.indexDrains()
 	s.arrangeShards()
 	s.arrangeWorkers()
--- a/internal/control/reducer/routing.go
+++ b/internal/control/reducer/routing.go
@@ -2,10 +2,17 @@
 
 import (
 	"slices"
+	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
 
+// Bounds on the publication of routing tables.
+const (
+	publishInterval   = 250 * time.Millisecond // between two
+	interferenceDelta = 0.05                   // change that is worth one
+)
+
 // publish hands a new routing table to the traffic side. Hosts are sorted by
 // name, so each service's backends are too.
 func (s *State) publish() {
@@ -13,6 +20,7 @@
 	if s.config.Revision == 0 {
 		return
 	}
+	s.tabled = s.now
 	table := &describer.RoutingTable{
 		Revision: s.config.Revision,
 		Services: s.backends(),
@@ -88,15 +96,20 @@
 // draining gets no new ones.
 func (s *State) backend(host *describer.Host, shard string) describer.Backend {
 	d, drained := s.drains[host.Name]
+	slower := 0.0
+	if h := s.shards[shard]; h != nil && h.workers[host.Name] != nil {
+		slower = h.workers[host.Name].slower
+	}
 	return describer.Backend{
-		Worker:      host.Name,
-		Address:     host.Address,
-		Region:      host.Region,
-		Domain:      host.Domain,
-		Shard:       shard,
-		Slots:       host.Slots,
-		Connections: host.Connections,
-		Closed:      host.State == describer.Leaving || drained && d.state == describer.Draining,
+		Worker:       host.Name,
+		Address:      host.Address,
+		Region:       host.Region,
+		Domain:       host.Domain,
+		Shard:        shard,
+		Slots:        host.Slots,
+		Connections:  host.Connections,
+		Interference: slower,
+		Closed:       host.State == describer.Leaving || drained && d.state == describer.Draining,
 	}
 }
 
--- a/internal/control/reducer/run.go
+++ b/internal/control/reducer/run.go
@@ -80,7 +80,7 @@
 		return
 	}
 	w := h.worker(t.worker)
-	if w.failures >= silentAfter {
+	if w.failures >= silentAfter || !h.mayRenew() {
 		// The lapse of its lease decides, and another call would put it off.
 		h.after(repeatAfter, timer{kind: timerStart, task: t, worker: w})
 		return
--- a/internal/control/reducer/shard.go
+++ b/internal/control/reducer/shard.go
@@ -6,6 +6,7 @@
 
 	"dotterelcart.dev/dotterelcart/internal/control/accountant"
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/escalator"
 )
 
 // ownership is how far this daemon is with a shard.
@@ -53,7 +54,9 @@
 	fleet    *accountant.Fleet
 	teams    map[string]*team
 	journal  journal
-	idle     bool                 // nothing changed since the last placement found nothing to do
+	idle     bool // nothing changed since the last placement found nothing to do
+	budget   *escalator.Budget
+	rooms    []reservation        // for urgent tasks
 	proposed map[string]time.Time // proposals that the configuration doesn't show yet
 }
 
@@ -93,6 +96,7 @@
 	h.order = nil
 	h.fleet = nil
 	h.teams = nil
+	h.rooms = nil
 	h.journal = journal{}
 	h.handing = false
 	h.tries = 0
--- a/internal/control/reducer/snapshot.go
+++ b/internal/control/reducer/snapshot.go
@@ -43,7 +43,7 @@
 // holds, and nothing is in flight that the snapshot would have to leave out.
 func (h *shard) maySnapshot() {
 	j := &h.journal
-	if j.sinceSnapshot < max(snapshotLeast, 2*h.size()) || !j.isSent() || j.durable != j.sent || h.phase != owning {
+	if j.sinceSnapshot < max(h.state.snapshotLeast, 2*h.size()) || !j.isSent() || j.durable != j.sent || h.phase != owning {
 		return
 	}
 	h.expire()
--- a/internal/control/reducer/status.go
+++ b/internal/control/reducer/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"strconv"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
@@ -115,7 +114,18 @@
 		out.Drain = d.id + " " + string(d.state)
 	}
 	if explain {
-		out.Why = append(out.Why, "runs: "+strconv.Itoa(len(w.runs)))
+		out.Why = h.explain(w)
+	}
+	return out
+}
+
+// explain returns the interference estimates that concern the worker.
+func (h *shard) explain(w *worker) []string {
+	var out []string
+	for _, service := range w.account.Host.Services {
+		for _, class := range h.state.policies.Learner.Classes(service) {
+			out = append(out, h.state.policies.Learner.Explain(service, class)...)
+		}
 	}
 	return out
 }
--- a/internal/control/reducer/sync.go
+++ b/internal/control/reducer/sync.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -62,7 +63,7 @@
 // renewals lists the runs to keep. A worker that doesn't answer gets none, so
 // that its leases are sure to lapse; nor does a run that is to end for good.
 func (h *shard) renewals(w *worker) []runner.Run {
-	if w.failures >= silentAfter || len(w.runs) == 0 || !w.heard {
+	if w.failures >= silentAfter || len(w.runs) == 0 || !w.heard || !h.mayRenew() {
 		return nil
 	}
 	runs := make([]runner.Run, 0, len(w.runs))
@@ -75,6 +76,18 @@
 	return runs
 }
 
+// mayRenew reports whether this daemon may count as the owner still. Without
+// the store it can't tell an outage from a partition with a successor on the
+// other side, so it gives up when it hears of one, and at the latest after
+// the time that every successor waits.
+func (h *shard) mayRenew() bool {
+	s := h.state
+	if s.now.Sub(s.contact) >= s.options.OutageLimit {
+		return false
+	}
+	return s.reached || s.holder(h.id) == ""
+}
+
 // extend moves the time by which all leases on the worker have lapsed, and
 // returns it by the worker's clock. The worker's clock was read between the
 // beginning and the end of its latest call, so the lease is longer than asked
@@ -163,6 +176,10 @@
 	w.failures = 0
 	first := !w.heard
 	w.heard = true
+	if first {
+		// From now on the worker refuses a former owner's renewals.
+		w.extent = h.state.now.Add(h.state.options.TaskLease)
+	}
 	if !e.Synced.Clock.IsZero() {
 		w.clock = e.Synced.Clock
 		w.clockAt = e.Sent
@@ -175,6 +192,8 @@
 	h.takeRunning(w, e.Synced.Running)
 	h.takeFinished(w, e.Synced.Finished)
 	h.takeAbsent(w)
+	h.observe(w, &e.Synced)
+	h.noteInterference(w)
 	h.refresh(w)
 	if first && len(w.runs) > 0 {
 		h.sync(w)
@@ -182,6 +201,17 @@
 	h.schedule(w)
 }
 
+func (h *shard) noteInterference(w *worker) {
+	if len(w.account.Host.Services) == 0 {
+		return
+	}
+	slower := h.interference(w)
+	if math.Abs(slower-w.slower) >= interferenceDelta {
+		w.slower = slower
+		h.state.published = false
+	}
+}
+
 // takeRunning confirms runs and stops those that nobody wants any more.
 func (h *shard) takeRunning(w *worker, running []runner.Running) {
 	var used describer.Resources
@@ -197,6 +227,8 @@
 		if t.phase != confirmed {
 			h.confirm(t, w)
 		}
+		h.settleGrant(t, r)
+		h.observeRun(w, t, r)
 		if t.job.cancelled && t.stop == nil {
 			h.end(t, stopping{reason: "cancelled"})
 		}
--- a/internal/control/reducer/task.go
+++ b/internal/control/reducer/task.go
@@ -7,8 +7,11 @@
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
 
-// reasonNotBegun marks the release of a run that never began.
-const reasonNotBegun = "not begun"
+// Reasons of releases that count differently.
+const (
+	reasonNotBegun = "not begun" // the run never began
+	reasonEvicted  = "evicted"   // for services or for urgent work
+)
 
 // job is an accepted job with its tasks.
 type job struct {
@@ -63,14 +66,15 @@
 	state      describer.TaskState
 	ran        bool
 
-	phase  phase
-	queued bool
-	slot   int32     // in worker.runs
-	call   uint64    // worker.calls when the start was confirmed
-	seen   uint64    // worker.calls of the latest inventory that named it
-	batch  int64     // of the latest record
-	stop   *stopping // a stop is wanted
-	policy string    // why it isn't placed
+	phase    phase
+	queued   bool
+	slot     int32     // in worker.runs
+	call     uint64    // worker.calls when the start was confirmed
+	seen     uint64    // worker.calls of the latest inventory that named it
+	batch    int64     // of the latest record
+	stop     *stopping // a stop is wanted
+	shrinkTo int64     // processors of a throttle that no inventory shows yet; 0 is none
+	policy   string    // why it isn't placed
 }
 
 func (t *task) id() describer.TaskID {
@@ -93,6 +97,8 @@
 	}
 	if r.DrainedOff != "" {
 		t.drainedOff = r.DrainedOff
+	}
+	if r.DrainedOff != "" || r.Reason == reasonEvicted {
 		t.evictions++
 	}
 	t.reason = r.Reason
@@ -125,4 +131,5 @@
 	t.worker = ""
 	t.granted = describer.Resources{}
 	t.stop = nil
+	t.shrinkTo = 0
 }
--- a/internal/control/reducer/worker.go
+++ b/internal/control/reducer/worker.go
@@ -6,6 +6,8 @@
 
 	"dotterelcart.dev/dotterelcart/internal/control/accountant"
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/escalator"
+	"dotterelcart.dev/dotterelcart/internal/control/restorer"
 )
 
 // Bounds on workers.
@@ -37,14 +39,15 @@
 	ackRuns  []describer.Token
 	pause    time.Time // no placements before
 
-	evidence evidence
-	probing  bool // one task may be placed in spite of being set aside
-	allow    int  // further tasks that its restore lets in now; -1 is unlimited
-	held     string
-	stepped  time.Time // when its restore let in the latest task
-	opened   int       // tasks that its restore has let in
-	batch    int64     // of the record that it is restored
-	gone     time.Time // since when it is missing in the host list
+	evidence   evidence
+	probing    bool // one task may be placed in spite of being set aside
+	restore    restorer.State
+	held       string    // what holds its restore back
+	batch      int64     // of the record that it is restored
+	resized    time.Time // when grants were last adapted to use
+	slower     float64   // published interference
+	escalation escalator.State
+	gone       time.Time // since when it is missing in the host list
 }
 
 func (s *State) arrangeWorkers() {
@@ -103,6 +106,7 @@
 func (h *shard) forget(w *worker) {
 	delete(h.workers, w.name)
 	delete(h.fleet.Workers, w.name)
+	h.state.timeline.Forget(w.name)
 	h.order = slices.DeleteFunc(h.order, func(o *worker) bool { return o == w })
 }
 
@@ -117,8 +121,8 @@
 		Grants: make(map[describer.TaskID]accountant.Grant),
 		Closed: true,
 	}
-	w := &worker{name: name, account: account, allow: -1}
-	w.extent = h.claimed.Add(h.state.options.TaskLease)
+	w := &worker{name: name, account: account}
+	w.extent = h.claimed.Add(h.state.options.OutageLimit + h.state.options.TaskLease)
 	h.workers[name] = w
 	h.fleet.Workers[name] = account
 	at, _ := slices.BinarySearchFunc(h.order, name, func(o *worker, n string) int { return compareText(o.name, n) })
@@ -130,8 +134,7 @@
 // refresh recomputes whether tasks may be placed on the worker.
 func (h *shard) refresh(w *worker) {
 	if _, drained := h.state.drains[w.name]; !drained {
-		w.allow = -1
-		w.opened = 0
+		w.limit(false, 0)
 		w.held = ""
 	}
 	closed := h.closedBy(w) != ""
@@ -163,8 +166,6 @@
 		return h.book.asides[w.name]
 	case h.state.now.Before(w.pause):
 		return "refused a start"
-	case drained && w.allow == 0:
-		return "restoring for " + d.id
 	}
 	return ""
 }
@@ -180,6 +181,7 @@
 		Kind:      t.job.Kind,
 		Priority:  t.job.Priority,
 		Resources: t.granted,
+		HomeTo:    t.drainedOff,
 		Since:     h.state.now,
 	}
 	if w.account.Hold(t.id(), g) != nil {
@@ -190,6 +192,14 @@
 	w.runs = append(w.runs, t)
 	team := h.team(t.job.Team)
 	team.used = team.used.Add(t.granted)
+	h.noteShares(w)
+}
+
+// noteShares keeps what runs on the worker for late reports.
+func (h *shard) noteShares(w *worker) {
+	if len(w.account.Host.Services) > 0 {
+		h.state.timeline.Set(w.name, h.state.now, w.account.Shares())
+	}
 }
 
 func (h *shard) unhold(t *task) {
@@ -206,6 +216,7 @@
 	team := h.team(t.job.Team)
 	team.used = team.used.Sub(t.granted)
 	h.idle = false
+	h.noteShares(w)
 	if !w.listed && last == 0 {
 		h.schedule(w)
 	}
