control/reducer: a late completion counts if no newer run has begun

The result is now taken from the report. Ruled out: waiting for a silent worker for ever, since most silent workers are dead.

The test allows a second run only after the first one's release for a lapsed lease is durable; that remains possible when the report comes after the new start, and exactly one result counts.

--- a/internal/control/reducer/book.go
+++ b/internal/control/reducer/book.go
@@ -114,7 +114,15 @@
 		}
 		return
 	}
-	if t.state != describer.Started || t.token != r.Token {
+	if t.token != r.Token {
+		return
+	}
+	if t.state == describer.Pending && r.Kind == describer.TaskFinished {
+		h.move(t, r.Time, func() { t.finish(r) })
+		h.book.done++
+		return
+	}
+	if t.state != describer.Started {
 		return
 	}
 	switch r.Kind {
--- a/internal/control/reducer/sync.go
+++ b/internal/control/reducer/sync.go
@@ -258,6 +258,12 @@
 			h.conclude(t, w, f)
 			continue
 		}
+		if f.OK && t != nil && t.state == describer.Pending && t.token == f.Token {
+			// Its worker was out of reach until its lease lapsed, and it had
+			// completed before. No newer run has begun, so the result counts.
+			h.finished(t, w, f.Result)
+			continue
+		}
 		if t == nil || h.journal.isDurable(t.batch) {
 			w.acks = append(w.acks, f.Task)
 			w.ackRuns = append(w.ackRuns, f.Token)
