control/reducer: placement goes on after a limit, a reservation or a probe ends

Probes are now renewed as long as the worker is set aside, a change of a limit wakes the placement, and a pass is made every 5 s without a known cause.

--- a/internal/control/reducer/book.go
+++ b/internal/control/reducer/book.go
@@ -52,8 +52,7 @@
 	case describer.JobCancelled:
 		h.applyCancel(r)
 	case describer.WorkerSetAside:
-		h.book.asides[r.Worker] = r.Reason
-		h.refresh(h.worker(r.Worker))
+		h.aside(r.Worker, r.Reason)
 	case describer.WorkerTrusted:
 		delete(h.book.asides, r.Worker)
 		h.refresh(h.worker(r.Worker))
--- a/internal/control/reducer/drain.go
+++ b/internal/control/reducer/drain.go
@@ -105,7 +105,7 @@
 // the obligation once no drained task of it waits for a place.
 func (h *shard) restoreTo(w *worker, d drain) {
 	if h.book.restored[w.name] == d.id {
-		w.limit(false, 0)
+		h.limit(w, false, 0)
 		h.propose(w.name)
 		return
 	}
@@ -119,9 +119,8 @@
 		State:    &w.restore,
 	})
 	w.held = decision.Held
-	w.limit(!decision.Done, decision.Limit)
+	h.limit(w, !decision.Done, decision.Limit)
 	h.refresh(w)
-	h.idle = false
 	if !decision.Done {
 		return
 	}
@@ -135,7 +134,10 @@
 }
 
 // limit bounds what batch tasks may hold on the worker.
-func (w *worker) limit(on bool, cpu int64) {
+func (h *shard) limit(w *worker, on bool, cpu int64) {
+	if w.account.Limited != on || w.account.Limit != cpu {
+		h.idle = false
+	}
 	w.account.Limited = on
 	w.account.Limit = cpu
 }
--- a/internal/control/reducer/fault.go
+++ b/internal/control/reducer/fault.go
@@ -55,11 +55,7 @@
 	w.evidence.classes = addText(w.evidence.classes, t.job.Class)
 	enough := len(w.evidence.jobs) >= suspectJobs && len(w.evidence.classes) >= 2 ||
 		len(w.evidence.jobs) >= 2*suspectJobs
-	if h.book.asides[w.name] != "" {
-		h.after(probeInterval, timer{kind: timerProbe, worker: w})
-		return
-	}
-	if !enough {
+	if !enough || h.book.asides[w.name] != "" {
 		return
 	}
 	h.append(describer.Record{
@@ -67,7 +63,6 @@
 		Worker: w.name,
 		Reason: fmt.Sprintf("failed %d jobs in a row, the last with: %s", len(w.evidence.jobs), reason),
 	})
-	h.after(probeInterval, timer{kind: timerProbe, worker: w})
 }
 
 // trust forgets the evidence against a worker that completed something.
@@ -78,13 +73,24 @@
 	}
 }
 
-// probe lets a worker that was set aside have one task.
+// aside closes a worker. It gets one task at each interval until one succeeds.
+func (h *shard) aside(name, reason string) {
+	known := h.book.asides[name] != ""
+	w := h.worker(name)
+	h.book.asides[name] = reason
+	if !known {
+		h.after(probeInterval, timer{kind: timerProbe, worker: w})
+	}
+	h.refresh(w)
+}
+
 func (h *shard) probe(w *worker) {
-	if h.workers[w.name] != w {
+	if h.workers[w.name] != w || h.book.asides[w.name] == "" {
 		return
 	}
-	w.probing = h.book.asides[w.name] != "" && len(w.runs) == 0
+	w.probing = len(w.runs) == 0
 	h.refresh(w)
+	h.after(probeInterval, timer{kind: timerProbe, worker: w})
 }
 
 // isHopeless reports whether enough different workers failed the task. Those
--- a/internal/control/reducer/ledgers_test.go
+++ b/internal/control/reducer/ledgers_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -17,7 +18,7 @@
 	shards    map[string]*ledger
 	drained   map[string]bool // drains that were ever begun
 	started   map[runner.Run]int
-	released  map[runner.Run]bool // because their leases lapsed at a silent worker
+	released  map[runner.Run]bool             // because their leases lapsed at a silent worker
 	over      map[describer.TaskID]runner.Run // finished durably
 	jobs      map[string]*describer.Job
 	cancelled map[string]int
@@ -253,6 +254,9 @@
 			}
 			if t := h.book.task(id); t != nil {
 				out = n.name + " " + h.id + " " + h.phase.String() + ": " + t.state.String() + " " + t.worker + " " + t.policy + " " + t.reason
+				for _, worker := range h.order {
+					out += fmt.Sprintf("; %s has %v, %s", worker.name, worker.account.Free(), h.closedBy(worker))
+				}
 			}
 		}
 	}
--- a/internal/control/reducer/ownership.go
+++ b/internal/control/reducer/ownership.go
@@ -201,6 +201,7 @@
 	h.journal = journal{shard: h}
 	h.proposed = make(map[string]time.Time)
 	h.idle = false
+	h.passed = s.now
 	h.tries = 0
 	h.arrangeWorkers()
 	h.budget = h.newBudget(s.now)
--- a/internal/control/reducer/place.go
+++ b/internal/control/reducer/place.go
@@ -10,9 +10,10 @@
 
 // Bounds of one placement pass.
 const (
-	maxMisses    = 32   // refusals by the policy, after which a pass ends
-	maxExamined  = 2048 // tasks looked at in one pass
-	maxPlaced    = 512  // starts in one pass
+	maxMisses    = 32              // refusals by the policy, after which a pass ends
+	maxExamined  = 2048            // tasks looked at in one pass
+	maxPlaced    = 512             // starts in one pass
+	passInterval = 5 * time.Second // without a known cause; limits may end with time alone
 	pressingTime = 2 * time.Minute
 )
 
@@ -29,12 +30,12 @@
 // of the teams' weighted shares, until nothing more fits. It runs only when
 // an append may go out, so that decisions come in groups.
 func (h *shard) place() {
-	if h.idle || !h.isDeciding() || !h.state.reached || !h.mayFlush() || h.journal.isFull() {
+	if h.idle && h.state.now.Sub(h.passed) < passInterval || !h.isDeciding() || !h.state.reached || !h.mayFlush() || h.journal.isFull() {
 		return
 	}
-	line := h.candidates()
 	missed := make(map[placeKey]bool)
 	h.useRooms()
+	line := h.candidates()
 	examined, placed := 0, 0
 	for len(line) > 0 && len(missed) < maxMisses && placed < maxPlaced && examined < maxExamined {
 		best := slices.MinFunc(line, compareCandidates)
@@ -46,6 +47,7 @@
 		line = slices.DeleteFunc(line, func(c *candidate) bool { return c.task == nil })
 	}
 	h.idle = placed < maxPlaced
+	h.passed = h.state.now
 }
 
 func (h *shard) candidates() []*candidate {
--- a/internal/control/reducer/run.go
+++ b/internal/control/reducer/run.go
@@ -71,7 +71,7 @@
 	h.release(t, released{reason: reasonNotBegun})
 	w.pause = h.state.now.Add(refusalPause)
 	h.refresh(w)
-	h.after(refusalPause, timer{kind: timerProbe, worker: w})
+	h.after(refusalPause, timer{kind: timerOpen, worker: w})
 }
 
 // repeatStart asks again with the same token, which is idempotent.
--- a/internal/control/reducer/shard.go
+++ b/internal/control/reducer/shard.go
@@ -54,7 +54,8 @@
 	fleet    *accountant.Fleet
 	teams    map[string]*team
 	journal  journal
-	idle     bool // nothing changed since the last placement found nothing to do
+	passed   time.Time // when tasks were last placed
+	idle     bool      // nothing changed since the last placement found nothing to do
 	budget   *escalator.Budget
 	rooms    []reservation        // for urgent tasks
 	proposed map[string]time.Time // proposals that the configuration doesn't show yet
--- a/internal/control/reducer/snapshot.go
+++ b/internal/control/reducer/snapshot.go
@@ -147,8 +147,8 @@
 	for _, k := range in.Keys {
 		h.book.keys[k.Key] = key{owner: k.Owner, time: k.Time}
 	}
-	for name, reason := range in.Asides {
-		h.book.asides[name] = reason
+	for _, name := range sortedKeys(in.Asides) {
+		h.aside(name, in.Asides[name])
 	}
 	for name, id := range in.Restored {
 		h.book.restored[name] = id
--- a/internal/control/reducer/timer.go
+++ b/internal/control/reducer/timer.go
@@ -9,6 +9,7 @@
 	timerSync  timerKind = iota // next inventory of a worker
 	timerLapse                  // a silent worker's leases may have lapsed
 	timerProbe                  // a worker that was set aside gets one task
+	timerOpen                   // a worker that refused a start may be asked again
 	timerRetry                  // a failed task may start again
 	timerStart                  // repeat a start without an answer
 	timerStop                   // repeat a stop without an answer
@@ -113,6 +114,8 @@
 		h.lapse(one.worker)
 	case timerProbe:
 		h.probe(one.worker)
+	case timerOpen:
+		h.refresh(one.worker)
 	case timerRetry:
 		h.retry(one.task)
 	case timerStart:
--- a/internal/control/reducer/worker.go
+++ b/internal/control/reducer/worker.go
@@ -128,13 +128,16 @@
 	at, _ := slices.BinarySearchFunc(h.order, name, func(o *worker, n string) int { return compareText(o.name, n) })
 	h.order = slices.Insert(h.order, at, w)
 	h.schedule(w)
+	if h.book.asides[name] != "" {
+		h.after(probeInterval, timer{kind: timerProbe, worker: w})
+	}
 	return w
 }
 
 // refresh recomputes whether tasks may be placed on the worker.
 func (h *shard) refresh(w *worker) {
 	if _, drained := h.state.drains[w.name]; !drained {
-		w.limit(false, 0)
+		h.limit(w, false, 0)
 		w.held = ""
 	}
 	closed := h.closedBy(w) != ""
