--- /dev/null
+++ b/internal/control/reducer/bench_test.go
@@ -0,0 +1,232 @@
+package reducer
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/placer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+)
+
+// Sizes of one failure domain's share of the target: 27,000 workers and
+// 950,000 running tasks over 11 failure domains.
+const (
+	shareWorkers = 27_000 / 11
+	shareTasks   = 950_000 / 11
+	shareShards  = 12
+	shareTeams   = 480
+)
+
+// fullState returns a State that owns all shards, with tasks running on every
+// worker.
+func fullState(workers, tasks int, policy placer.Policy) *State {
+	o := testOptions()
+	s := New(o, Policies{Place: policy})
+	c := describer.Configuration{Revision: 1, Services: []describer.Service{{Name: "menu-desk", Target: time.Second}}}
+	for i := range shareTeams {
+		c.Teams = append(c.Teams, describer.Team{Name: fmt.Sprintf("team-%03d", i), Weight: 1})
+	}
+	for i := range shareShards {
+		c.Shards = append(c.Shards, describer.Shard{ID: fmt.Sprintf("s%02d", i), Domain: o.Domain, Racks: []string{fmt.Sprint(i)}})
+	}
+	var hosts []describer.Host
+	for i := range workers {
+		host := testHosts(fmt.Sprintf("w%05d", i))[0]
+		host.Rack = fmt.Sprint(i % shareShards)
+		host.Capacity = describer.Resources{CPU: 64_000, Memory: 250_000}
+		hosts = append(hosts, host)
+	}
+	s.Reduce(Tick{Now: start})
+	s.Reduce(HostsListed{Hosts: hosts})
+	s.Reduce(Configured{Configuration: c})
+	records := fullLedger(hosts, tasks)
+	for _, one := range c.Shards {
+		answerAll(s, s.Reduce(ShardClaimed{Shard: one.ID, Epoch: 1, Records: records[one.ID]}))
+	}
+	return s
+}
+
+// answerAll answers calls for inventories until there are none.
+func answerAll(s *State, effects []Effect) {
+	for _, e := range effects {
+		if call, ok := e.(SyncWorker); ok {
+			answerAll(s, s.Reduce(inventoryOf(s, call)))
+		}
+	}
+}
+
+// fullLedger spreads jobs of 10 tasks over the workers.
+func fullLedger(hosts []describer.Host, tasks int) map[string][]describer.Record {
+	out := make(map[string][]describer.Record)
+	each := len(hosts) / shareShards
+	for n := 0; n < tasks; n += 10 {
+		number := n / 10
+		shard := number % shareShards
+		id := fmt.Sprintf("s%02d", shard)
+		job := testJob(fmt.Sprintf("0b5f8a52-job-%06d", n), 10)
+		job.Team = fmt.Sprintf("team-%03d", number%shareTeams)
+		out[id] = append(out[id], describer.Record{Kind: describer.JobAccepted, Time: start, Job: &job})
+		for i := range 10 {
+			at := (number/shareShards*10+i)%each*shareShards + shard
+			out[id] = append(out[id], describer.Record{
+				Kind: describer.TaskStarted, Time: start, Task: describer.TaskID{Job: job.ID, Index: i},
+				Worker: hosts[at].Name, Token: describer.Token{Epoch: 1, Sequence: int64(n + i)},
+				Granted: describer.Resources{CPU: 1000, Memory: 4000},
+			})
+		}
+	}
+	return out
+}
+
+// inventoryOf answers a call with what the State believes to run there.
+func inventoryOf(s *State, call SyncWorker) WorkerSynced {
+	out := WorkerSynced{Shard: call.Sync.Shard, Epoch: call.Sync.Epoch, Worker: call.Worker, Sent: s.now}
+	out.Synced.Clock = s.now
+	for _, t := range s.shards[call.Sync.Shard].workers[call.Worker].runs {
+		out.Synced.Running = append(out.Synced.Running, runner.Running{
+			Run: runner.Run{Task: t.id(), Token: t.token}, Granted: t.granted, Used: t.granted.Sub(describer.Resources{CPU: 300}),
+		})
+	}
+	return out
+}
+
+func eachSize(b *testing.B, run func(b *testing.B, s *State)) {
+	for _, part := range []int{8, 4, 2, 1} {
+		workers, tasks := shareWorkers/part, shareTasks/part
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", workers, tasks), func(b *testing.B) {
+			s := fullState(workers, tasks, placer.FirstFit{})
+			b.ReportAllocs()
+			b.ResetTimer()
+			run(b, s)
+		})
+	}
+}
+
+// BenchmarkSync is one inventory, asked for and taken in. The rate at the
+// share is its workers over the interval.
+func BenchmarkSync(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *State) {
+		for n := 0; n < b.N; {
+			effects := s.Reduce(Tick{Now: s.now.Add(10 * time.Millisecond)})
+			s.Reduce(StoreReached{OK: true})
+			for _, e := range effects {
+				call, ok := e.(SyncWorker)
+				if !ok {
+					continue
+				}
+				n++
+				b.StopTimer()
+				answer := inventoryOf(s, call)
+				b.StartTimer()
+				s.Reduce(answer)
+			}
+		}
+	})
+}
+
+// BenchmarkTick is a tick at which nothing is due.
+func BenchmarkTick(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *State) {
+		s.timers = timers{}
+		for range b.N {
+			s.Reduce(Tick{Now: s.now})
+		}
+	})
+}
+
+// BenchmarkTask is a job of one task from its submission to its durable end.
+func BenchmarkTask(b *testing.B) {
+	eachSize(b, func(b *testing.B, s *State) {
+		for n := range b.N {
+			lifeOfTask(s, newJob(n))
+		}
+	})
+}
+
+func newJob(n int) describer.Job {
+	job := testJob(fmt.Sprintf("new-%d", n), 1)
+	job.Team = "team-007"
+	return job
+}
+
+// lifeOfTask carries out all effects of a job.
+func lifeOfTask(s *State, job describer.Job) {
+	work := s.Reduce(Submitted{Request: 1, Job: job})
+	for len(work) > 0 {
+		e := work[0]
+		work = work[1:]
+		switch e := e.(type) {
+		case Append:
+			s.now = s.now.Add(100 * time.Millisecond)
+			work = append(work, s.Reduce(Appended{Shard: e.Shard, Epoch: e.Epoch, Batch: e.Batch})...)
+		case StartTask:
+			s.Reduce(StartAnswered{Shard: e.Shard, Epoch: e.Epoch, Worker: e.Worker, Task: e.Start.Task, Token: e.Start.Token})
+			h := s.shards[e.Shard]
+			h.finished(h.book.task(e.Start.Task), h.workers[e.Worker], nil)
+			work = append(work, s.Reduce(StoreReached{OK: true})...)
+		}
+	}
+}
+
+// BenchmarkPlace is the default policy's choice of a worker.
+func BenchmarkPlace(b *testing.B) {
+	s := fullState(shareWorkers, shareTasks, nil)
+	h := s.order[0]
+	job := testJob("new", 1)
+	job.Team = "team-007"
+	r := placer.Request{Task: describer.TaskID{Job: "new"}, Job: &job, Want: job.Declared}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.placer.Place(h.fleet, r, s.now)
+	}
+}
+
+// BenchmarkPublish is a routing table of all workers of one failure domain.
+func BenchmarkPublish(b *testing.B) {
+	s := fullState(shareWorkers, 10, placer.FirstFit{})
+	b.ReportAllocs()
+	for b.Loop() {
+		s.publish()
+		s.effects = nil
+	}
+}
+
+// BenchmarkSnapshot is the snapshot of one shard.
+func BenchmarkSnapshot(b *testing.B) {
+	s := fullState(shareWorkers, shareTasks, placer.FirstFit{})
+	h := s.order[0]
+	b.ReportAllocs()
+	for b.Loop() {
+		h.state.snapshotLeast = 0
+		h.journal.sinceSnapshot = 1 << 20
+		s.effects = nil
+		h.maySnapshot()
+		b.ReportMetric(float64(len(s.effects[0].(SaveSnapshot).Data)), "B/snapshot")
+	}
+}
+
+// BenchmarkMemory reports the live heap of a full state.
+func BenchmarkMemory(b *testing.B) {
+	for _, part := range []int{8, 4, 2, 1} {
+		workers, tasks := shareWorkers/part, shareTasks/part
+		b.Run(fmt.Sprintf("workers=%d/tasks=%d", workers, tasks), func(b *testing.B) {
+			for range b.N {
+				before := liveHeap()
+				s := fullState(workers, tasks, placer.FirstFit{})
+				b.ReportMetric(float64(liveHeap()-before)/(1<<20), "MiB")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
+
+func liveHeap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- /dev/null
+++ b/internal/control/reducer/bounds_test.go
@@ -0,0 +1,48 @@
+package reducer
+
+import (
+	"runtime"
+	"testing"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/placer"
+)
+
+// Bounds at one failure domain's share. A daemon may use 128 MB; the runtime
+// lets the heap grow to twice what is live before it collects.
+const (
+	maxLiveBytes  = 64 << 20
+	maxSyncAllocs = 16
+	maxTaskAllocs = 50
+)
+
+func TestBounds(t *testing.T) {
+	before := liveHeap()
+	s := fullState(shareWorkers, shareTasks, placer.FirstFit{})
+	if live := liveHeap() - before; live > maxLiveBytes {
+		t.Errorf("the state takes %d bytes, more than %d", live, maxLiveBytes)
+	}
+	if n := testing.AllocsPerRun(100, func() { s.Reduce(Tick{Now: s.now}) }); n > 0 {
+		t.Errorf("a tick at which nothing is due allocates %v times", n)
+	}
+	h := s.order[0]
+	w := h.order[0]
+	n := testing.AllocsPerRun(100, func() {
+		w.due = time.Time{}
+		s.effects = nil
+		h.sync(w)
+		s.Reduce(inventoryOf(s, s.effects[0].(SyncWorker)))
+	})
+	if n > maxSyncAllocs {
+		t.Errorf("an inventory allocates %v times, more than %d", n, maxSyncAllocs)
+	}
+	i := 0
+	n = testing.AllocsPerRun(100, func() {
+		i++
+		lifeOfTask(s, newJob(i))
+	})
+	if n > maxTaskAllocs {
+		t.Errorf("a task allocates %v times, more than %d", n, maxTaskAllocs)
+	}
+	runtime.KeepAlive(s)
+}
--- a/internal/control/reducer/grant.go
+++ b/internal/control/reducer/grant.go
@@ -39,13 +39,12 @@
 	if t.job.Kind != describer.Batch {
 		return false
 	}
-	to := placer.Resize(r.Used, t.granted, w.account.Room()).CPU
-	_, throttled := w.escalation.Throttled[r.Task]
+	to := placer.Resize(w.account.Grants[r.Task], w.account.Room()).CPU
 	switch {
 	case to < t.granted.CPU:
 		h.shrink(t, to)
 		return true
-	case to > t.granted.CPU && !throttled && h.isQueueEmpty():
+	case to > t.granted.CPU && h.isQueueEmpty():
 		to = min(to, maxGrowth*t.job.Declared.CPU)
 		return h.grow(t, to)
 	}
@@ -76,7 +75,7 @@
 // shrink tells the worker first and books the smaller grant once an inventory
 // shows it in force.
 func (h *shard) shrink(t *task, cpu int64) {
-	if cpu <= 0 || cpu >= t.granted.CPU {
+	if cpu <= 0 || cpu >= t.granted.CPU || t.shrinkTo > 0 && cpu >= t.shrinkTo {
 		return
 	}
 	t.shrinkTo = cpu
--- a/internal/control/reducer/policy.go
+++ b/internal/control/reducer/policy.go
@@ -78,7 +78,7 @@
 	g.Used = r.Used
 	g.Progress = r.Progress
 	w.account.Grants[r.Task] = g
-	h.state.usage.Observe(t.job.Team, t.job.Class, r.Used, r.Granted)
+	h.state.usage.Observe(g)
 }
 
 // escalate relieves the worker's services, in order of cost.
@@ -108,8 +108,10 @@
 	}
 	switch a.Kind {
 	case escalator.Raise:
+		h.setCeiling(t, 0)
 		h.grow(t, a.CPU)
 	case escalator.Throttle:
+		h.setCeiling(t, a.CPU)
 		h.shrink(t, a.CPU)
 	case escalator.Move:
 		h.end(t, stopping{reason: reasonEvicted, checkpoint: true})
@@ -118,6 +120,15 @@
 	}
 }
 
+// setCeiling keeps a run that is throttled for a service from growing.
+func (h *shard) setCeiling(t *task, cpu int64) {
+	w := h.worker(t.worker)
+	if g, ok := w.account.Grants[t.id()]; ok {
+		g.Ceiling = cpu
+		w.account.Grants[t.id()] = g
+	}
+}
+
 // want is what a run of the task is granted: what its class was measured to
 // use rather than what was declared.
 func (h *shard) want(t *task) describer.Resources {
--- a/internal/control/reducer/sync.go
+++ b/internal/control/reducer/sync.go
@@ -23,7 +23,11 @@
 	if wait < interval/8 {
 		wait += interval
 	}
-	w.due = h.state.now.Add(wait)
+	due := h.state.now.Add(wait)
+	if due.Equal(w.due) {
+		return
+	}
+	w.due = due
 	h.after(wait, timer{kind: timerSync, worker: w})
 }
 
--- a/internal/control/reducer/timer.go
+++ b/internal/control/reducer/timer.go
@@ -108,6 +108,7 @@
 	switch one.kind {
 	case timerSync:
 		if one.at.Equal(one.worker.due) {
+			one.worker.due = time.Time{}
 			h.sync(one.worker)
 		}
 	case timerLapse:
