--- a/internal/control/reducer/run.go
+++ b/internal/control/reducer/run.go
@@ -71,7 +71,7 @@
 	h.release(t, released{reason: reasonNotBegun})
 	w.pause = h.state.now.Add(refusalPause)
 	h.refresh(w)
-	h.after(refusalPause, timer{kind: timerProbe, worker: w})
+	h.after(refusalPause, timer{kind: timerOpen, worker: w})
 }
 
 // repeatStart asks again with the same token, which is idempotent.
@@ -80,7 +80,7 @@
 		return
 	}
 	w := h.worker(t.worker)
-	if w.failures >= silentAfter {
+	if w.failures >= silentAfter || !h.mayRenew() {
 		// The lapse of its lease decides, and another call would put it off.
 		h.after(repeatAfter, timer{kind: timerStart, task: t, worker: w})
 		return
--- a/internal/control/reducer/snapshot.go
+++ b/internal/control/reducer/snapshot.go
@@ -43,7 +43,7 @@
 // holds, and nothing is in flight that the snapshot would have to leave out.
 func (h *shard) maySnapshot() {
 	j := &h.journal
-	if j.sinceSnapshot < max(snapshotLeast, 2*h.size()) || !j.isSent() || j.durable != j.sent || h.phase != owning {
+	if j.sinceSnapshot < max(h.state.snapshotLeast, 2*h.size()) || !j.isSent() || j.durable != j.sent || h.phase != owning {
 		return
 	}
 	h.expire()
@@ -147,8 +147,8 @@
 	for _, k := range in.Keys {
 		h.book.keys[k.Key] = key{owner: k.Owner, time: k.Time}
 	}
-	for name, reason := range in.Asides {
-		h.book.asides[name] = reason
+	for _, name := range sortedKeys(in.Asides) {
+		h.aside(name, in.Asides[name])
 	}
 	for name, id := range in.Restored {
 		h.book.restored[name] = id
