--- a/internal/control/accountant/accountant.go
+++ b/internal/control/accountant/accountant.go
@@ -22,6 +22,8 @@
 // Fleet is the capacity accounting of one shard's workers.
 type Fleet struct {
 	Workers map[string]*Worker
+
+	names []string // cache of Names
 }
 
 // Worker is the account of one worker.
@@ -55,8 +57,26 @@
 	Since     time.Time
 }
 
-// Names returns the workers' names in order.
-func (f *Fleet) Names() []string { return slices.Sorted(maps.Keys(f.Workers)) }
+// Names returns the workers' names in order. The slice must not be changed.
+func (f *Fleet) Names() []string {
+	if !f.isCached() {
+		f.names = slices.Sorted(maps.Keys(f.Workers))
+	}
+	return f.names
+}
+
+// isCached reports whether names holds exactly the keys of Workers.
+func (f *Fleet) isCached() bool {
+	if len(f.names) != len(f.Workers) {
+		return false
+	}
+	for _, name := range f.names {
+		if _, ok := f.Workers[name]; !ok {
+			return false
+		}
+	}
+	return true
+}
 
 // Clone returns a copy whose grants can be changed independently.
 func (w *Worker) Clone() *Worker {
--- /dev/null
+++ b/internal/control/evaluator/contender.go
@@ -0,0 +1,63 @@
+package evaluator
+
+import (
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/accountant"
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/learner"
+	"dotterelcart.dev/dotterelcart/internal/control/placer"
+)
+
+// Names of contenders that goals refer to.
+const (
+	DefaultName = "default"
+	AloneName   = "no-colocation"
+)
+
+// packing are the baselines that pack batch tasks beside services.
+var packing = []string{"first-fit", "least-loaded", "least-loaded-declared", "static-threshold"}
+
+// Contender is a way to decide.
+type Contender struct {
+	Name     string
+	Policy   func(d Deployment, l *learner.Learner) placer.Policy
+	Declared bool // grants as declared, not as measured
+	Evict    bool // evicts the newest batch task for each report above the target
+	Full     bool // learns, escalates, restores gradually and makes room for urgent tasks
+}
+
+// Contenders returns the default policy and the baselines.
+func Contenders() []Contender {
+	plain := func(p placer.Policy) func(Deployment, *learner.Learner) placer.Policy {
+		return func(Deployment, *learner.Learner) placer.Policy { return p }
+	}
+	return []Contender{
+		{Name: AloneName, Policy: plain(placer.NoColocation{})},
+		{Name: "first-fit", Policy: plain(placer.FirstFit{}), Evict: true},
+		{Name: "least-loaded", Policy: plain(placer.LeastLoaded{}), Evict: true},
+		{Name: "least-loaded-declared", Policy: plain(placer.LeastLoaded{}), Evict: true, Declared: true},
+		{Name: "static-threshold", Policy: plain(placer.StaticThreshold{Share: 0.5, Load: 0.7}), Evict: true},
+		{Name: DefaultName, Policy: defaultPolicy, Full: true},
+	}
+}
+
+func defaultPolicy(d Deployment, l *learner.Learner) placer.Policy {
+	return placer.Default{Learner: l, Services: services(d), Weights: d.Weights}
+}
+
+func services(d Deployment) map[string]describer.Service {
+	return map[string]describer.Service{d.Service: {Name: d.Service, Target: d.Target}}
+}
+
+// evictNewest is the reaction of the baselines: it returns the batch task
+// that began last.
+func evictNewest(w *accountant.Worker) (task describer.TaskID, ok bool) {
+	var newest time.Time
+	for _, t := range w.Tasks() {
+		if since := w.Grants[t].Since; !ok || since.After(newest) {
+			task, newest, ok = t, since, true
+		}
+	}
+	return task, ok
+}
--- a/internal/control/learner/model.go
+++ b/internal/control/learner/model.go
@@ -11,6 +11,7 @@
 // the others are classes in order of appearance, the last possible one is
 // shared by all further classes.
 type Model struct {
+	Classes    []string // in order of appearance
 	Index      map[string]int
 	Seen       map[string]int // reports beside each class
 	Mean       []float64
@@ -101,6 +102,7 @@
 			m.grow(o.Prior, o.Deviation*o.Deviation)
 		}
 		m.Index[class] = len(m.Mean) - 1
+		m.Classes = append(m.Classes, class)
 	}
 	x := make([]float64, len(m.Mean))
 	x[0] = 1
@@ -115,25 +117,40 @@
 // estimate returns mean and upper bound of the log slow-down.
 func (m *Model) estimate(o Options, shares map[string]float64) (mean, upper float64) {
 	x := make([]float64, len(m.Mean))
-	variance := 0.0
-	for _, class := range slices.Sorted(maps.Keys(shares)) {
-		share := shares[class]
-		i, ok := m.Index[class]
-		if !ok {
-			mean += share * o.Prior
-			variance += share * share * o.Deviation * o.Deviation
-			continue
+	known := 0
+	for _, class := range m.Classes {
+		if share, ok := shares[class]; ok {
+			x[m.Index[class]] += share
+			known++
 		}
-		x[i] += share
 	}
-	px := m.times(x)
+	variance := 0.0
+	if known < len(shares) {
+		mean, variance = m.unknown(o, shares)
+	}
 	for i, xi := range x {
+		if xi == 0 {
+			continue
+		}
 		mean += xi * m.Mean[i]
-		variance += xi * px[i]
+		for j, xj := range x {
+			variance += xi * xj * m.Covariance[i][j]
+		}
 	}
 	return mean, mean + o.Caution*math.Sqrt(max(variance, 0))
 }
 
+// unknown returns the prior's part for classes that were never seen.
+func (m *Model) unknown(o Options, shares map[string]float64) (mean, variance float64) {
+	for _, class := range slices.Sorted(maps.Keys(shares)) {
+		if _, ok := m.Index[class]; !ok {
+			mean += shares[class] * o.Prior
+			variance += shares[class] * shares[class] * o.Deviation * o.Deviation
+		}
+	}
+	return mean, variance
+}
+
 func (m *Model) times(x []float64) []float64 {
 	out := make([]float64, len(x))
 	for i, row := range m.Covariance {
--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -53,16 +53,16 @@
 		limits.Slowdown *= 4
 	}
 	racks := busyRacks(fleet, r.Job.ID)
-	best, why := Choice{Why: noRoom}, ""
+	best, why := Choice{Why: noRoom}, objection{}
 	score := 0.0
 	for _, name := range fleet.Names() {
 		w := fleet.Workers[name]
 		if !suits(w, r) || !r.Want.Fits(w.Room()) {
 			continue
 		}
-		slower, reason := d.effect(w, r, limits, now)
-		if reason != "" {
-			why = reason
+		slower, o := d.effect(w, r, limits, now)
+		if o.kind != none {
+			why = o
 			continue
 		}
 		s := d.score(w, r, slower, racks)
@@ -70,22 +70,50 @@
 			best, score = Choice{Worker: name}, s
 		}
 	}
-	if best.Worker == "" && why != "" {
-		best.Why = why
+	if best.Worker == "" && why.kind != none {
+		best.Why = why.String()
 	}
 	return best
 }
 
+// objection is why a task must stay off a worker with room for it.
+type objection struct {
+	kind    objectionKind
+	service string
+	upper   float64
+}
+
+type objectionKind uint8
+
+const (
+	none objectionKind = iota
+	recovering
+	slows
+	endangers
+)
+
+func (o objection) String() string {
+	switch o.kind {
+	case recovering:
+		return "kept off while services recover"
+	case slows:
+		return fmt.Sprintf("would slow %s by up to %.0f %%", o.service, 100*o.upper)
+	case endangers:
+		return fmt.Sprintf("would bring %s too close to its target", o.service)
+	}
+	return ""
+}
+
 // effect returns the expected slow-down of the worker's services with the
-// task, or the reason why the task must stay off.
+// task, or why it must stay off.
 func (d Default) effect(
 	w *accountant.Worker, r Request, limits Limits, now time.Time,
-) (slower float64, reason string) {
+) (slower float64, o objection) {
 	if r.Job.Kind == describer.LatencyCritical || len(w.Host.Services) == 0 {
-		return 0, ""
+		return 0, objection{}
 	}
 	if now.Before(w.KeepOff) && r.Job.Priority != describer.Urgent {
-		return 0, "kept off while services recover"
+		return 0, objection{kind: recovering}
 	}
 	shares := w.Shares()
 	shares[r.Job.Class] += float64(r.Want.CPU) / float64(max(w.Host.Capacity.CPU, 1))
@@ -93,16 +121,16 @@
 		load := w.Reports[service].Load
 		mean, upper := d.slowdown(service, shares, load)
 		if upper > limits.Slowdown {
-			return 0, fmt.Sprintf("would slow %s by up to %.0f %%", service, 100*upper)
+			return 0, objection{slows, service, upper}
 		}
 		base, ok := d.baseline(service, load)
 		target := d.Services[service].Target
 		if ok && target > 0 && base.Seconds()*(1+upper) > limits.Target*target.Seconds() && upper > 0.01 {
-			return 0, fmt.Sprintf("would bring %s too close to its target", service)
+			return 0, objection{endangers, service, upper}
 		}
 		slower += mean
 	}
-	return slower, ""
+	return slower, objection{}
 }
 
 func (d Default) slowdown(service string, shares map[string]float64, load float64) (mean, upper float64) {
