control/learner: slope by load within a band

Latency rises by about 40 % across a load band of a quarter, which the regression took for noise or for interference.

--- a/internal/control/learner/learner.go
+++ b/internal/control/learner/learner.go
@@ -3,7 +3,7 @@
 // # Model
 //
 // For each service and band of load, the logarithm of the 99th percentile of
-// latency is taken as a baseline plus, for each class of batch tasks, a
+// latency is taken as a baseline, linear in load, plus, for each class of batch tasks, a
 // coefficient times the share of the worker's processors that the class held.
 // Each band is a Bayesian linear regression: coefficients without evidence
 // stay at the prior, evidence ages because uncertainty grows with time, and
@@ -117,7 +117,7 @@
 	if m == nil {
 		return 0, false
 	}
-	return time.Duration(math.Exp(m.Mean[0]) * float64(time.Second)), true
+	return time.Duration(math.Exp(m.baseline(load)) * float64(time.Second)), true
 }
 
 // Explain returns one line on each load band in which the service was seen
--- a/internal/control/learner/learner_test.go
+++ b/internal/control/learner/learner_test.go
@@ -87,7 +87,7 @@
 		s := report(rand.New(rand.NewPCG(1, 1)), start, 0.3, 0.3)
 		l.Observe(s)
 		model := l.Models[Key{"desk", Band(0.6)}]
-		Expect(model.Mean).To(HaveLen(2))
+		Expect(model.Mean).To(HaveLen(3))
 		Expect(model.Index["heavy"]).To(Equal(model.Index["light"]))
 	})
 
--- a/internal/control/learner/model.go
+++ b/internal/control/learner/model.go
@@ -7,9 +7,10 @@
 	"time"
 )
 
-// Model is the regression of one service and band. Index 0 is the baseline,
-// the others are classes in order of appearance, the last possible one is
-// shared by all further classes.
+// Model is the regression of one service and band. Index 0 is the baseline in
+// the middle of the band, index 1 the slope by load within the band, the
+// others are classes in order of appearance; the last possible one is shared
+// by all further classes.
 type Model struct {
 	Classes    []string // in order of appearance
 	Index      map[string]int
@@ -19,9 +20,13 @@
 	Updated    time.Time
 }
 
+const fixed = 2 // coefficients that are not classes
+
 const (
-	baselineDeviation = 1.0  // of the first report's log latency
-	baselineDrift     = 0.3  // standard deviation that the baseline gains in a half-life
+	baselineDeviation = 1.0 // of the first report's log latency
+	baselineDrift     = 0.3 // standard deviation that the baseline gains in a half-life
+	slopePrior        = 1.0 // growth of log latency over the whole range of load
+	slopeDeviation    = 1.0
 	minShare          = 0.01 // a class below this share of processors is not counted as seen
 	clip              = 2.5  // standard deviations beyond which a residual is cut
 )
@@ -29,13 +34,14 @@
 func newModel(seconds float64) *Model {
 	m := &Model{Index: make(map[string]int), Seen: make(map[string]int)}
 	m.grow(math.Log(seconds), baselineDeviation*baselineDeviation)
+	m.grow(slopePrior, slopeDeviation*slopeDeviation)
 	return m
 }
 
 // observe is one step of a Kalman filter whose state is the coefficients.
 func (m *Model) observe(o Options, s Sample) {
 	m.age(o, s.Latency.To)
-	x := m.regressors(o, s.Shares)
+	x := m.regressors(o, s)
 	px := m.times(x)
 	predicted, variance := 0.0, noise(o, s.Latency.Count)
 	for i, xi := range x {
@@ -69,7 +75,7 @@
 	keep := math.Exp2(-passed.Seconds() / o.HalfLife.Seconds())
 	scale := math.Sqrt(keep)
 	decay := func(i int) float64 {
-		if i == 0 {
+		if i < fixed {
 			return 1
 		}
 		return scale
@@ -79,7 +85,7 @@
 			m.Covariance[i][j] *= decay(i) * decay(j)
 		}
 		prior := o.Deviation * o.Deviation
-		if i == 0 {
+		if i < fixed {
 			prior = baselineDrift * baselineDrift
 		} else {
 			m.Mean[i] = o.Prior + scale*(m.Mean[i]-o.Prior)
@@ -89,7 +95,8 @@
 }
 
 // regressors returns the vector of a report and adds unknown classes.
-func (m *Model) regressors(o Options, shares map[string]float64) []float64 {
+func (m *Model) regressors(o Options, s Sample) []float64 {
+	shares := s.Shares
 	for _, class := range slices.Sorted(maps.Keys(shares)) {
 		if shares[class] < minShare {
 			continue
@@ -98,7 +105,7 @@
 		if _, ok := m.Index[class]; ok {
 			continue
 		}
-		if len(m.Mean) <= o.Classes {
+		if len(m.Mean) < o.Classes+fixed {
 			m.grow(o.Prior, o.Deviation*o.Deviation)
 		}
 		m.Index[class] = len(m.Mean) - 1
@@ -106,6 +113,7 @@
 	}
 	x := make([]float64, len(m.Mean))
 	x[0] = 1
+	x[1] = offset(s.Latency.Load)
 	for _, class := range slices.Sorted(maps.Keys(shares)) {
 		if i, ok := m.Index[class]; ok {
 			x[i] += shares[class]
@@ -151,6 +159,12 @@
 	return mean, variance
 }
 
+// baseline returns the log latency without batch tasks.
+func (m *Model) baseline(load float64) float64 { return m.Mean[0] + m.Mean[1]*offset(load) }
+
+// offset returns how far a load is from the middle of its band.
+func offset(load float64) float64 { return load - (float64(Band(load))+0.5)/Bands }
+
 func (m *Model) times(x []float64) []float64 {
 	out := make([]float64, len(x))
 	for i, row := range m.Covariance {
