--- a/internal/control/accountant/accountant.go
+++ b/internal/control/accountant/accountant.go
@@ -29,17 +29,21 @@
 // Worker is the account of one worker.
 type Worker struct {
 	Host     describer.Host
-	Grants   map[describer.TaskID]Grant
-	Granted  describer.Resources       // sum of Grants
-	Reserved describer.Resources       // kept for the backend server, never granted
-	Used     describer.Resources       // latest lagging report
-	Reports  map[string]runner.Latency // latest lagging report by service
-	Closed   bool                      // draining, drained, leaving or set aside: nothing is placed here
-	Opened   time.Time                 // when Closed last became false; gradual restore starts from it
-	KeepOff  time.Time                 // no batch task is placed before this time
-	Limited  bool                      // restoring: batch grants stay within Limit
-	Limit    int64                     // millicores of batch grants while Limited
-	Heard    time.Time                 // last inventory
+	Grants   map[describer.TaskID]Grant // changed by Hold, Adopt, Resize and Drop only, but for reports
+	Granted  describer.Resources        // sum of Grants
+	Reserved describer.Resources        // kept for the backend server, never granted
+	Used     describer.Resources        // latest lagging report
+	Reports  map[string]runner.Latency  // latest lagging report by service
+	Closed   bool                       // draining, drained, leaving or set aside: nothing is placed here
+	Opened   time.Time                  // when Closed last became false; gradual restore starts from it
+	KeepOff  time.Time                  // no batch task is placed before this time
+	Limited  bool                       // restoring: batch grants stay within Limit
+	Limit    int64                      // millicores of batch grants while Limited
+	Heard    time.Time                  // last inventory
+
+	jobs    map[string]int   // grants by job
+	classes map[string]int64 // millicores of batch grants by class
+	batch   int64            // sum of classes
 }
 
 // Grant is what one run holds.
@@ -83,6 +87,8 @@
 	c := *w
 	c.Grants = maps.Clone(w.Grants)
 	c.Reports = maps.Clone(w.Reports)
+	c.jobs = maps.Clone(w.jobs)
+	c.classes = maps.Clone(w.classes)
 	return &c
 }
 
@@ -105,15 +111,10 @@
 }
 
 // BatchCPU returns the millicores granted to batch tasks.
-func (w *Worker) BatchCPU() int64 {
-	var sum int64
-	for _, g := range w.Grants {
-		if g.Kind == describer.Batch {
-			sum += g.Resources.CPU
-		}
-	}
-	return sum
-}
+func (w *Worker) BatchCPU() int64 { return w.batch }
+
+// Running returns how many tasks of a job hold grants.
+func (w *Worker) Running(job string) int { return w.jobs[job] }
 
 // Tasks returns the tasks that hold grants, ordered by job and index.
 func (w *Worker) Tasks() []describer.TaskID {
@@ -126,14 +127,8 @@
 	if w.Host.Capacity.CPU <= 0 {
 		return nil
 	}
-	sums := make(map[string]int64)
-	for _, g := range w.Grants {
-		if g.Kind == describer.Batch {
-			sums[g.Class] += g.Resources.CPU
-		}
-	}
-	shares := make(map[string]float64, len(sums))
-	for class, cpu := range sums {
+	shares := make(map[string]float64, len(w.classes)+1)
+	for class, cpu := range w.classes {
 		shares[class] = float64(cpu) / float64(w.Host.Capacity.CPU)
 	}
 	return shares
@@ -157,12 +152,36 @@
 	if isNegative(g.Resources) || !g.Resources.Fits(w.Free()) {
 		return fmt.Errorf("accountant: %s does not fit on %s", task, w.Host.Name)
 	}
+	w.Adopt(task, g)
+	return nil
+}
+
+// Adopt adds a grant that exists already, whether it fits or not: a run that
+// a former owner started. The task must not hold one.
+func (w *Worker) Adopt(task describer.TaskID, g Grant) {
 	if w.Grants == nil {
 		w.Grants = make(map[describer.TaskID]Grant)
 	}
+	if w.jobs == nil {
+		w.jobs = make(map[string]int)
+		w.classes = make(map[string]int64)
+	}
+	w.jobs[task.Job]++
+	w.count(g, g.Resources.CPU)
 	w.Grants[task] = g
 	w.Granted = w.Granted.Add(g.Resources)
-	return nil
+}
+
+// count keeps the sums of batch grants.
+func (w *Worker) count(g Grant, cpu int64) {
+	if g.Kind != describer.Batch {
+		return
+	}
+	w.batch += cpu
+	w.classes[g.Class] += cpu
+	if w.classes[g.Class] == 0 {
+		delete(w.classes, g.Class)
+	}
 }
 
 // Resize changes the task's grant if it is of the given token. It returns an
@@ -177,6 +196,7 @@
 	if isNegative(to) || !fitsGrowth(more, w.Free()) {
 		return fmt.Errorf("accountant: %s does not fit on %s at its new size", task, w.Host.Name)
 	}
+	w.count(g, more.CPU)
 	g.Resources = to
 	w.Grants[task] = g
 	w.Granted = w.Granted.Add(more)
@@ -190,6 +210,10 @@
 		return
 	}
 	delete(w.Grants, task)
+	w.count(g, -g.Resources.CPU)
+	if w.jobs[task.Job]--; w.jobs[task.Job] == 0 {
+		delete(w.jobs, task.Job)
+	}
 	w.Granted = w.Granted.Sub(g.Resources)
 }
 
--- a/internal/control/accountant/accountant_test.go
+++ b/internal/control/accountant/accountant_test.go
@@ -1,6 +1,7 @@
 package accountant
 
 import (
+	"math"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -23,14 +24,29 @@
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"hold": func(t *rapid.T) {
-				_ = w.Hold(task(t), Grant{Token: token(t), Resources: size()})
+				_ = w.Hold(task(t), Grant{
+					Token: token(t), Resources: size(), Class: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "class"),
+				})
 			},
 			"resize": func(t *rapid.T) { _ = w.Resize(task(t), token(t), size()) },
 			"drop":   func(t *rapid.T) { w.Drop(task(t), token(t)) },
 			"": func(t *rapid.T) {
 				var sum describer.Resources
+				classes := map[string]float64{}
 				for _, g := range w.Grants {
 					sum = sum.Add(g.Resources)
+					if g.Resources.CPU > 0 {
+						classes[g.Class] += float64(g.Resources.CPU) / 100
+					}
+				}
+				for class, share := range w.Shares() {
+					if math.Abs(classes[class]-share) > 1e-9 {
+						t.Fatalf("class %s: %v, sum of grants %v", class, share, classes[class])
+					}
+					delete(classes, class)
+				}
+				if len(classes) > 0 || w.Running("j") != len(w.Grants) {
+					t.Fatalf("classes %v missing, %d grants of %d", classes, w.Running("j"), len(w.Grants))
 				}
 				if sum != w.Granted {
 					t.Fatalf("granted %v, sum of grants %v", w.Granted, sum)
--- a/internal/control/evaluator/control.go
+++ b/internal/control/evaluator/control.go
@@ -262,7 +262,7 @@
 	class    int
 	home     string
 	priority describer.Priority
-	left     time.Duration // until the deadline, in tens of minutes
+	left     time.Duration // until the deadline, in half hours
 }
 
 // place starts pending tasks: urgent ones first, then by deadline.
@@ -276,7 +276,7 @@
 	k.avoid = k.avoided()
 	missed := make(map[alike]bool)
 	k.pending = slices.DeleteFunc(k.pending, func(r *run) bool {
-		key := alike{r.class, r.homeTo, r.job.Priority, r.job.Deadline.Sub(k.now) / (10 * time.Minute)}
+		key := alike{r.class, r.homeTo, r.job.Priority, r.job.Deadline.Sub(k.now) / (30 * time.Minute)}
 		if missed[key] {
 			return false
 		}
--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -168,12 +168,11 @@
 // busyRacks returns the share of the job's running tasks in each rack.
 func busyRacks(fleet *accountant.Fleet, job string) map[string]float64 {
 	counts, total := make(map[string]float64), 0.0
-	for _, w := range fleet.Workers {
-		for task := range w.Grants {
-			if task.Job == job {
-				counts[w.Host.Rack]++
-				total++
-			}
+	for _, name := range fleet.Names() {
+		w := fleet.Workers[name]
+		if n := w.Running(job); n > 0 {
+			counts[w.Host.Rack] += float64(n)
+			total += float64(n)
 		}
 	}
 	for rack := range counts {
