control/placer: workers without a service cost what they are scarce

The score took the whole slow-down of a worker's services, so every class went to workers without a service first.

--- a/internal/control/accountant/accountant.go
+++ b/internal/control/accountant/accountant.go
@@ -121,6 +121,11 @@
 	return slices.SortedFunc(maps.Keys(w.Grants), compareTasks)
 }
 
+// Share returns the share of the worker's processors that r is.
+func (w *Worker) Share(r describer.Resources) float64 {
+	return float64(r.CPU) / float64(max(w.Host.Capacity.CPU, 1))
+}
+
 // Shares returns for each class of batch tasks the share of the worker's
 // processors, 0 to 1, that its grants hold.
 func (w *Worker) Shares() map[string]float64 {
--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/accountant"
@@ -53,6 +54,7 @@
 		limits.Slowdown *= 4
 	}
 	racks := busyRacks(fleet, r.Job.ID)
+	scarcity := d.scarcity(fleet)
 	best, why := Choice{Why: noRoom}, objection{}
 	score := 0.0
 	for _, name := range fleet.Names() {
@@ -60,12 +62,15 @@
 		if !suits(w, r) || !r.Want.Fits(w.Room()) {
 			continue
 		}
-		slower, o := d.effect(w, r, limits, now)
+		cost, o := d.effect(w, r, limits, now)
 		if o.kind != none {
 			why = o
 			continue
 		}
-		s := d.score(w, r, slower, racks)
+		if len(w.Host.Services) == 0 {
+			cost = scarcity * w.Share(r.Want)
+		}
+		s := d.score(w, r, cost, racks)
 		if best.Worker == "" || s > score {
 			best, score = Choice{Worker: name}, s
 		}
@@ -104,19 +109,21 @@
 	return ""
 }
 
-// effect returns the expected slow-down of the worker's services with the
-// task, or why it must stay off.
+// effect returns the cost of the task for the worker's services: what it is
+// expected to add to their relative slow-down, and a part of the whole. Or it
+// returns why the task must stay off.
 func (d Default) effect(
 	w *accountant.Worker, r Request, limits Limits, now time.Time,
-) (slower float64, o objection) {
+) (cost float64, o objection) {
 	if r.Job.Kind == describer.LatencyCritical || len(w.Host.Services) == 0 {
 		return 0, objection{}
 	}
 	if now.Before(w.KeepOff) && r.Job.Priority != describer.Urgent {
 		return 0, objection{kind: recovering}
 	}
-	shares := w.Shares()
-	shares[r.Job.Class] += float64(r.Want.CPU) / float64(max(w.Host.Capacity.CPU, 1))
+	before := w.Shares()
+	shares := maps.Clone(before)
+	shares[r.Job.Class] += w.Share(r.Want)
 	for _, service := range w.Host.Services {
 		load := w.Reports[service].Load
 		mean, upper := d.slowdown(service, shares, load)
@@ -128,9 +135,10 @@
 		if ok && target > 0 && base.Seconds()*(1+upper) > limits.Target*target.Seconds() && upper > 0.01 {
 			return 0, objection{endangers, service, upper}
 		}
-		slower += mean
+		present, _ := d.slowdown(service, before, load)
+		cost += mean - present + totalWeight*mean*w.Share(r.Want)
 	}
-	return slower, objection{}
+	return cost, objection{}
 }
 
 func (d Default) slowdown(service string, shares map[string]float64, load float64) (mean, upper float64) {
@@ -147,16 +155,16 @@
 	return d.Learner.Baseline(service, load)
 }
 
-// Terms of the score. Slow-down of 10 % weighs as much as one tenth.
+// Terms of the score, in units of relative slow-down.
 const (
-	homeBonus   = 1.0  // the worker that a drained task is owed back to
-	rackPenalty = 0.1  // for the share of the job's tasks that the rack holds
-	packBonus   = 0.05 // for a worker that is full already: keeps room for large tasks
-	slowPenalty = 1.0
+	homeBonus   = 1.0   // the worker that a drained task is owed back to
+	rackPenalty = 0.005 // for the share of the job's tasks that the rack holds
+	packBonus   = 0.002 // for a worker that is full already: keeps room for large tasks
+	totalWeight = 0.25  // of the worker's whole slow-down, besides what the task adds
 )
 
-func (d Default) score(w *accountant.Worker, r Request, slower float64, racks map[string]float64) float64 {
-	score := -slowPenalty * slower
+func (d Default) score(w *accountant.Worker, r Request, cost float64, racks map[string]float64) float64 {
+	score := -cost
 	if r.HomeTo == w.Host.Name {
 		score += homeBonus
 	}
@@ -165,6 +173,27 @@
 	return score
 }
 
+// scarcity is the cost, for each share of processors, of the workers without
+// a service: as much as a typical class slows a service, rising with their
+// use. Classes that do less harm go beside services and leave that room to
+// those that do more.
+func (d Default) scarcity(fleet *accountant.Fleet) float64 {
+	var granted, capacity int64
+	for _, name := range fleet.Names() {
+		w := fleet.Workers[name]
+		if len(w.Host.Services) > 0 || w.Closed {
+			continue
+		}
+		granted += w.Granted.CPU
+		capacity += w.Host.Capacity.CPU
+	}
+	if capacity == 0 || d.Learner == nil {
+		return 0
+	}
+	use := float64(granted) / float64(capacity)
+	return use * use * d.Learner.Options.Prior
+}
+
 // busyRacks returns the share of the job's running tasks in each rack.
 func busyRacks(fleet *accountant.Fleet, job string) map[string]float64 {
 	counts, total := make(map[string]float64), 0.0
