traffic/forwarder: streamed bodies in both directions

The server read the rest of a streamed body before it wrote the answer, so a caller that waits for a first piece of the answer waited for ever (seen: test run stopped by its time limit in 'streams both ways'). Full duplex is now on for streamed bodies, and a failed one is no longer waited for.

--- a/internal/traffic/forwarder/forwarder.go
+++ b/internal/traffic/forwarder/forwarder.go
@@ -197,8 +197,12 @@
 	if c.key != "" && f.replay(w, c) {
 		return
 	}
+	if c.body.source != nil {
+		_ = http.NewResponseController(w).EnableFullDuplex()
+	}
 	answer, err := f.send(ctx, c)
 	if err != nil {
+		c.body.release(w)
 		f.fail(w, c, err)
 		return
 	}
--- a/internal/traffic/forwarder/forwarder_test.go
+++ b/internal/traffic/forwarder/forwarder_test.go
@@ -53,7 +53,7 @@
 		})
 		b.start()
 		in, out := io.Pipe()
-		r, _ := http.NewRequest("POST", b.front.URL+"/svc/desk/echo", in)
+		r, _ := http.NewRequest(http.MethodPost, b.front.URL+"/svc/desk/echo", in)
 		r.Header.Set(forwarder.TenantHeader, "minara")
 		go out.Write([]byte("one "))
 		answer, err := http.DefaultClient.Do(r)
@@ -172,13 +172,13 @@
 		b.options.Traffic = silence(50 * time.Millisecond)
 		var first atomic.Bool
 		held := make(chan struct{})
-		DeferCleanup(func() { close(held) })
 		b.add(func(w http.ResponseWriter, _ *http.Request) {
 			if first.CompareAndSwap(false, true) {
 				<-held
 			}
 			w.Write([]byte("free"))
 		})
+		DeferCleanup(func() { close(held) })
 		b.start()
 		Expect(text(b.do("GET", "/svc/desk/", ""))).To(Equal("free"))
 	})
--- a/internal/traffic/forwarder/payload.go
+++ b/internal/traffic/forwarder/payload.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 )
@@ -74,6 +75,17 @@
 	return !p.started
 }
 
+// release stops waiting for a streamed body that nobody will take. Without it
+// the server would wait for the rest before it ends the request.
+func (p *payload) release(w http.ResponseWriter) {
+	if p.source == nil {
+		return
+	}
+	p.isReplayable()
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now())
+}
+
 var errDetached = errors.New("forwarder: the attempt is over")
 
 // reader reads the source for one attempt.
