--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -161,6 +161,7 @@
 		case <-tick.C:
 		}
 		for _, p := range d.all() {
+			p.trim()
 			p.probe(ctx)
 		}
 	}
--- a/internal/traffic/dialer/pool.go
+++ b/internal/traffic/dialer/pool.go
@@ -118,6 +118,21 @@
 	}
 }
 
+// trim closes the longest idle carriers while more are open than are lent.
+func (p *Pool) trim() {
+	p.lock.Lock()
+	excess := min(p.open-p.options.Connections(p.backend), len(p.idle))
+	var out []*carrier
+	if excess > 0 {
+		out = append(out, p.idle[:excess]...)
+		p.idle = p.idle[excess:]
+	}
+	p.lock.Unlock()
+	for _, c := range out {
+		p.drop(c)
+	}
+}
+
 func (p *Pool) stale() []*carrier {
 	p.lock.Lock()
 	defer p.lock.Unlock()
--- a/internal/traffic/forwarder/forwarder.go
+++ b/internal/traffic/forwarder/forwarder.go
@@ -124,10 +124,19 @@
 		Connections: o.Connections,
 	})
 	f.Limiter = limiter.New[*router.Place](limiter.Options{Queue: o.Traffic.Queue})
+	if s, ok := o.Slots.(attacher); ok {
+		s.Attach(f.Dialer.Open, f.Limiter.Kick)
+	}
 	f.gate.init()
 	return f
 }
 
+// attacher is implemented by Slots that change: they ask how many connections
+// are open, and tell when there are more slots than before.
+type attacher interface {
+	Attach(open func(worker string) int, grown func())
+}
+
 const (
 	retryReserve = 10
 	hedgeReserve = 2
