traffic/dialer, forwarder: one connection for each attempt, upkeep, specs of failure

An empty POST was sent chunked, because its body was wrapped to keep the transport from repeating it; a backend server that does not read the body then never noticed that the caller had gone (seen: 'stuck POST -1 [chunked]' and a handler that stayed for ever). The wrapper is gone: each carrier dials once, so the transport has nothing to repeat over. Probes used another host name than requests and thus a second connection; they failed always (seen: 'expected 0 to equal 1' in the probe spec).

--- a/internal/traffic/dialer/carrier.go
+++ b/internal/traffic/dialer/carrier.go
@@ -22,6 +22,7 @@
 type carrier struct {
 	transport *http.Transport
 	options   *Options
+	address   string
 	opened    time.Time
 	used      time.Time // last returned to the pool
 
@@ -31,10 +32,10 @@
 }
 
 func newCarrier(o *Options, address string) *carrier {
-	c := &carrier{options: o, opened: time.Now()}
+	c := &carrier{options: o, address: address, opened: time.Now()}
 	c.transport = &http.Transport{
 		DialContext: func(ctx context.Context, network, _ string) (net.Conn, error) {
-			return c.dial(ctx, network, address)
+			return c.dial(ctx, network)
 		},
 		MaxConnsPerHost:    1,
 		DisableCompression: true,
@@ -44,15 +45,15 @@
 	return c
 }
 
-// dial opens the carrier's connection, once: a second net.Conn would make
-// it unknown which one carried the request.
-func (c *carrier) dial(ctx context.Context, network, address string) (net.Conn, error) {
+// dial opens the carrier's connection, once: over a second one the transport
+// would repeat requests that may have run.
+func (c *carrier) dial(ctx context.Context, network string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.Connect)
 	defer cancel()
 	if c.isUsed() {
 		return nil, errors.New("dialer: connection was closed by the backend server")
 	}
-	raw, err := c.options.Dial(ctx, network, address)
+	raw, err := c.options.Dial(ctx, network, c.address)
 	if err != nil {
 		return nil, err
 	}
@@ -80,17 +81,16 @@
 }
 
 // roundTrip sends the request and waits for the head of the answer. The
-// transport repeats requests by itself that look replayable to it; hiding the
-// body's origin keeps it from doing so.
-func (c *carrier) roundTrip(r *http.Request, idempotent bool) (*http.Response, error) {
+// transport repeats requests by itself that look replayable to it, such as a
+// POST with an Idempotency-Key, but only over another connection, and dial
+// allows no second one.
+func (c *carrier) roundTrip(r *http.Request) (*http.Response, error) {
 	before := c.current()
 	mark := before.begin()
 	out := r.WithContext(r.Context())
 	out.GetBody = nil
 	if out.Body != nil && out.Body != http.NoBody {
 		out.Body = &upload{ReadCloser: out.Body, carrier: c}
-	} else if !idempotent {
-		out.Body = &upload{ReadCloser: http.NoBody, carrier: c}
 	}
 	answer, err := c.transport.RoundTrip(out)
 	if err == nil {
@@ -133,11 +133,11 @@
 }
 
 func (c *carrier) probe(ctx context.Context) bool {
-	r, err := http.NewRequestWithContext(ctx, http.MethodHead, "http://backend"+HealthPath, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodHead, "http://"+c.address+HealthPath, nil)
 	if err != nil {
 		return false
 	}
-	answer, err := c.roundTrip(r, true)
+	answer, err := c.roundTrip(r)
 	if err != nil {
 		return false
 	}
--- a/internal/traffic/dialer/dialer.go
+++ b/internal/traffic/dialer/dialer.go
@@ -8,7 +8,7 @@
 // single net.Conn, so the pool decides which connection a request takes, and
 // whether the first byte was handed to it is known exactly:
 //
-//	answer, err := d.Send(backend, request, idempotent)
+//	answer, err := d.Send(backend, request)
 //	if classifier.Of(err) == classifier.NotRun {
 //		// no byte left this process, or the backend server refused
 //	}
@@ -82,10 +82,10 @@
 }
 
 // Send sends r to b and returns the answer, whose body the caller must close.
-// Failures are *classifier.Error values. A non-idempotent request is handed to
-// at most one connection.
-func (d *Dialer) Send(b describer.Backend, r *http.Request, idempotent bool) (*http.Response, error) {
-	return d.pool(b).send(r, idempotent)
+// Failures are *classifier.Error values. A request is handed to at most one
+// connection.
+func (d *Dialer) Send(b describer.Backend, r *http.Request) (*http.Response, error) {
+	return d.pool(b).send(r)
 }
 
 // Open returns the number of open connections to the worker.
--- /dev/null
+++ b/internal/traffic/dialer/dialer_test.go
@@ -0,0 +1,149 @@
+package dialer_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+	"dotterelcart.dev/dotterelcart/internal/traffic/dialer"
+)
+
+func TestDialer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "dialer")
+}
+
+func backend(address string) describer.Backend {
+	return describer.Backend{Worker: "w", Address: address, Slots: 8, Connections: 64}
+}
+
+func request(method, address, body string) *http.Request {
+	r, err := http.NewRequest(method, "http://"+address+"/", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+func start(o dialer.Options) *dialer.Dialer {
+	d := dialer.New(o)
+	DeferCleanup(d.Close)
+	return d
+}
+
+func read(answer *http.Response, err error) string {
+	Expect(err).NotTo(HaveOccurred())
+	data, err := io.ReadAll(answer.Body)
+	Expect(err).NotTo(HaveOccurred())
+	answer.Body.Close()
+	return string(data)
+}
+
+var _ = Describe("Dialer", func() {
+	It("keeps a connection for the next request", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, r.RemoteAddr) }))
+		DeferCleanup(server.Close)
+		address := server.Listener.Addr().String()
+		d := start(dialer.Options{})
+		first := read(d.Send(backend(address), request("GET", address, "")))
+		Expect(read(d.Send(backend(address), request("GET", address, "")))).To(Equal(first))
+		Expect(d.Open("w")).To(Equal(1))
+	})
+
+	It("sends a request that looks replayable once when a kept connection breaks", func() {
+		var runs atomic.Int64
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				runs.Add(1)
+				panic(http.ErrAbortHandler)
+			}
+		}))
+		DeferCleanup(server.Close)
+		address := server.Listener.Addr().String()
+		d := start(dialer.Options{})
+		read(d.Send(backend(address), request("GET", address, "")))
+		r := request("POST", address, "")
+		r.Header.Set("Idempotency-Key", "7f3a")
+		_, err := d.Send(backend(address), r)
+		Expect(classifier.Of(err)).To(Equal(classifier.MayHaveRun))
+		Expect(runs.Load()).To(Equal(int64(1)))
+	})
+
+	It("says not run when no connection can be made", func() {
+		listener, _ := net.Listen("tcp", "127.0.0.1:0")
+		address := listener.Addr().String()
+		listener.Close()
+		d := start(dialer.Options{})
+		_, err := d.Send(backend(address), request("POST", address, "hold"))
+		Expect(classifier.Of(err)).To(Equal(classifier.NotRun))
+		Expect(d.Open("w")).To(BeZero())
+	})
+
+	It("opens no more connections than are lent", func() {
+		arrived, proceed := make(chan struct{}), make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			close(arrived)
+			<-proceed
+		}))
+		DeferCleanup(server.Close)
+		address := server.Listener.Addr().String()
+		d := start(dialer.Options{Connections: func(describer.Backend) int { return 1 }})
+		done := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(done)
+			read(d.Send(backend(address), request("GET", address, "")))
+		}()
+		<-arrived
+		_, err := d.Send(backend(address), request("GET", address, ""))
+		var e *classifier.Error
+		Expect(errors.As(err, &e)).To(BeTrue())
+		Expect(e.Code).To(Equal("connections"))
+		Expect(e.Verdict).To(Equal(classifier.NotRun))
+		close(proceed)
+		<-done
+	})
+
+	It("closes an idle connection that does not answer a probe", func() {
+		var silent atomic.Bool
+		held := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if silent.Load() && r.URL.Path == dialer.HealthPath {
+				<-held
+			}
+		}))
+		DeferCleanup(server.Close)
+		DeferCleanup(func() { close(held) })
+		address := server.Listener.Addr().String()
+		d := start(dialer.Options{Silence: 40 * time.Millisecond})
+		read(d.Send(backend(address), request("GET", address, "")))
+		Consistently(func() int { return d.Open("w") }, "100ms").Should(Equal(1))
+		silent.Store(true)
+		Eventually(func() int { return d.Open("w") }).Should(BeZero())
+	})
+
+	It("does not take the caller's own pause for silence", func() {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { io.Copy(w, r.Body) }))
+		DeferCleanup(server.Close)
+		address := server.Listener.Addr().String()
+		d := start(dialer.Options{Silence: 30 * time.Millisecond})
+		in, out := io.Pipe()
+		r, _ := http.NewRequest(http.MethodPost, "http://"+address+"/", in)
+		go func() {
+			out.Write([]byte("tower "))
+			time.Sleep(100 * time.Millisecond)
+			out.Write([]byte("night"))
+			out.Close()
+		}()
+		Expect(read(d.Send(backend(address), r))).To(Equal("tower night"))
+	})
+})
--- a/internal/traffic/dialer/pool.go
+++ b/internal/traffic/dialer/pool.go
@@ -22,12 +22,12 @@
 }
 
 // send hands the request to one carrier.
-func (p *Pool) send(r *http.Request, idempotent bool) (*http.Response, error) {
+func (p *Pool) send(r *http.Request) (*http.Response, error) {
 	c, err := p.take()
 	if err != nil {
 		return nil, err
 	}
-	answer, err := c.roundTrip(r, idempotent)
+	answer, err := c.roundTrip(r)
 	if err != nil {
 		p.drop(c)
 		return nil, err
--- a/internal/traffic/forwarder/answer.go
+++ b/internal/traffic/forwarder/answer.go
@@ -50,7 +50,7 @@
 
 // pass streams the answer to the caller. It aborts the caller's connection
 // when the answer breaks off.
-func (f *Forwarder) pass(w http.ResponseWriter, r *http.Request, c *call, a *answer) {
+func (f *Forwarder) pass(ctx context.Context, w http.ResponseWriter, c *call, a *answer) {
 	passHeaders(w.Header(), a.Header)
 	verdict := classifier.Ran
 	if a.StatusCode >= http.StatusInternalServerError {
@@ -66,7 +66,7 @@
 	n, err := f.stream(w, a, copied)
 	f.account(c, a, n)
 	if err != nil {
-		f.abort(r, c, a, err)
+		f.abort(ctx, c, a, err)
 	}
 	for name, values := range a.Trailer {
 		w.Header()[http.TrailerPrefix+name] = values
@@ -81,9 +81,9 @@
 }
 
 // abort makes a truncated answer visible to the caller.
-func (f *Forwarder) abort(r *http.Request, c *call, a *answer, err error) {
+func (f *Forwarder) abort(ctx context.Context, c *call, a *answer, err error) {
 	a.outcome = router.Failed
-	if r.Context().Err() != nil {
+	if ctx.Err() != nil {
 		a.outcome = router.Unknown
 	}
 	if c.key != "" {
--- a/internal/traffic/forwarder/forwarder.go
+++ b/internal/traffic/forwarder/forwarder.go
@@ -72,6 +72,7 @@
 	Dialer  *dialer.Dialer
 	Limiter *limiter.Limiter[*router.Place]
 	Link    *router.Link
+	Done    chan struct{} // closed when upkeep has ended
 
 	table   func() *describer.RoutingTable
 	teams   func() []describer.Team
@@ -84,6 +85,7 @@
 	delays  delays
 	claims  claims
 	gate    gate
+	stop    context.CancelFunc
 	serial  atomic.Int64
 	born    int64 // tells this process from earlier ones of the same name
 }
@@ -103,6 +105,7 @@
 		Options: o,
 		born:    time.Now().UnixNano(),
 		Link:    link,
+		Done:    make(chan struct{}),
 		table:   table,
 		teams:   teams,
 		claimer: claimer,
@@ -128,6 +131,12 @@
 		s.Attach(f.Dialer.Open, f.Limiter.Kick)
 	}
 	f.gate.init()
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	go func() {
+		defer close(f.Done)
+		f.upkeep(ctx)
+	}()
 	return f
 }
 
@@ -137,6 +146,9 @@
 	Attach(open func(worker string) int, grown func())
 }
 
+// writeSlack is how long after its deadline a failure may still be written.
+const writeSlack = time.Second
+
 const (
 	retryReserve = 10
 	hedgeReserve = 2
@@ -194,15 +206,25 @@
 		writeFailure(w, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, start.Add(call.deadline))
-	defer cancel()
 	call.ends = start.Add(call.deadline)
+	defer func() { f.metrics.finished(call, time.Since(start)) }()
+	ctx, cancel := context.WithDeadline(ctx, call.ends)
+	defer cancel()
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(call.ends.Add(writeSlack))
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 	f.handle(ctx, w, r, call)
-	f.metrics.finished(call, time.Since(start))
 }
 
 // handle answers a request that was read without a fault.
 func (f *Forwarder) handle(ctx context.Context, w http.ResponseWriter, r *http.Request, c *call) {
+	body, err := newPayload(w, r, f.Options.Traffic.Body, c.ends)
+	if err != nil {
+		f.metrics.refused(c)
+		writeFailure(w, err)
+		return
+	}
+	c.body = body
 	if c.key != "" && f.replay(w, c) {
 		return
 	}
@@ -216,7 +238,7 @@
 		return
 	}
 	defer answer.close()
-	f.pass(w, r, c, answer)
+	f.pass(ctx, w, c, answer)
 }
 
 // fail answers with a failure and notes whether it was a refusal.
@@ -243,7 +265,50 @@
 }
 
 // Close ends the forwarder's goroutines and closes idle connections.
-func (f *Forwarder) Close() error { return f.Dialer.Close() }
+func (f *Forwarder) Close() error {
+	f.stop()
+	<-f.Done
+	return f.Dialer.Close()
+}
+
+// Intervals of upkeep.
+const (
+	kickInterval = 20 * time.Millisecond
+	keepEvery    = 250 // kicks between looks for workers that are gone
+)
+
+// upkeep looks for places that came free without a request's end, such as
+// after an ejection or with a new routing table.
+func (f *Forwarder) upkeep(ctx context.Context) {
+	tick := time.NewTicker(kickInterval)
+	defer tick.Stop()
+	for i := 1; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		f.Limiter.Kick()
+		if i%keepEvery == 0 {
+			f.keep()
+		}
+	}
+}
+
+// keep closes the connections to workers that the table no longer names.
+func (f *Forwarder) keep() {
+	table := f.table()
+	if table == nil {
+		return
+	}
+	known := make(map[string]bool)
+	for _, backends := range table.Services {
+		for _, b := range backends {
+			known[b.Worker] = true
+		}
+	}
+	f.Dialer.Keep(func(worker string) bool { return known[worker] })
+}
 
 // weights finds a team's weight in the latest list.
 type weights struct {
--- a/internal/traffic/forwarder/headers.go
+++ b/internal/traffic/forwarder/headers.go
@@ -84,9 +84,8 @@
 	if c.request.ContentLength > f.Options.Traffic.Body {
 		return invalid(http.StatusRequestEntityTooLarge, "body", "Content-Length", "the body is too large")
 	}
-	body, err := newPayload(c.request, f.Options.Traffic.Body)
-	c.body = body
-	return err
+	c.class = f.metrics.class(c.tenant, c.class)
+	return nil
 }
 
 func (c *call) readMethod(r *http.Request) error {
--- a/internal/traffic/forwarder/hedge.go
+++ b/internal/traffic/forwarder/hedge.go
@@ -4,11 +4,13 @@
 	"context"
 	"time"
 
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 	"dotterelcart.dev/dotterelcart/internal/traffic/router"
 )
 
 // result is how one of two attempts ended.
 type result struct {
+	number int
 	answer *answer
 	err    error
 }
@@ -17,10 +19,6 @@
 // takes unusually long, to a second one. The first answer wins.
 func (f *Forwarder) attempt(ctx context.Context, c *call, place *router.Place, avoid map[string]bool) (*answer, error) {
 	avoid[place.Backend.Worker] = true
-	if err := f.claim(ctx, c); err != nil {
-		f.giveBack(c, place)
-		return nil, err
-	}
 	if f.Options.Hedge < 0 || !c.idempotent || c.body.source != nil {
 		return f.dispatch(ctx, c, place)
 	}
@@ -33,12 +31,18 @@
 
 func (f *Forwarder) race(ctx context.Context, c *call, place *router.Place, avoid map[string]bool, delay time.Duration) (*answer, error) {
 	ends := make(chan result, 2)
+	var cancels []context.CancelFunc
 	run := func(p *router.Place) {
-		a, err := f.dispatch(ctx, c, p)
-		ends <- result{a, err}
+		number := len(cancels)
+		ctx, cancel := context.WithCancel(ctx)
+		cancels = append(cancels, cancel)
+		go func() {
+			a, err := f.dispatch(ctx, c, p)
+			ends <- result{number, a, err}
+		}()
 	}
-	go run(place)
-	running := 1
+	run(place)
+	running, sent := 1, false
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
 	for {
@@ -47,27 +51,37 @@
 			if second := f.second(c, avoid); second != nil {
 				running++
 				f.metrics.hedged(c)
-				go run(second)
+				run(second)
 			}
 		case r := <-ends:
 			running--
 			if r.err != nil && running > 0 {
+				sent = sent || classifier.Of(r.err) != classifier.NotRun
 				continue
 			}
+			if r.err != nil {
+				return nil, withHistory(r.err, sent)
+			}
 			if running > 0 {
+				cancels[1-r.number]()
 				go discard(ends)
 			}
-			return r.answer, r.err
+			return r.answer, nil
 		}
 	}
 }
 
-// second takes another place if one is free and the budget allows it.
+// second takes another place in the own region if one is free and the budget
+// allows it.
 func (f *Forwarder) second(c *call, avoid map[string]bool) *router.Place {
 	if !f.hedges.Take() {
 		return nil
 	}
-	place, err := f.Limiter.Try(f.request(c, avoid))
+	q := f.request(c, avoid)
+	q.Take = func(bool) (*router.Place, error) {
+		return f.Router.Take(f.table(), router.Request{Service: c.service, Deadline: c.ends, Avoid: avoid})
+	}
+	place, err := f.Limiter.Try(q)
 	if err != nil {
 		return nil
 	}
--- a/internal/traffic/forwarder/metrics.go
+++ b/internal/traffic/forwarder/metrics.go
@@ -46,6 +46,19 @@
 	return &metrics{scope: scope.SubScope("traffic"), tenants: make(map[string]map[string]*series)}
 }
 
+// class returns the name under which the class is queued and counted. Callers
+// choose class names, so their number is bounded for each tenant.
+func (m *metrics) class(tenant, class string) string {
+	m.lock.RLock()
+	known := m.tenants[tenant]
+	full := known[class] == nil && len(known) >= maxClasses
+	m.lock.RUnlock()
+	if full {
+		return otherClass
+	}
+	return class
+}
+
 func (m *metrics) of(c *call) *series {
 	m.lock.RLock()
 	s := m.tenants[c.tenant][c.class]
@@ -58,16 +71,12 @@
 	return m.add(c.tenant, c.class)
 }
 
-// add makes the series; callers choose class names, so their number is bounded.
 func (m *metrics) add(tenant, class string) *series {
 	classes := m.tenants[tenant]
 	if classes == nil {
 		classes = make(map[string]*series)
 		m.tenants[tenant] = classes
 	}
-	if classes[class] == nil && len(classes) >= maxClasses {
-		class = otherClass
-	}
 	if s := classes[class]; s != nil {
 		return s
 	}
--- a/internal/traffic/forwarder/payload.go
+++ b/internal/traffic/forwarder/payload.go
@@ -33,7 +33,8 @@
 	reader  *reader
 }
 
-func newPayload(r *http.Request, limit int64) (*payload, error) {
+// newPayload reads a small body whole, which must arrive by the deadline.
+func newPayload(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (*payload, error) {
 	p := &payload{length: r.ContentLength, limit: limit}
 	if r.ContentLength < 0 || r.ContentLength > replayable {
 		p.source = r.Body
@@ -42,10 +43,13 @@
 	if r.ContentLength == 0 {
 		return p, nil
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline)
 	p.held = make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, p.held); err != nil {
-		return p, invalid(http.StatusBadRequest, "body", "body", "the body is shorter than its stated length")
+		return p, invalid(http.StatusBadRequest, "body", "body", "the body did not arrive in full")
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	return p, nil
 }
 
--- a/internal/traffic/forwarder/send.go
+++ b/internal/traffic/forwarder/send.go
@@ -27,6 +27,10 @@
 		if err != nil {
 			return nil, withHistory(err, sent)
 		}
+		if err := f.claim(ctx, c); err != nil {
+			f.giveBack(c, place)
+			return nil, err
+		}
 		out, err := f.attempt(ctx, c, place, avoid)
 		if err == nil {
 			return out, nil
@@ -126,7 +130,7 @@
 func (f *Forwarder) dispatch(ctx context.Context, c *call, place *router.Place) (*answer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	out := &answer{forwarder: f, call: c, place: place, cancel: cancel, start: time.Now()}
-	response, err := f.Dialer.Send(place.Backend, f.outgoing(ctx, c, place), c.idempotent) //nolint:bodyclose // answer.close does
+	response, err := f.Dialer.Send(place.Backend, f.outgoing(ctx, c, place)) //nolint:bodyclose // answer.close does
 	if err != nil {
 		out.release(f.outcome(ctx, c, err, time.Since(out.start)))
 		return nil, err
@@ -141,6 +145,8 @@
 	switch {
 	case e.Code == "refused":
 		return router.Overloaded
+	case e.Code == "connections":
+		return router.Unknown
 	case ctx.Err() != nil && took < f.delays.slow(c.service):
 		return router.Unknown
 	}
--- a/internal/traffic/retrier/retrier.go
+++ b/internal/traffic/retrier/retrier.go
@@ -59,6 +59,8 @@
 const (
 	firstDelay = 5 * time.Millisecond
 	lastDelay  = 250 * time.Millisecond
+
+	maxAttempts = 3 // of one request, hedges aside
 )
 
 // Retrier follows one request through its attempts.
@@ -90,9 +92,12 @@
 	return false
 }
 
-// Wait sleeps before the next attempt. It returns false at once if the
-// deadline of ctx leaves no time for it.
+// Wait sleeps before the next attempt. It returns false at once if there were
+// enough or the deadline of ctx leaves no time for it.
 func (r *Retrier) Wait(ctx context.Context) bool {
+	if r.Attempts >= maxAttempts {
+		return false
+	}
 	delay := r.delay.NextBackOff()
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= delay {
 		return false
