--- a/internal/traffic/router/health.go
+++ b/internal/traffic/router/health.go
@@ -15,12 +15,15 @@
 	Ramp     time.Duration // slow start after an ejection
 }
 
+// DefaultEject is the first ejection's time.
+const DefaultEject = 5 * time.Second
+
 func (h Health) withDefaults() Health {
 	if h.Failures <= 0 {
 		h.Failures = 5
 	}
 	if h.Eject <= 0 {
-		h.Eject = 5 * time.Second
+		h.Eject = DefaultEject
 	}
 	if h.Floor <= 0 {
 		h.Floor = 0.7
--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -85,6 +85,7 @@
 	random  *rand.Rand
 	view    map[string]*rows
 	table   *describer.RoutingTable
+	scratch []Candidate
 }
 
 // New returns a router over the lent slots.
@@ -162,7 +163,7 @@
 const sampled = 64
 
 func (r *Router) candidates(row []*server, q Request, now time.Time) ([]Candidate, bool) {
-	out := make([]Candidate, 0, min(len(row), sampled))
+	out := r.scratch[:0]
 	open := false
 	start := 0
 	if len(row) > sampled {
@@ -183,6 +184,7 @@
 			break
 		}
 	}
+	r.scratch = out
 	return out, open
 }
 
