--- /dev/null
+++ b/internal/traffic/loader/plot.go
@@ -0,0 +1,70 @@
+package loader
+
+import (
+	"fmt"
+	"io"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of the plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// quantiles are the points of the plot.
+var quantiles = []float64{0, 0.25, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9995, 0.9999}
+
+// Plot writes the latencies by quantile as SVG.
+func (r *Report) Plot(w io.Writer) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("latency since due, %.0f/s for %s", r.Settings.Rate, r.Took.Round(plotPrecision))
+	p.Y.Label.Text = "milliseconds"
+	p.X.Label.Text = "share of answers"
+	p.X.Tick.Marker = plot.ConstantTicks(ticks())
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Legend.Left = true
+	for i, row := range r.Rows {
+		line, err := plotter.NewLine(curve(row))
+		if err != nil {
+			return fmt.Errorf("loader: plot: %w", err)
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(row.Kind.Tenant+" "+row.Kind.Class, line)
+	}
+	out, err := p.WriterTo(plotWidth, plotHeight, "svg")
+	if err != nil {
+		return fmt.Errorf("loader: plot: %w", err)
+	}
+	_, err = out.WriteTo(w)
+	return err
+}
+
+const plotPrecision = 1e8 // nanoseconds
+
+func curve(row *Row) plotter.XYs {
+	out := make(plotter.XYs, 0, len(quantiles))
+	for _, q := range quantiles {
+		out = append(out, plotter.XY{X: nines(q), Y: float64(row.Quantile(q).Microseconds()) / 1000})
+	}
+	return out
+}
+
+// nines stretches the tail: 0.9 is at 1, 0.99 at 2.
+func nines(q float64) float64 { return -math.Log10(1 - q) }
+
+func ticks() []plot.Tick {
+	var out []plot.Tick
+	for _, q := range []float64{0, 0.5, 0.9, 0.99, 0.999, 0.9999} {
+		out = append(out, plot.Tick{Value: nines(q), Label: fmt.Sprint(q)})
+	}
+	return out
+}
