--- a/internal/traffic/dialer/pool.go
+++ b/internal/traffic/dialer/pool.go
@@ -22,12 +22,12 @@
 }
 
 // send hands the request to one carrier.
-func (p *Pool) send(r *http.Request, idempotent bool) (*http.Response, error) {
+func (p *Pool) send(r *http.Request) (*http.Response, error) {
 	c, err := p.take()
 	if err != nil {
 		return nil, err
 	}
-	answer, err := c.roundTrip(r, idempotent)
+	answer, err := c.roundTrip(r)
 	if err != nil {
 		p.drop(c)
 		return nil, err
@@ -118,6 +118,21 @@
 	}
 }
 
+// trim closes the longest idle carriers while more are open than are lent.
+func (p *Pool) trim() {
+	p.lock.Lock()
+	excess := min(p.open-p.options.Connections(p.backend), len(p.idle))
+	var out []*carrier
+	if excess > 0 {
+		out = append(out, p.idle[:excess]...)
+		p.idle = p.idle[excess:]
+	}
+	p.lock.Unlock()
+	for _, c := range out {
+		p.drop(c)
+	}
+}
+
 func (p *Pool) stale() []*carrier {
 	p.lock.Lock()
 	defer p.lock.Unlock()
--- a/internal/traffic/forwarder/forwarder_test.go
+++ b/internal/traffic/forwarder/forwarder_test.go
@@ -172,13 +172,13 @@
 		b.options.Traffic = silence(50 * time.Millisecond)
 		var first atomic.Bool
 		held := make(chan struct{})
-		DeferCleanup(func() { close(held) })
 		b.add(func(w http.ResponseWriter, _ *http.Request) {
 			if first.CompareAndSwap(false, true) {
 				<-held
 			}
 			w.Write([]byte("free"))
 		})
+		DeferCleanup(func() { close(held) })
 		b.start()
 		Expect(text(b.do("GET", "/svc/desk/", ""))).To(Equal("free"))
 	})
