--- /dev/null
+++ b/internal/state/holder/failure_test.go
@@ -0,0 +1,195 @@
+package holder_test
+
+import (
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+)
+
+const minute = time.Minute
+
+var _ = Describe("Holder under failures", func() {
+	var store *faker.Store
+	var a, b *daemon
+
+	// bubble runs a spec with two holders.
+	bubble := func(f func()) func() {
+		return virtual(func() {
+			store = faker.New()
+			a, b = start(store, "a"), start(store, "b")
+			defer b.stop()
+			defer a.stop()
+			f()
+		})
+	}
+	lost := func(epoch int64) reducer.Event { return reducer.ShardLost{Shard: shard, Epoch: epoch} }
+	appended := func(epoch, batch int64) reducer.Event {
+		return reducer.Appended{Shard: shard, Epoch: epoch, Batch: batch}
+	}
+
+	It("keeps its shards through an outage and catches up after it", bubble(func() {
+		a.claim()
+		Expect(a.IsValid()).To(BeTrue())
+		a.client.SetDown(true)
+		b.client.SetDown(true)
+		a.append(1, 1, "one")
+		time.Sleep(5 * minute)
+		Expect(a.take()).To(BeEmpty())
+		Expect(a.IsValid()).To(BeFalse())
+		a.append(1, 2, "two")
+		a.client.SetDown(false)
+		b.client.SetDown(false)
+		time.Sleep(10 * time.Second)
+		Expect(a.take()).To(Equal([]reducer.Event{appended(1, 1), appended(1, 2)}))
+		Expect(a.IsValid()).To(BeTrue())
+		Expect(b.claim()).To(Equal(reducer.ClaimFailed{Shard: shard, Owner: "a"}))
+	}))
+
+	It("loses a shard that another has claimed while it was cut off", bubble(func() {
+		a.claim()
+		a.client.SetDown(true)
+		a.append(1, 1, "never")
+		time.Sleep(minute)
+		Expect(jobs(b.claim())).To(BeEmpty())
+		Expect(a.take()).To(BeEmpty())
+		a.client.SetDown(false)
+		time.Sleep(10 * time.Second)
+		Expect(a.take()).To(Equal([]reducer.Event{lost(1)}))
+		a.append(1, 2, "never")
+		Expect(a.take()).To(Equal([]reducer.Event{lost(1)}))
+		b.append(2, 1, "one")
+		time.Sleep(time.Second)
+		Expect(b.take()).To(Equal([]reducer.Event{appended(2, 1)}))
+	}))
+
+	It("loses a shard without appends, whose successor has died as well", bubble(func() {
+		a.claim()
+		a.client.SetDown(true)
+		time.Sleep(minute)
+		b.claim()
+		b.client.SetDown(true)
+		time.Sleep(minute) // the successor's owner record is gone again
+		a.client.SetDown(false)
+		time.Sleep(10 * time.Second)
+		Expect(a.take()).To(Equal([]reducer.Event{lost(1)}))
+	}))
+
+	It("claims a dead owner's shard within the time to live", bubble(func() {
+		a.claim()
+		a.append(1, 1, "one")
+		time.Sleep(time.Second)
+		a.client.SetDown(true) // as dead
+		died := time.Now()
+		var e reducer.Event
+		for {
+			e = b.claim()
+			if _, ok := e.(reducer.ShardClaimed); ok {
+				break
+			}
+			time.Sleep(time.Second)
+		}
+		Expect(jobs(e)).To(Equal([]string{"one"}))
+		Expect(time.Since(died)).To(BeNumerically("<=", 12*time.Second))
+	}))
+
+	It("hands over at once on Close, and to a new process of the same name", bubble(func() {
+		a.claim()
+		a.stop()
+		again := start(store, "a")
+		defer again.stop()
+		Expect(again.claim()).To(Equal(reducer.ShardClaimed{Shard: shard, Epoch: 2}))
+	}))
+
+	It("does not take over from a living process of the same name", bubble(func() {
+		a.claim()
+		again := start(store, "a")
+		defer again.stop()
+		Expect(again.claim()).To(Equal(reducer.ClaimFailed{Shard: shard, Owner: "a"}))
+	}))
+
+	It("finishes a release after an outage", bubble(func() {
+		a.claim()
+		a.client.SetDown(true)
+		a.append(1, 1, "one")
+		a.Do(reducer.Release{Shard: shard, Epoch: 1})
+		time.Sleep(5 * minute)
+		Expect(a.take()).To(BeEmpty())
+		a.client.SetDown(false)
+		time.Sleep(10 * time.Second)
+		Expect(a.take()).To(Equal([]reducer.Event{appended(1, 1), lost(1)}))
+		Expect(jobs(b.claim())).To(Equal([]string{"one"}))
+	}))
+
+	It("leaves no owner record behind when a claim fails", bubble(func() {
+		broken := true
+		a.client.Fault = func(c faker.Call) faker.Fate {
+			switch {
+			case strings.HasSuffix(c.Key, "owner") && c.Operation == "swap":
+				return faker.LoseAnswer
+			case strings.HasSuffix(c.Key, "owner") && broken:
+				return faker.Drop
+			}
+			return faker.Answer
+		}
+		a.Do(reducer.Claim{Shard: shard})
+		time.Sleep(minute)
+		broken = false
+		time.Sleep(10 * time.Second)
+		Expect(a.take()).To(Equal([]reducer.Event{reducer.ClaimFailed{Shard: shard}}))
+		Expect(jobs(b.claim())).To(BeEmpty())
+	}))
+
+	It("reports once when the store ceases and begins to answer", bubble(func() {
+		a.claim()
+		a.client.SetDown(true)
+		time.Sleep(minute)
+		a.client.SetDown(false)
+		time.Sleep(minute)
+		a.take()
+		Expect(a.reached).To(Equal([]bool{true, false, true}))
+	}))
+
+	It("keeps every appended record through random hand-overs and faults", func() {
+		for seed := range uint64(30) {
+			bubble(func() { churn(rand.New(rand.NewPCG(seed, seed)), a, b) })()
+		}
+	})
+})
+
+// churn moves a shard to and fro between holders in trouble.
+func churn(random *rand.Rand, daemons ...*daemon) {
+	GinkgoHelper()
+	fates := []faker.Fate{faker.Drop, faker.LoseAnswer, faker.LoseAnswer, faker.Stale}
+	for _, d := range daemons {
+		d.client.Fault = func(faker.Call) faker.Fate {
+			if random.Float64() < 0.2 {
+				return fates[random.IntN(len(fates))]
+			}
+			return faker.Answer
+		}
+	}
+	kept := []string{}
+	for round := range 8 {
+		d := daemons[random.IntN(len(daemons))]
+		claimed, ok := d.claim().(reducer.ShardClaimed)
+		if !ok {
+			time.Sleep(time.Duration(random.IntN(20)) * time.Second)
+			continue
+		}
+		Expect(jobs(claimed)).To(Equal(kept))
+		name := string(rune('a' + round))
+		d.append(claimed.Epoch, 1, name)
+		time.Sleep(2 * minute)
+		Expect(d.take()).To(Equal([]reducer.Event{reducer.Appended{Shard: shard, Epoch: claimed.Epoch, Batch: 1}}))
+		kept = append(kept, name)
+		d.Do(reducer.Release{Shard: shard, Epoch: claimed.Epoch})
+		time.Sleep(minute)
+		Expect(d.take()).To(Equal([]reducer.Event{reducer.ShardLost{Shard: shard, Epoch: claimed.Epoch}}))
+	}
+}
--- a/internal/state/holder/holder_test.go
+++ b/internal/state/holder/holder_test.go
@@ -23,8 +23,9 @@
 	*holder.Holder
 	client *faker.Client
 
-	mu     sync.Mutex
-	events []reducer.Event
+	mu      sync.Mutex
+	events  []reducer.Event
+	reached []bool
 }
 
 func start(s *faker.Store, name string) *daemon {
@@ -32,6 +33,10 @@
 	d.Holder = holder.New(holder.Options{Daemon: name, Log: zerolog.Nop()}, d.client, func(e reducer.Event) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if r, ok := e.(reducer.StoreReached); ok {
+			d.reached = append(d.reached, r.OK)
+			return
+		}
 		d.events = append(d.events, e)
 	})
 	return d
@@ -48,12 +53,7 @@
 	synctest.Wait()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var out []reducer.Event
-	for _, e := range d.events {
-		if _, ok := e.(reducer.StoreReached); !ok {
-			out = append(out, e)
-		}
-	}
+	out := d.events
 	d.events = nil
 	return out
 }
