--- a/internal/standin/registrar/registrar.go
+++ b/internal/standin/registrar/registrar.go
@@ -7,7 +7,7 @@
 //
 //	r, err := registrar.New("127.0.0.1:0", time.Second)
 //	r.Set(hosts)
-//	r.View("fnq-cns", rewrite) // read at http://ADDRESS/fnq-cns
+//	r.View("fnq-cns", map[string]string{real: relay}) // read at http://ADDRESS/fnq-cns
 package registrar
 
 import (
@@ -29,8 +29,8 @@
 	server *listener.Listener
 
 	mu     sync.Mutex
-	past   []version // by time, the latest last
-	views  map[string]func(describer.Host) describer.Host
+	past   []version                    // by time, the latest last
+	views  map[string]map[string]string // relays by address, by view
 	outage bool
 	calls  int64
 }
@@ -42,7 +42,7 @@
 
 // New serves an empty list on address; changes show after lag.
 func New(address string, lag time.Duration) (*Registrar, error) {
-	r := &Registrar{lag: lag, views: make(map[string]func(describer.Host) describer.Host)}
+	r := &Registrar{lag: lag, views: make(map[string]map[string]string)}
 	m := http.NewServeMux()
 	m.Handle("GET /v1/hosts", listener.Handle(r.serve))
 	m.Handle("GET /{view}/v1/hosts", listener.Handle(r.serve))
@@ -54,6 +54,10 @@
 		r.Change(in.Name, in.State)
 		return struct{}{}, nil
 	}))
+	m.Handle("POST /v1/view", listener.Handle(func(_ *http.Request, in view) (struct{}, error) {
+		r.View(in.Name, in.Relays)
+		return struct{}{}, nil
+	}))
 	m.Handle("POST /v1/outage", listener.Handle(func(_ *http.Request, in struct {
 		Outage bool `json:"outage"`
 	},
@@ -74,6 +78,11 @@
 	State describer.HostState `json:"state"` // empty removes the host
 }
 
+type view struct {
+	Name   string            `json:"name"`
+	Relays map[string]string `json:"relays"` // by the address that each replaces
+}
+
 // Close ends the host list.
 func (r *Registrar) Close() error { return r.server.Close() }
 
@@ -101,11 +110,12 @@
 	r.set(hosts)
 }
 
-// View registers a rewritten list under a name.
-func (r *Registrar) View(name string, rewrite func(describer.Host) describer.Host) {
+// View registers a list under a name in which the addresses that are keys of
+// relays are replaced.
+func (r *Registrar) View(name string, relays map[string]string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.views[name] = rewrite
+	r.views[name] = relays
 }
 
 // Outage switches an outage on or off.
@@ -156,12 +166,17 @@
 	if hosts == nil {
 		hosts = []describer.Host{}
 	}
-	rewrite := r.views[q.PathValue("view")]
-	if rewrite == nil {
-		return hosts, nil
-	}
-	for i := range hosts {
-		hosts[i] = rewrite(hosts[i])
+	relays := r.views[q.PathValue("view")]
+	for i, h := range hosts {
+		hosts[i].Address = through(relays, h.Address)
+		hosts[i].Control = through(relays, h.Control)
 	}
 	return hosts, nil
 }
+
+func through(relays map[string]string, address string) string {
+	if relay, ok := relays[address]; ok {
+		return relay
+	}
+	return address
+}
