--- a/internal/standin/balancer/balancer.go
+++ b/internal/standin/balancer/balancer.go
@@ -35,6 +35,7 @@
 	ready []Target
 	next  int
 	conns map[net.Conn]bool
+	used  map[string]string // entry host by the caller's address
 }
 
 // New balances over the targets; each is checked at every interval.
@@ -50,6 +51,7 @@
 		inner:   inner,
 		cancel:  cancel,
 		conns:   make(map[net.Conn]bool),
+		used:    make(map[string]string),
 	}
 	var parts sync.WaitGroup
 	parts.Go(func() { b.check(ctx, targets, interval) })
@@ -90,6 +92,14 @@
 	return len(b.ready)
 }
 
+// Used returns the address of the entry host that the latest connection from
+// the caller's address was passed to, or an empty string.
+func (b *Balancer) Used(caller string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used[caller]
+}
+
 func (b *Balancer) check(ctx context.Context, targets []Target, interval time.Duration) {
 	client := &http.Client{Timeout: max(interval, time.Second), Transport: &http.Transport{DisableKeepAlives: true}}
 	ticker := time.NewTicker(interval)
@@ -143,7 +153,7 @@
 		return
 	}
 	defer b.forget(near)
-	far := b.dial()
+	far := b.dial(near.RemoteAddr().String())
 	if far == nil {
 		return
 	}
@@ -159,7 +169,7 @@
 }
 
 // dial tries each ready entry host once, in turn.
-func (b *Balancer) dial() net.Conn {
+func (b *Balancer) dial(caller string) net.Conn {
 	for range b.Ready() {
 		t, ok := b.pick()
 		if !ok {
@@ -167,6 +177,9 @@
 		}
 		c, err := net.DialTimeout("tcp", t.Address, time.Second)
 		if err == nil {
+			b.mu.Lock()
+			b.used[caller] = t.Address
+			b.mu.Unlock()
 			return c
 		}
 	}
--- a/internal/standin/delayer/delayer.go
+++ b/internal/standin/delayer/delayer.go
@@ -129,8 +129,8 @@
 		return
 	}
 	var both sync.WaitGroup
-	both.Go(func() { r.copy(far, near, &r.link.up) })
-	both.Go(func() { r.copy(near, far, &r.link.down) })
+	both.Go(func() { r.copy(far, near, r.link.up) })
+	both.Go(func() { r.copy(near, far, r.link.down) })
 	both.Wait()
 }
 
@@ -155,7 +155,7 @@
 // link refuses or the relay ends.
 func (r *Relay) await() bool {
 	for {
-		cut, changed := r.link.state()
+		cut, changed := r.link.present()
 		if cut != Blackhole {
 			return cut == None
 		}
--- a/internal/standin/delayer/hub.go
+++ b/internal/standin/delayer/hub.go
@@ -27,8 +27,9 @@
 }
 
 type relayRequest struct {
-	Link   string `json:"link"`
-	Target string `json:"target"` // ip:port
+	Link    string `json:"link"`
+	Target  string `json:"target"`  // ip:port
+	Reverse bool   `json:"reverse"` // the target is at the other end of the link
 }
 
 type relayAnswer struct {
@@ -54,7 +55,7 @@
 		return struct{}{}, nil
 	}))
 	m.Handle("POST /v1/relay", listener.Handle(func(_ *http.Request, in relayRequest) (relayAnswer, error) {
-		address, err := h.Relay(in.Link, in.Target)
+		address, err := h.Relay(in.Link, in.Target, in.Reverse)
 		return relayAnswer{address}, err
 	}))
 	m.Handle("POST /v1/cut", listener.Handle(func(_ *http.Request, in cutRequest) (struct{}, error) {
@@ -94,14 +95,18 @@
 	return h.links[name]
 }
 
-// Relay makes a relay over a link to target and returns its address.
-func (h *Hub) Relay(link, target string) (string, error) {
+// Relay makes a relay over a link to target and returns its address. With
+// reverse, the target is at the end that the link's other relays start from.
+func (h *Hub) Relay(link, target string, reverse bool) (string, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := h.links[link]
 	if l == nil {
 		return "", unknown(link)
 	}
+	if reverse {
+		l = l.Reverse()
+	}
 	r, err := New("127.0.0.1:0", target, l)
 	if err != nil {
 		return "", err
--- a/internal/standin/delayer/link.go
+++ b/internal/standin/delayer/link.go
@@ -22,9 +22,13 @@
 type Link struct {
 	delay time.Duration // one way
 	rate  float64       // bytes a second each way; 0 is unlimited
-	up    direction
-	down  direction
+	up    *direction
+	down  *direction
+	state *state
+}
 
+// state is what both views of a link share.
+type state struct {
 	mu      sync.Mutex
 	cut     Cut
 	changed chan struct{} // closed at the next change
@@ -41,17 +45,29 @@
 // NewLink returns a link with a one-way delay and a rate each way, in bytes a
 // second; a rate of 0 is unlimited.
 func NewLink(delay time.Duration, rate float64) *Link {
-	return &Link{delay: delay, rate: rate, changed: make(chan struct{})}
+	return &Link{
+		delay: delay, rate: rate,
+		up: &direction{}, down: &direction{},
+		state: &state{changed: make(chan struct{})},
+	}
+}
+
+// Reverse returns the same link seen from its other end.
+func (l *Link) Reverse() *Link {
+	out := *l
+	out.up, out.down = l.down, l.up
+	return &out
 }
 
 // Cut cuts the link until Heal.
 func (l *Link) Cut(c Cut) {
-	l.mu.Lock()
-	l.cut = c
-	close(l.changed)
-	l.changed = make(chan struct{})
-	relays := slices.Clone(l.relays)
-	l.mu.Unlock()
+	s := l.state
+	s.mu.Lock()
+	s.cut = c
+	close(s.changed)
+	s.changed = make(chan struct{})
+	relays := slices.Clone(s.relays)
+	s.mu.Unlock()
 	if c == Drop {
 		for _, r := range relays {
 			r.drop()
@@ -66,15 +82,15 @@
 func (l *Link) Bytes() (up, down int64) { return l.up.count(), l.down.count() }
 
 func (l *Link) add(r *Relay) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.relays = append(l.relays, r)
+	l.state.mu.Lock()
+	defer l.state.mu.Unlock()
+	l.state.relays = append(l.state.relays, r)
 }
 
-func (l *Link) state() (Cut, <-chan struct{}) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.cut, l.changed
+func (l *Link) present() (Cut, <-chan struct{}) {
+	l.state.mu.Lock()
+	defer l.state.mu.Unlock()
+	return l.state.cut, l.state.changed
 }
 
 // reserve queues n bytes and returns when the last of them has been sent.
--- a/internal/standin/hoster/backend.go
+++ b/internal/standin/hoster/backend.go
@@ -13,12 +13,13 @@
 
 // Headers that the backend server reads and writes.
 const (
-	HeaderRequest = "Dotterel-Request"     // the caller's id of the request, echoed
-	HeaderWork    = "Dotterel-Work"        // service time, duration text
-	HeaderSize    = "Dotterel-Answer-Size" // bytes of answer
-	HeaderVerdict = "Dotterel-Verdict"
-	HeaderWorker  = "Dotterel-Worker" // that answered
-	HeaderKey     = "Idempotency-Key"
+	HeaderRequest    = "Dotterel-Request"     // the caller's id of the request, echoed
+	HeaderWork       = "Dotterel-Work"        // service time, duration text
+	HeaderSize       = "Dotterel-Answer-Size" // bytes of answer
+	HeaderVerdict    = "Dotterel-Verdict"
+	HeaderWorker     = "Dotterel-Worker" // that answered
+	HeaderKey        = "Idempotency-Key"
+	HeaderIdempotent = "Dotterel-Idempotent" // true: a POST or PATCH that may be repeated
 )
 
 // leaveGrace is how long a leaving worker may still get requests.
@@ -67,14 +68,14 @@
 	b.worker.waitResumed(r.Context())
 	if r.Context().Value(overLimit{}) != nil {
 		w.Header().Set("Connection", "close")
-		b.refuse(w, &b.worker.counts.Connections)
+		b.refuse(w, &b.worker.Counts.Connections)
 		return
 	}
 	select {
 	case b.slots <- struct{}{}:
 		defer func() { <-b.slots }()
 	default:
-		b.refuse(w, &b.worker.counts.Slots)
+		b.refuse(w, &b.worker.Counts.Slots)
 		return
 	}
 	b.execute(w, r)
@@ -99,7 +100,7 @@
 	if key == "" {
 		key = id
 	}
-	b.worker.executed(key, r.Method == http.MethodGet)
+	b.worker.executed(key, isIdempotent(r))
 	took := b.serviceTime(r)
 	time.Sleep(took)
 	b.worker.machine.Load().meter.add(b.service(), began, time.Since(began))
@@ -108,6 +109,14 @@
 	b.answer(w, Answer(id, body, r.Header.Get(HeaderSize)))
 }
 
+func isIdempotent(r *http.Request) bool {
+	switch r.Method {
+	case http.MethodPost, http.MethodPatch:
+		return r.Header.Get(HeaderIdempotent) == "true" && r.Header.Get(HeaderKey) == ""
+	}
+	return true
+}
+
 // Answer is the body that a request's answer must have: the request's body,
 // or its id if it has none, repeated up to the size.
 func Answer(id string, body []byte, size string) []byte {
--- a/internal/standin/hoster/hoster.go
+++ b/internal/standin/hoster/hoster.go
@@ -46,11 +46,12 @@
 	Host describer.Host // with its addresses
 	Done chan struct{}  // closed when it has ended for good
 
+	Counts Counts
+
 	options Options
 	audit   *auditor.Auditor
 	machine atomic.Pointer[Machine]
 	backend *backend
-	counts  Counts
 
 	mu      sync.Mutex
 	control *listener.Listener // nil while dead
@@ -62,9 +63,12 @@
 	leaving time.Time
 }
 
-// Counts of refusals by the backend server.
+// Counts of a worker's lifetime, restarts included.
 type Counts struct {
-	Slots, Connections atomic.Int64
+	Slots       atomic.Int64 // requests refused for want of a slot
+	Connections atomic.Int64 // requests refused for want of a connection
+	Requests    atomic.Int64 // executed
+	Runs        atomic.Int64 // begun
 }
 
 // New starts a worker.
@@ -200,12 +204,8 @@
 // Running returns the number of runs in progress.
 func (w *Worker) Running() int { return w.machine.Load().Running() }
 
-// Refusals returns how many requests found no slot and how many no connection.
-func (w *Worker) Refusals() (slots, connections int64) {
-	return w.counts.Slots.Load(), w.counts.Connections.Load()
-}
-
 func (w *Worker) executed(id string, idempotent bool) {
+	w.Counts.Requests.Add(1)
 	w.audit.Executed(id, w.options.Host.Name, idempotent)
 	w.mu.Lock()
 	late := !w.leaving.IsZero() && time.Since(w.leaving) > leaveGrace
@@ -240,8 +240,15 @@
 
 func (w *Worker) routes() http.Handler {
 	m := w.machine.Load()
+	start := func(in runner.Start) (struct{}, error) {
+		began, err := m.Start(in)
+		if began {
+			w.Counts.Runs.Add(1)
+		}
+		return struct{}{}, err
+	}
 	mux := http.NewServeMux()
-	mux.Handle("POST /v1/start", serve(w, func(in runner.Start) (struct{}, error) { return struct{}{}, m.Start(in) }))
+	mux.Handle("POST /v1/start", serve(w, start))
 	mux.Handle("POST /v1/stop", serve(w, m.Stop))
 	mux.Handle("POST /v1/throttle", serve(w, func(in runner.Throttle) (struct{}, error) { return struct{}{}, m.Throttle(in) }))
 	mux.Handle("POST /v1/sync", serve(w, m.Sync))
--- a/internal/standin/hoster/hoster_test.go
+++ b/internal/standin/hoster/hoster_test.go
@@ -33,6 +33,8 @@
 	}
 }
 
+func failure(_ bool, err error) error { return err }
+
 // virtual runs body on a Machine in virtual time.
 func virtual(t *testing.T, body func(g Gomega, m *hoster.Machine, a *auditor.Auditor)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -45,10 +47,10 @@
 
 func TestCompletesOnce(t *testing.T) {
 	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
-		g.Expect(m.Start(start(1, 1))).To(Succeed())
-		g.Expect(m.Start(start(1, 1))).To(Succeed())
+		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
+		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
 		time.Sleep(5 * time.Second)
-		g.Expect(m.Start(start(1, 1))).To(Succeed())
+		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
 		out, err := m.Sync(runner.Sync{Epoch: 1})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(out.Finished).To(HaveExactElements(HaveField("OK", true)))
@@ -63,7 +65,7 @@
 	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
 		s := start(1, 1)
 		s.RunTime = time.Minute
-		g.Expect(m.Start(s)).To(Succeed())
+		g.Expect(failure(m.Start(s))).To(Succeed())
 		time.Sleep(9 * time.Second)
 		id := runner.Run{Task: task, Token: s.Token}
 		_, err := m.Sync(runner.Sync{Epoch: 1, Lease: 10 * time.Second, Renew: []runner.Run{id}})
@@ -81,21 +83,21 @@
 	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
 		_, err := m.Sync(runner.Sync{Epoch: 2})
 		g.Expect(err).NotTo(HaveOccurred())
-		err = m.Start(start(1, 9))
+		_, err = m.Start(start(1, 9))
 		g.Expect(classifier.Of(err)).To(Equal(classifier.NotRun))
 		_, err = m.Stop(runner.Stop{Task: task, Token: describer.Token{Epoch: 2, Sequence: 5}})
 		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(m.Start(start(2, 5))).NotTo(Succeed())
-		g.Expect(m.Start(start(2, 4))).NotTo(Succeed())
+		g.Expect(failure(m.Start(start(2, 5)))).NotTo(Succeed())
+		g.Expect(failure(m.Start(start(2, 4)))).NotTo(Succeed())
 		g.Expect(a.Report().Runs).To(BeZero())
-		g.Expect(m.Start(start(2, 6))).To(Succeed())
+		g.Expect(failure(m.Start(start(2, 6)))).To(Succeed())
 	})
 }
 
 func TestResumesFromCheckpointAtTheThrottledSpeed(t *testing.T) {
 	virtual(t, func(g Gomega, m *hoster.Machine, _ *auditor.Auditor) {
 		s := start(1, 1)
-		g.Expect(m.Start(s)).To(Succeed())
+		g.Expect(failure(m.Start(s))).To(Succeed())
 		time.Sleep(time.Second)
 		g.Expect(m.Throttle(runner.Throttle{Task: task, Token: s.Token, CPU: 16000})).To(Succeed())
 		time.Sleep(time.Second)
@@ -104,7 +106,7 @@
 		g.Expect(out.Checkpoint).To(Equal("1.5s"))
 		s = start(1, 2)
 		s.Checkpoint = out.Checkpoint
-		g.Expect(m.Start(s)).To(Succeed())
+		g.Expect(failure(m.Start(s))).To(Succeed())
 		time.Sleep(2*time.Second + 400*time.Millisecond)
 		g.Expect(m.Running()).To(Equal(1))
 		time.Sleep(200 * time.Millisecond)
@@ -114,7 +116,7 @@
 
 func TestPausedRunLapses(t *testing.T) {
 	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
-		g.Expect(m.Start(start(1, 1))).To(Succeed())
+		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
 		m.Pause(true)
 		time.Sleep(time.Minute)
 		m.Pause(false)
@@ -127,12 +129,12 @@
 	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
 		other := hoster.NewMachine(options(), a)
 		defer other.Kill()
-		g.Expect(m.Start(start(1, 1))).To(Succeed())
-		g.Expect(other.Start(start(1, 1))).To(Succeed())
+		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
+		g.Expect(failure(other.Start(start(1, 1)))).To(Succeed())
 		g.Expect(a.Report().Duplicated).To(Equal(1))
 		big := start(1, 2)
 		big.Task.Index, big.Granted.CPU = 1, 40000
-		g.Expect(m.Start(big)).To(Succeed())
+		g.Expect(failure(m.Start(big))).To(Succeed())
 		g.Expect(a.Report().Overfilled).To(Equal(1))
 	})
 }
--- a/internal/standin/hoster/machine.go
+++ b/internal/standin/hoster/machine.go
@@ -59,32 +59,33 @@
 	return m
 }
 
-// Start begins a run.
-func (m *Machine) Start(s runner.Start) error {
+// Start begins a run. It reports whether one began, which a repetition does
+// not do.
+func (m *Machine) Start(s runner.Start) (bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
 	if err := m.fence(s.Token.Epoch); err != nil {
-		return err
+		return false, err
 	}
 	id := runner.Run{Task: s.Task, Token: s.Token}
 	seen := m.fences[s.Task]
 	over, known := m.ended[id]
 	switch {
 	case s.Token == seen && (!known || over.Ran):
-		return nil // a repetition
+		return false, nil // a repetition
 	case s.Token.Less(seen), known:
-		return fenced("token is too old for " + s.Task.String())
+		return false, fenced("token is too old for " + s.Task.String())
 	}
 	if r := m.runs[s.Task]; r != nil {
 		m.end(r, auditor.Stopped, r.checkpoint())
 	}
 	r, err := newRun(s, time.Now())
 	if err != nil {
-		return listener.Refuse(http.StatusBadRequest, "malformed", err.Error())
+		return false, listener.Refuse(http.StatusBadRequest, "malformed", err.Error())
 	}
 	if m.options.Enforce && !s.Granted.Fits(m.options.Host.Capacity.Sub(m.granted())) {
-		return listener.Refuse(http.StatusConflict, "full", "no room for "+s.Task.String())
+		return false, listener.Refuse(http.StatusConflict, "full", "no room for "+s.Task.String())
 	}
 	m.fences[s.Task] = s.Token
 	if m.failing {
@@ -95,7 +96,7 @@
 	m.audit.Began(s.Task, m.options.Host.Name)
 	m.checkCapacity()
 	m.schedule()
-	return nil
+	return true, nil
 }
 
 // Stop ends a run and fences its token.
