--- a/internal/operator/demonstrator/demonstrator.go
+++ b/internal/operator/demonstrator/demonstrator.go
@@ -19,7 +19,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"sync"
@@ -27,6 +26,11 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
+
+	"dotterelcart.dev/dotterelcart/internal/operator/parser"
+	"dotterelcart.dev/dotterelcart/internal/operator/server"
+	"dotterelcart.dev/dotterelcart/internal/standin/caller"
+	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
 )
 
 // Faults that Options.Fault may name.
@@ -44,6 +48,9 @@
 	startLimit  = 15 * time.Second // for all daemons to become ready
 	settleLimit = 12 * time.Second // for jobs and the restore after the load
 	minSeconds  = 5
+	entryHosts  = 2  // in each failure domain
+	workers     = 6  // in each failure domain
+	requestRate = 60 // a second in each failure domain
 )
 
 // Options of a run.
@@ -89,14 +96,14 @@
 	if err := o.check(); err != nil {
 		return Report{}, err
 	}
-	d, err := newDeployment(ctx, o)
+	d, err := deployer.New(ctx, deployer.Options{EntryHosts: entryHosts, Workers: workers, Launch: o.launch})
 	if err != nil {
 		return Report{}, err
 	}
-	defer d.close()
+	defer d.Close()
 	ready, cancel := context.WithTimeout(ctx, startLimit)
 	defer cancel()
-	if err := d.configure(ready); err != nil {
+	if err := d.Configure(ready); err != nil {
 		return Report{}, err
 	}
 	return play(ctx, o, d, stderr)
@@ -118,20 +125,20 @@
 }
 
 // play puts the load on and lets everything happen.
-func play(ctx context.Context, o Options, d *deployment, stderr io.Writer) (Report, error) {
+func play(ctx context.Context, o Options, d *deployer.Deployment, stderr io.Writer) (Report, error) {
 	length := time.Duration(o.Seconds) * time.Second
 	loaded, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	settled, stop := context.WithTimeout(ctx, length+settleLimit)
 	defer stop()
 
-	calls := newLoad(d, rand.New(rand.NewPCG(o.Seed, 1)))
-	jobs := newWave(d, rand.New(rand.NewPCG(o.Seed, 2)))
-	drained := newDrain(d, length)
+	calls := caller.New(d, rand.New(rand.NewPCG(o.Seed, 1)), requestRate)
+	jobs := newWave(d, o, rand.New(rand.NewPCG(o.Seed, 2)))
+	drained := newDrain(d, o)
 	view := newScreen(stderr, o.Terminal, calls, jobs, drained)
 	var parts, drawing sync.WaitGroup
 	drawing.Go(func() { view.draw(settled) })
-	parts.Go(func() { calls.run(loaded) })
+	parts.Go(func() { calls.Run(loaded) })
 	parts.Go(func() { jobs.run(loaded, settled) })
 	parts.Go(func() { drained.run(settled) })
 	for _, e := range script(o, d, view) {
@@ -146,8 +153,8 @@
 	return report(o, d, calls, jobs, drained), nil
 }
 
-func report(o Options, d *deployment, calls *load, jobs *wave, drained *drain) Report {
-	audit := d.audit.Report()
+func report(o Options, d *deployer.Deployment, calls *caller.Load, jobs *wave, drained *drain) Report {
+	audit := d.Audit.Report()
 	out := Report{
 		Seed: o.Seed, Fault: o.Fault, Seconds: o.Seconds,
 		Duplicated: int64(audit.Duplicated + audit.Repeated),
@@ -157,7 +164,11 @@
 		Restored:   drained.restored(),
 		Violations: audit.Faults,
 	}
-	calls.fill(&out)
+	seen := calls.Report()
+	out.Requests, out.Failed, out.Wrong = seen.Requests, seen.Failed, seen.Wrong
+	out.Cut, out.Untrue = seen.Cut, seen.Untrue
+	out.P50, out.P99 = seen.P50, seen.P99
+	out.Violations = append(out.Violations, seen.Words...)
 	jobs.fill(&out)
 	if why := drained.missing(); why != "" {
 		out.Violations = append(out.Violations, why)
@@ -165,4 +176,14 @@
 	return out
 }
 
-func violation(format string, args ...any) string { return fmt.Sprintf(format, args...) }
+// daemon runs in this process.
+type daemon struct{ *server.Server }
+
+func (d daemon) Kill() { d.Close() }
+
+func (d daemon) Stop(ctx context.Context) { d.Shutdown(ctx) }
+
+func (o Options) launch(ctx context.Context, s parser.Settings) (deployer.Daemon, error) {
+	started, err := server.New(ctx, s, o.Log)
+	return daemon{started}, err
+}
--- a/internal/operator/demonstrator/drain.go
+++ b/internal/operator/demonstrator/drain.go
@@ -3,26 +3,26 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
 
-	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
 	"dotterelcart.dev/dotterelcart/internal/standin/hoster"
 )
 
 const (
-	drainAt  = 0.25 // share of the load's length
-	drainFor = 0.25
-	drained  = 2 // workers
+	drainAt       = 0.25 // share of the load's length
+	drainFor      = 0.25
+	drained       = 2 // workers
+	watchInterval = 50 * time.Millisecond
 )
 
 // drain takes workers out of use for a while and watches their return.
 type drain struct {
-	d       *deployment
-	length  time.Duration
+	d       *deployer.Deployment
+	options Options
 	workers []*hoster.Worker
 
 	mu    sync.Mutex
@@ -32,19 +32,19 @@
 }
 
 // newDrain chooses the first workers of the first domain.
-func newDrain(d *deployment, length time.Duration) *drain {
+func newDrain(d *deployer.Deployment, o Options) *drain {
 	return &drain{
-		d: d, length: length, workers: d.domains[0].workers[:drained],
+		d: d, options: o, workers: d.Domains[0].Workers[:drained],
 		state: "not begun", back: make(map[string]bool), empty: make(map[string]bool),
 	}
 }
 
 // run drains, and waits until every worker was empty and has its work back.
 func (r *drain) run(ctx context.Context) {
-	if !pause(ctx, time.Duration(float64(r.length)*drainAt)) {
+	if !deployer.Pause(ctx, time.Duration(float64(r.length())*drainAt)) {
 		return
 	}
-	if err := until(ctx, func() error { return r.confirm(ctx) }); err != nil {
+	if err := deployer.Until(ctx, func() error { return r.confirm(ctx) }); err != nil {
 		r.say("not confirmed: " + err.Error())
 		return
 	}
@@ -53,7 +53,7 @@
 		return
 	}
 	r.say("drained")
-	if err := until(ctx, func() error { return r.isOver(ctx) }); err != nil {
+	if err := deployer.Until(ctx, func() error { return r.isOver(ctx) }); err != nil {
 		return
 	}
 	r.say("restoring")
@@ -62,33 +62,25 @@
 	}
 }
 
+func (r *drain) length() time.Duration { return time.Duration(r.options.Seconds) * time.Second }
+
 // confirm asks for a plan and confirms it.
 func (r *drain) confirm(ctx context.Context) error {
-	intent := describer.Intent{
-		ID:     fmt.Sprintf("drain-%d", r.d.options.Seed),
-		Action: describer.DrainOff,
-		For:    time.Duration(float64(r.length) * drainFor),
-	}
+	var names []string
 	for _, w := range r.workers {
-		intent.Workers = append(intent.Workers, w.Host.Name)
+		names = append(names, w.Host.Name)
 	}
-	var plan describer.Plan
-	if err := r.d.operate(ctx, http.MethodPost, "/v1/intents", intent, &plan); err != nil {
-		return err
-	}
-	return r.d.operate(ctx, http.MethodPost, "/v1/plans/"+plan.ID+"/confirm", nil, nil)
+	id := fmt.Sprintf("drain-%d", r.options.Seed)
+	return r.d.Drain(ctx, id, names, time.Duration(float64(r.length())*drainFor))
 }
 
-// isOver returns nil once the configuration holds no drain.
+// isOver returns nil once no drain is in force.
 func (r *drain) isOver(ctx context.Context) error {
-	var c describer.Configuration
-	if err := r.d.operate(ctx, http.MethodGet, "/v1/configuration", nil, &c); err != nil {
-		return err
-	}
-	if len(c.Drains) > 0 {
-		return eris.New("drain in force")
+	drains, err := r.d.Drains(ctx)
+	if err == nil && len(drains) > 0 {
+		err = eris.New("drain in force")
 	}
-	return nil
+	return err
 }
 
 func (r *drain) isEmpty(w *hoster.Worker) bool { return w.Running() == 0 }
@@ -116,7 +108,7 @@
 		if all {
 			return true
 		}
-		if !pause(ctx, retryPause) {
+		if !deployer.Pause(ctx, watchInterval) {
 			return false
 		}
 	}
--- a/internal/operator/demonstrator/fault.go
+++ b/internal/operator/demonstrator/fault.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
+	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
 )
 
 // event is something that happens once, at a share of the load's length.
@@ -16,7 +17,7 @@
 }
 
 func (e event) run(ctx context.Context, length time.Duration) {
-	if !pause(ctx, time.Duration(float64(length)*e.at)) {
+	if !deployer.Pause(ctx, time.Duration(float64(length)*e.at)) {
 		return
 	}
 	e.view.note(e.name)
@@ -24,9 +25,9 @@
 }
 
 // script lists the events of a run: the planned stop, and those of its fault.
-func script(o Options, d *deployment, view *screen) []event {
+func script(o Options, d *deployer.Deployment, view *screen) []event {
 	events := []event{
-		{at: 0.7, name: "planned stop", do: func(ctx context.Context) { d.replace(ctx, d.domains[1].entries[0]) }},
+		{at: 0.7, name: "planned stop", do: func(ctx context.Context) { replace(ctx, d.Domains[1].Entries[0]) }},
 	}
 	faults := map[string][]event{
 		FaultKill:      kills(d),
@@ -47,49 +48,47 @@
 }
 
 // replace stops a daemon as planned and starts its successor.
-func (d *deployment) replace(ctx context.Context, e *entry) {
-	limited, cancel := context.WithTimeout(ctx, time.Duration(e.settings.Traffic.DrainLimit))
-	defer cancel()
-	e.stop(limited)
-	d.start(ctx, e)
+func replace(ctx context.Context, e *deployer.Entry) {
+	e.Stop(ctx)
+	start(ctx, e)
 }
 
 // start tries until the daemon runs, since its ports may still be in use.
-func (d *deployment) start(ctx context.Context, e *entry) {
-	_ = until(ctx, func() error { return e.start(ctx, d.options) })
+func start(ctx context.Context, e *deployer.Entry) {
+	_ = deployer.Until(ctx, func() error { return e.Start(ctx) })
 }
 
-func kills(d *deployment) []event {
-	first, last := d.domains[0], d.domains[2]
+func kills(d *deployer.Deployment) []event {
+	first, last := d.Domains[0], d.Domains[2]
 	return []event{
-		{at: 0.35, name: "kill an entry host", do: func(context.Context) { first.entries[0].crash() }},
-		{at: 0.4, name: "kill a worker", do: func(context.Context) { last.workers[0].Kill() }},
-		{at: 0.5, name: "replace the entry host", do: func(ctx context.Context) { d.start(ctx, first.entries[0]) }},
-		{at: 0.55, name: "replace the worker", do: func(ctx context.Context) { _ = until(ctx, last.workers[0].Restart) }},
+		{at: 0.35, name: "kill an entry host", do: func(context.Context) { first.Entries[0].Kill() }},
+		{at: 0.4, name: "kill a worker", do: func(context.Context) { last.Workers[0].Kill() }},
+		{at: 0.5, name: "replace the entry host", do: func(ctx context.Context) { start(ctx, first.Entries[0]) }},
+		{at: 0.55, name: "replace the worker", do: func(ctx context.Context) { _ = deployer.Until(ctx, last.Workers[0].Restart) }},
 	}
 }
 
-func outage(d *deployment) []event {
+func outage(d *deployer.Deployment) []event {
 	return []event{
-		{at: 0.35, name: "store outage", do: func(context.Context) { d.store.Outage(true) }},
+		{at: 0.35, name: "store outage", do: func(context.Context) { d.Store.Outage(true) }},
 		{at: 0.55, name: "store back, answers lost", do: func(context.Context) {
-			d.store.Outage(false)
-			d.store.LoseAnswers(5, 0, 0)
+			d.Store.Outage(false)
+			d.Store.LoseAnswers(5, 0, 0)
 		}},
 	}
 }
 
-func partition(d *deployment) []event {
+func partition(d *deployer.Deployment) []event {
 	return []event{
-		{at: 0.35, name: "regions cut off", do: func(context.Context) { d.region.Cut(delayer.Blackhole) }},
-		{at: 0.55, name: "regions joined", do: func(context.Context) { d.region.Heal() }},
+		{at: 0.35, name: "regions cut off", do: func(context.Context) { d.Region.Cut(delayer.Blackhole) }},
+		{at: 0.55, name: "regions joined", do: func(context.Context) { d.Region.Heal() }},
 	}
 }
 
-func silence(d *deployment) []event {
+func silence(d *deployer.Deployment) []event {
 	quiet := func(context.Context) {
-		for _, m := range d.domains {
-			for _, w := range m.workers[:workers/2] {
+		for _, m := range d.Domains {
+			for _, w := range m.Workers[:workers/2] {
 				w.Silence()
 			}
 		}
@@ -101,13 +100,13 @@
 }
 
 // pauses freezes a worker for longer than its tasks' leases.
-func pauses(d *deployment) []event {
-	frozen := d.domains[0].workers[workers-1]
+func pauses(d *deployer.Deployment) []event {
+	frozen := d.Domains[0].Workers[workers-1]
 	return []event{
 		{at: 0.35, name: "freeze a worker", do: func(ctx context.Context) {
 			frozen.Pause()
-			lease := time.Duration(d.domains[0].entries[0].settings.Lease.Task)
-			pause(ctx, lease+time.Second)
+			lease := time.Duration(d.Domains[0].Entries[0].Settings.Lease.Task)
+			deployer.Pause(ctx, lease+time.Second)
 			frozen.Resume()
 		}},
 	}
--- a/internal/operator/demonstrator/screen.go
+++ b/internal/operator/demonstrator/screen.go
@@ -7,6 +7,9 @@
 	"strings"
 	"sync"
 	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/standin/caller"
+	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
 )
 
 const (
@@ -19,7 +22,7 @@
 type screen struct {
 	out      io.Writer
 	terminal bool
-	calls    *load
+	calls    *caller.Load
 	jobs     *wave
 	drained  *drain
 	began    time.Time
@@ -28,14 +31,14 @@
 	latest string
 }
 
-func newScreen(out io.Writer, terminal bool, calls *load, jobs *wave, drained *drain) *screen {
+func newScreen(out io.Writer, terminal bool, calls *caller.Load, jobs *wave, drained *drain) *screen {
 	return &screen{out: out, terminal: terminal, calls: calls, jobs: jobs, drained: drained, began: time.Now()}
 }
 
 // draw shows progress until ctx ends.
 func (s *screen) draw(ctx context.Context) {
 	last := ""
-	for pause(ctx, drawInterval) {
+	for deployer.Pause(ctx, drawInterval) {
 		if s.terminal {
 			fmt.Fprintf(s.out, "\r%-*s", lineWidth, s.line())
 			continue
@@ -52,11 +55,12 @@
 
 func (s *screen) line() string {
 	accepted, done := s.jobs.count()
+	requests, failed := s.calls.Counts()
 	s.mu.Lock()
 	latest := s.latest
 	s.mu.Unlock()
 	return fmt.Sprintf("%5.1f s  requests %d (%d failed)  jobs %d/%d  drain %s  %s",
-		time.Since(s.began).Seconds(), s.calls.requests.Load(), s.calls.failed.Load(), done, accepted,
+		time.Since(s.began).Seconds(), requests, failed, done, accepted,
 		strings.SplitN(s.drained.now(), ":", 2)[0], latest)
 }
 
--- a/internal/operator/demonstrator/wave.go
+++ b/internal/operator/demonstrator/wave.go
@@ -11,22 +11,25 @@
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
 	"dotterelcart.dev/dotterelcart/internal/standin/hoster"
 )
 
 const (
-	jobsASecond = 2 // over all domains, on the average
-	jobTasks    = 4
-	waveAt      = 0.15 // share of the load's length
-	waveEnd     = 0.75
-	waveSize    = 10 // jobs at the start of the wave
-	jobDeadline = 3 * time.Second
+	jobsASecond     = 2 // over all domains, on the average
+	jobTasks        = 4
+	waveAt          = 0.15 // share of the load's length
+	waveEnd         = 0.75
+	waveSize        = 10 // jobs at the start of the wave
+	jobDeadline     = 3 * time.Second
+	inquireInterval = 200 * time.Millisecond
 )
 
 // wave is the batch jobs.
 type wave struct {
-	d      *deployment
-	client *http.Client
+	d       *deployer.Deployment
+	options Options
+	client  *http.Client
 
 	mu       sync.Mutex
 	random   *rand.Rand
@@ -34,9 +37,10 @@
 	done     map[string]bool
 }
 
-func newWave(d *deployment, random *rand.Rand) *wave {
+func newWave(d *deployer.Deployment, o Options, random *rand.Rand) *wave {
 	return &wave{
 		d:        d,
+		options:  o,
 		client:   &http.Client{Timeout: jobDeadline, Transport: &http.Transport{DisableKeepAlives: true}},
 		random:   random,
 		accepted: make(map[string]int),
@@ -46,14 +50,14 @@
 
 // run submits jobs while loaded holds and waits for their ends until settled.
 func (w *wave) run(loaded, settled context.Context) {
-	length := time.Duration(w.d.options.Seconds) * time.Second
-	if !pause(loaded, time.Duration(float64(length)*waveAt)) {
+	length := time.Duration(w.options.Seconds) * time.Second
+	if !deployer.Pause(loaded, time.Duration(float64(length)*waveAt)) {
 		return
 	}
 	ends := time.Now().Add(time.Duration(float64(length) * (waveEnd - waveAt)))
 	var jobs sync.WaitGroup
 	for n := 0; time.Now().Before(ends); n++ {
-		if n >= waveSize && !pause(loaded, time.Second/jobsASecond) {
+		if n >= waveSize && !deployer.Pause(loaded, time.Second/jobsASecond) {
 			break
 		}
 		m, job := w.next(n)
@@ -63,7 +67,7 @@
 }
 
 // next describes a job whose declared run time is far off.
-func (w *wave) next(n int) (*domain, describer.Job) {
+func (w *wave) next(n int) (*deployer.Domain, describer.Job) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	work := time.Duration(500+w.random.IntN(2500)) * time.Millisecond
@@ -72,8 +76,8 @@
 	if n%3 == 0 {
 		class = "render"
 	}
-	return w.d.domains[n%len(w.d.domains)], describer.Job{
-		ID:       fmt.Sprintf("job-%d-%d", w.d.options.Seed, n),
+	return w.d.Domains[n%len(w.d.Domains)], describer.Job{
+		ID:       fmt.Sprintf("job-%d-%d", w.options.Seed, n),
 		Team:     "council",
 		Class:    class,
 		Tasks:    1 + w.random.IntN(jobTasks),
@@ -84,18 +88,18 @@
 }
 
 // follow submits a job until it is acknowledged and asks for it until it ends.
-func (w *wave) follow(ctx context.Context, m *domain, job describer.Job) {
-	url := "http://" + m.balancer.Address + "/v1/jobs"
-	err := until(ctx, func() error { return exchange(ctx, w.client, http.MethodPost, url, job, nil) })
+func (w *wave) follow(ctx context.Context, m *deployer.Domain, job describer.Job) {
+	url := "http://" + m.Balancer.Address + "/v1/jobs"
+	err := deployer.Until(ctx, func() error { return deployer.Exchange(ctx, w.client, http.MethodPost, url, job, nil) })
 	if err != nil {
 		return
 	}
 	w.mu.Lock()
 	w.accepted[job.ID] = job.Tasks
 	w.mu.Unlock()
-	for pause(ctx, 2*retryPause) {
+	for deployer.Pause(ctx, inquireInterval) {
 		var status reducer.JobStatus
-		if exchange(ctx, w.client, http.MethodGet, url+"/"+job.ID, nil, &status) != nil || status.State != "done" {
+		if deployer.Exchange(ctx, w.client, http.MethodGet, url+"/"+job.ID, nil, &status) != nil || status.State != "done" {
 			continue
 		}
 		w.mu.Lock()
@@ -124,13 +128,13 @@
 			continue
 		}
 		out.Lost++
-		out.Violations = append(out.Violations, violation("job %s was accepted and is not done (said to be: %t)", id, w.done[id]))
+		out.Violations = append(out.Violations, fmt.Sprintf("job %s was accepted and is not done (said to be: %t)", id, w.done[id]))
 	}
 }
 
 func (w *wave) completed(id string, tasks int) bool {
 	for i := range tasks {
-		if !w.d.audit.Finished(describer.TaskID{Job: id, Index: i}) {
+		if !w.d.Audit.Finished(describer.TaskID{Job: id, Index: i}) {
 			return false
 		}
 	}
--- /dev/null
+++ b/internal/standin/caller/caller.go
@@ -0,0 +1,187 @@
+// Package caller plays the interactive callers of a deployment and checks
+// what they get.
+//
+// # Model
+//
+// Callers send requests at random times to their domain's balancer. A third
+// are charges, which are not idempotent and carry a key. Each answer must be
+// whole and the request's own; a request that was said not to have run must
+// not have. A charge that may have run is sent once more with its key.
+//
+//	l := caller.New(deployment, rand.New(rand.NewPCG(1, 1)), 60)
+//	l.Run(ctx)
+//	report := l.Report() // after all answers
+package caller
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
+)
+
+const (
+	callDeadline  = 2 * time.Second
+	callTimeout   = 4 * time.Second
+	chargeShare   = 0.3 // of requests
+	maxAnswer     = 20_000
+	highestMicros = 60_000_000
+	idleHosts     = 16
+)
+
+// Load is the callers of all failure domains.
+type Load struct {
+	d    *deployer.Deployment
+	rate float64 // requests a second in each domain
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	latency *hdrhistogram.Histogram // microseconds
+	denied  []string                // ids said not to have run
+	counts  Report
+	serial  int
+}
+
+// Report holds the counts so far. Times are in milliseconds.
+type Report struct {
+	Requests int64
+	Failed   int64 // without an answer of their own, refusals included
+	Broken   int64 // of these, connections that ended without a whole answer
+	Wrong    int64 // answers that were not the request's own
+	Cut      int64 // in flight at an entry host when its planned stop cut them
+	Untrue   int64 // said not to have run, though they had
+	P50      float64
+	P99      float64
+	Words    []string // violations
+}
+
+// New returns callers that are still silent.
+func New(d *deployer.Deployment, random *rand.Rand, rate float64) *Load {
+	return &Load{d: d, rate: rate, random: random, latency: hdrhistogram.New(1, highestMicros, 3)}
+}
+
+// Run sends requests until ctx ends, and returns when all have ended.
+func (l *Load) Run(ctx context.Context) {
+	var callers sync.WaitGroup
+	for _, m := range l.d.Domains {
+		client := NewClient()
+		callers.Go(func() {
+			defer client.CloseIdleConnections()
+			var calls sync.WaitGroup
+			defer calls.Wait()
+			for deployer.Pause(ctx, l.gap()) {
+				q := l.next(m)
+				calls.Go(func() { l.Call(client, m, q) })
+			}
+		})
+	}
+	callers.Wait()
+}
+
+// NewClient returns the HTTP client of a domain's callers.
+func NewClient() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idleHosts}}
+}
+
+func (l *Load) gap() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return time.Duration(l.random.ExpFloat64() / l.rate * float64(time.Second))
+}
+
+func (l *Load) next(m *deployer.Domain) Request {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.serial++
+	q := Request{
+		ID:     fmt.Sprintf("%s-%d", m.Name, l.serial),
+		Charge: l.random.Float64() < chargeShare,
+		Tenant: "owners",
+		Class:  "menu",
+		Size:   1 + l.random.IntN(maxAnswer),
+	}
+	if l.random.IntN(4) == 0 {
+		q.Tenant = "tourism"
+	}
+	if q.Charge {
+		q.Class = "charge"
+		q.Body = strings.Repeat(q.ID+" ", 1+l.random.IntN(40))
+	}
+	return q
+}
+
+// Call sends a request, and a charge that may have run once more.
+func (l *Load) Call(client *http.Client, m *deployer.Domain, q Request) Outcome {
+	began := time.Now()
+	outcome := l.try(client, m, q)
+	if outcome == Unclear {
+		outcome = l.try(client, m, q)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts.Requests++
+	switch outcome {
+	case Answered:
+		_ = l.latency.RecordValue(min(time.Since(began).Microseconds(), highestMicros))
+	case Denied:
+		l.counts.Failed++
+		l.denied = append(l.denied, q.ID)
+	case Unclear:
+		l.counts.Failed++
+	}
+	return outcome
+}
+
+func (l *Load) try(client *http.Client, m *deployer.Domain, q Request) Outcome {
+	a := q.send(client, m.Balancer.Address)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a.err != nil {
+		l.counts.Broken++
+		if host := m.Balancer.Used(a.local); l.d.IsStoppingAt(host) {
+			l.counts.Cut++
+			l.say("request %s was cut by the planned stop of %s: %v", q.ID, host, a.err)
+		}
+	}
+	if a.wrong {
+		l.counts.Wrong++
+		l.say("request %s had an answer that is not its own", q.ID)
+	}
+	return a.outcome
+}
+
+func (l *Load) say(format string, args ...any) {
+	l.counts.Words = append(l.counts.Words, fmt.Sprintf(format, args...))
+}
+
+// Counts returns how many requests were sent and how many failed.
+func (l *Load) Counts() (requests, failed int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.counts.Requests, l.counts.Failed
+}
+
+// Report checks the requests that were said not to have run, and returns all
+// counts.
+func (l *Load) Report() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := l.counts
+	out.Words = append([]string{}, l.counts.Words...)
+	for _, id := range l.denied {
+		if l.d.Audit.Executions(id) > 0 {
+			out.Untrue++
+			out.Words = append(out.Words, "request "+id+" ran and was said not to have run")
+		}
+	}
+	out.P50 = float64(l.latency.ValueAtQuantile(50)) / 1000
+	out.P99 = float64(l.latency.ValueAtQuantile(99)) / 1000
+	return out
+}
