--- /dev/null
+++ b/internal/standin/auditor/auditor_test.go
@@ -0,0 +1,51 @@
+package auditor_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/standin/auditor"
+)
+
+var _ = Describe("Auditor", func() {
+	task := describer.TaskID{Job: "j"}
+	var a *auditor.Auditor
+	BeforeEach(func() { a = auditor.New() })
+
+	It("accepts runs one after the other", func() {
+		a.Began(task, "w1")
+		a.Ended(task, "w1", auditor.Stopped)
+		a.Began(task, "w2")
+		a.Ended(task, "w2", auditor.Completed)
+		Expect(a.Report()).To(And(HaveField("Duplicated", 0), HaveField("Finished", 1), HaveField("Faults", BeEmpty())))
+	})
+
+	It("counts a task that is in two places once", func() {
+		a.Began(task, "w1")
+		a.Began(task, "w2")
+		a.Ended(task, "w1", auditor.Completed)
+		a.Ended(task, "w2", auditor.Completed)
+		Expect(a.Report().Duplicated).To(Equal(1))
+	})
+
+	It("counts a task that begins after it completed, unless that is lost", func() {
+		a.Began(task, "w1")
+		a.Ended(task, "w1", auditor.Completed)
+		a.Forgot(task)
+		a.Began(task, "w2")
+		Expect(a.Report().Duplicated).To(BeZero())
+		a.Ended(task, "w2", auditor.Completed)
+		a.Began(task, "w3")
+		Expect(a.Report().Duplicated).To(Equal(1))
+	})
+
+	It("counts repeated requests unless they are idempotent", func() {
+		a.Executed("r", "w1", true)
+		a.Executed("r", "w1", true)
+		Expect(a.Report().Repeated).To(BeZero())
+		a.Executed("r", "w1", false)
+		Expect(a.Report().Repeated).To(Equal(1))
+		Expect(a.Executions("r")).To(Equal(3))
+	})
+})
--- a/internal/standin/hoster/hoster_test.go
+++ b/internal/standin/hoster/hoster_test.go
@@ -193,6 +193,7 @@
 		w.Silence()
 		_, _, err = call(old, "2", "0s")
 		Expect(err).To(HaveOccurred())
+		Expect(a.Executions("2")).To(BeZero())
 		_, _, err = call(fresh(), "3", "0s")
 		Expect(err).NotTo(HaveOccurred())
 	})
