peer/gossiper: the host list says how a member is reached

A member's own address was used after the first contact, so traffic between failure domains went past the links of a test deployment, and a host list with other addresses made every member a stranger to be pinged again. Seen failing without the override in learn: Expected d1/1 to equal relay.

--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -91,6 +91,7 @@
 	members map[string]*entry // others, by name
 	order   []string          // names still to ping in this round
 	hosts   []string          // addresses from the host list
+	routes  map[string]string // of these, by name
 	ticks   int64
 	next    int // of the round over addresses that are not members
 	closed  bool
@@ -150,14 +151,23 @@
 }
 
 // UpdateHosts takes entry hosts from the host list as addresses to try. The
-// list lags, so a host that it lacks is not taken for dead.
+// list lags, so a host that it lacks is not taken for dead. How the list says
+// that a host is reached prevails over what the host says of itself, which may
+// hold in its own network only.
 func (g *Gossiper) UpdateHosts(hosts []describer.Host) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.hosts = nil
+	g.hosts, g.routes = nil, map[string]string{}
 	for _, h := range hosts {
 		if h.Role == describer.Entry && h.State == describer.Live && h.Control != "" {
 			g.hosts = append(g.hosts, h.Control)
+			g.routes[h.Name] = h.Control
+		}
+	}
+	for name, e := range g.members {
+		if route, ok := g.routes[name]; ok && route != e.Address {
+			e.Address = route
+			signal(g.changed)
 		}
 	}
 }
--- a/internal/peer/gossiper/gossiper_test.go
+++ b/internal/peer/gossiper/gossiper_test.go
@@ -110,4 +110,18 @@
 		time.Sleep(3 * time.Second)
 		Expect(c.views()).To(HaveEach("a/1,a/2"))
 	}))
+
+	It("reaches a member as the host list says, also after news of it", virtual(func() {
+		c := newCluster()
+		defer c.stopAll()
+		c.startAll(2)
+		time.Sleep(5 * time.Second)
+		c.hosts["d0/0"].UpdateHosts([]describer.Host{{Name: "d1/1", Role: describer.Entry, State: describer.Live, Control: "relay"}})
+		address := func() string { return c.hosts["d0/0"].Alive()[1].Address }
+		Expect(address()).To(Equal("relay"))
+		c.hosts["d1/1"].SetShards([]string{"s"})
+		time.Sleep(3 * time.Second)
+		Expect(c.hosts["d0/0"].Alive()[1].Shards).To(HaveLen(1))
+		Expect(address()).To(Equal("relay"))
+	}))
 })
--- a/internal/peer/gossiper/member.go
+++ b/internal/peer/gossiper/member.go
@@ -135,6 +135,9 @@
 		return
 	}
 	m.spread = g.spreads()
+	if route, ok := g.routes[m.Name]; ok {
+		m.Address = route
+	}
 	if e.State != m.State {
 		g.log.Info().Str("member", m.Name).Stringer("state", m.State).Msg("Member changed.")
 	}
