operator/demonstrator: failures by code; addresses that no connection takes

A port that was free when chosen was taken by an outgoing connection before its daemon listened on it; each entry host now has loopback addresses of its own.

--- a/internal/operator/demonstrator/demonstrator.go
+++ b/internal/operator/demonstrator/demonstrator.go
@@ -64,25 +64,26 @@
 
 // Report is the outcome. Times are in milliseconds.
 type Report struct {
-	Seed       uint64   `json:"seed"`
-	Fault      string   `json:"fault"`
-	Seconds    int      `json:"seconds"`
-	Requests   int64    `json:"requests"`
-	Failed     int64    `json:"failed"`     // requests without an answer of their own, refusals included
-	Wrong      int64    `json:"wrong"`      // answers that were not the request's own
-	Cut        int64    `json:"cut"`        // in flight at an entry host when its planned stop cut them
-	Duplicated int64    `json:"duplicated"` // tasks or non-idempotent requests that ran again
-	Untrue     int64    `json:"untrue"`     // requests said not to have run that had
-	Jobs       int      `json:"jobs"`       // accepted
-	Done       int      `json:"done"`
-	Lost       int      `json:"lost"` // accepted, and not done
-	Overfilled int      `json:"overfilled"`
-	Late       int      `json:"late"`    // requests to a worker long after it began to leave
-	Evicted    int      `json:"evicted"` // runs that ended before their task had
-	Restored   bool     `json:"restored"`
-	P50        float64  `json:"p50"`
-	P99        float64  `json:"p99"`
-	Violations []string `json:"violations,omitempty"` // the first in words
+	Seed       uint64         `json:"seed"`
+	Fault      string         `json:"fault"`
+	Seconds    int            `json:"seconds"`
+	Requests   int64          `json:"requests"`
+	Failed     int64          `json:"failed"`     // requests without an answer of their own, refusals included
+	Wrong      int64          `json:"wrong"`      // answers that were not the request's own
+	Cut        int64          `json:"cut"`        // in flight at an entry host when its planned stop cut them
+	Duplicated int64          `json:"duplicated"` // tasks or non-idempotent requests that ran again
+	Untrue     int64          `json:"untrue"`     // requests said not to have run that had
+	Jobs       int            `json:"jobs"`       // accepted
+	Done       int            `json:"done"`
+	Lost       int            `json:"lost"` // accepted, and not done
+	Overfilled int            `json:"overfilled"`
+	Late       int            `json:"late"`    // requests to a worker long after it began to leave
+	Evicted    int            `json:"evicted"` // runs that ended before their task had
+	Restored   bool           `json:"restored"`
+	P50        float64        `json:"p50"`
+	P99        float64        `json:"p99"`
+	Failures   map[string]int `json:"failures,omitempty"`   // failed attempts by code and verdict
+	Violations []string       `json:"violations,omitempty"` // the first in words
 }
 
 // OK reports whether all invariants held.
@@ -167,6 +168,7 @@
 	seen := calls.Report()
 	out.Requests, out.Failed, out.Wrong = seen.Requests, seen.Failed, seen.Wrong
 	out.Cut, out.Untrue = seen.Cut, seen.Untrue
+	out.Failures = seen.Codes
 	out.P50, out.P99 = seen.P50, seen.P99
 	out.Violations = append(out.Violations, seen.Words...)
 	jobs.fill(&out)
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -59,12 +60,13 @@
 	Untrue   int64 // said not to have run, though they had
 	P50      float64
 	P99      float64
-	Words    []string // violations
+	Codes    map[string]int // failed attempts by code and verdict
+	Words    []string       // violations
 }
 
 // New returns callers that are still silent.
 func New(d *deployer.Deployment, random *rand.Rand, rate float64) *Load {
-	return &Load{d: d, rate: rate, random: random, latency: hdrhistogram.New(1, highestMicros, 3)}
+	return &Load{d: d, rate: rate, random: random, latency: hdrhistogram.New(1, highestMicros, 3), counts: Report{Codes: make(map[string]int)}}
 }
 
 // Run sends requests until ctx ends, and returns when all have ended.
@@ -168,6 +170,9 @@
 func (l *Load) check(q Request, a attempt) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if a.code != "" {
+		l.counts.Codes[a.code]++
+	}
 	if a.err != nil {
 		l.counts.Broken++
 	}
@@ -194,6 +199,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	out := l.counts
+	out.Codes = maps.Clone(l.counts.Codes)
 	out.Words = append([]string{}, l.counts.Words...)
 	for _, id := range l.denied {
 		if l.d.Audit.Executions(id) > 0 {
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -40,6 +41,7 @@
 	local   string // the caller's address
 	err     error  // the connection broke
 	wrong   bool   // the answer was not the request's own
+	code    string // of a failure
 }
 
 // send sends the request to address once.
@@ -49,23 +51,37 @@
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { out.local = c.Conn.LocalAddr().String() }}
 	answer, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
 	if err != nil {
-		out.err = err
+		out.err, out.code = err, "connection"
 		return out
 	}
 	defer answer.Body.Close()
 	data, err := io.ReadAll(answer.Body)
 	switch {
 	case err != nil:
-		out.err = err
+		out.err, out.code = err, "cut"
 	case answer.StatusCode == http.StatusOK:
 		out.outcome = Answered
 		out.wrong = !q.matches(answer, data)
-	case answer.Header.Get(hoster.HeaderVerdict) == "not-run":
-		out.outcome = Denied
+	default:
+		out.code = codeOf(answer, data)
+		if answer.Header.Get(hoster.HeaderVerdict) == "not-run" {
+			out.outcome = Denied
+		}
 	}
 	return out
 }
 
+// codeOf returns a failure's code and verdict.
+func codeOf(answer *http.Response, data []byte) string {
+	var failure struct {
+		Code string `json:"code"`
+	}
+	if json.Unmarshal(data, &failure) != nil || failure.Code == "" {
+		failure.Code = answer.Status
+	}
+	return failure.Code + " " + answer.Header.Get(hoster.HeaderVerdict)
+}
+
 func (q Request) build(address string) *http.Request {
 	method := http.MethodGet
 	if q.Charge {
--- a/internal/standin/deployer/entry.go
+++ b/internal/standin/deployer/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -56,9 +57,12 @@
 	}
 }
 
-// freeAddress returns a loopback address that nobody listens on.
+// freeAddress returns an address that nobody listens on, on a loopback address
+// that nobody else uses: a port of 127.0.0.1 that was free could be taken by an
+// outgoing connection before its daemon listens on it.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", loopback)
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.N(254), rand.N(255), 1+rand.N(254))
+	l, err := net.Listen("tcp", host)
 	if err != nil {
 		return "", err
 	}
