--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -29,6 +29,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,6 +140,9 @@
 func (g *Gossiper) SetShards(shards []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if slices.Equal(g.self.Shards, shards) {
+		return // no news; the sink may well lead to this call
+	}
 	g.self.Shards = shards
 	g.renew()
 }
--- a/internal/peer/gossiper/gossiper_test.go
+++ b/internal/peer/gossiper/gossiper_test.go
@@ -124,4 +124,16 @@
 		Expect(c.hosts["d0/0"].Alive()[1].Shards).To(HaveLen(1))
 		Expect(address()).To(Equal("relay"))
 	}))
+
+	It("reports nothing when the shards stay the same", virtual(func() {
+		network, reports := faker.NewNetwork(), 0
+		g := gossiper.New(gossiper.Options{Self: reducer.Peer{Name: "a"}, Log: zerolog.Nop()}, network.Node("a"),
+			func([]reducer.Peer) { reports++ })
+		defer g.Close()
+		for range 3 {
+			g.SetShards([]string{"s"})
+			synctest.Wait()
+		}
+		Expect(reports).To(BeNumerically("<=", 2))
+	}))
 })
