operator/parser, control/reducer: the pace of a restore is a setting

A restore took at least four steps of a minute, which no demo or scenario can wait for, and which an operator with faster reports has no use for. The keys restore.settle and restore.patience reach the restorer through reducer.Policies.Restore; defaults are as before. The daemon has yet to pass them on.

--- a/internal/control/reducer/policy.go
+++ b/internal/control/reducer/policy.go
@@ -8,6 +8,7 @@
 	"dotterelcart.dev/dotterelcart/internal/control/escalator"
 	"dotterelcart.dev/dotterelcart/internal/control/learner"
 	"dotterelcart.dev/dotterelcart/internal/control/placer"
+	"dotterelcart.dev/dotterelcart/internal/control/restorer"
 	"dotterelcart.dev/dotterelcart/internal/platform/runner"
 )
 
@@ -16,6 +17,7 @@
 	Place    placer.Policy    // default placer.Default with the learner
 	Learner  *learner.Learner // of interference
 	Escalate escalator.Options
+	Restore  restorer.Options
 }
 
 // The budget of evictions that one shard spends on latency and on urgent work.
--- a/internal/operator/parser/checker.go
+++ b/internal/operator/parser/checker.go
@@ -19,6 +19,10 @@
 			Margin: Duration(2 * time.Second),
 			Sync:   Duration(2 * time.Second),
 		},
+		Restore: Restore{
+			Settle:   Duration(time.Minute),
+			Patience: Duration(5 * time.Minute),
+		},
 		Traffic: Traffic{
 			Queue:      256,
 			Body:       16 << 20,
@@ -44,6 +48,7 @@
 	d.checkAddresses(s)
 	d.checkPlatform(s.Platform)
 	d.checkLease(s.Lease)
+	d.checkRestore(s.Restore)
 	d.checkTraffic(s.Traffic)
 	if _, err := zerolog.ParseLevel(s.Log.Level); err != nil || s.Log.Level == "" {
 		d.Fault("log.level", "must be debug, info, warn or error, is %q", s.Log.Level)
@@ -111,6 +116,11 @@
 	}
 }
 
+func (d *Document) checkRestore(r Restore) {
+	d.between("restore.settle", r.Settle, 10*time.Millisecond, time.Hour)
+	d.between("restore.patience", r.Patience, time.Duration(r.Settle), 24*time.Hour)
+}
+
 func (d *Document) checkTraffic(t Traffic) {
 	if t.Queue < 1 || t.Queue > 100_000 {
 		d.Fault("traffic.queue", "must be 1 to 100000 requests, is %d", t.Queue)
--- a/internal/operator/parser/settings.go
+++ b/internal/operator/parser/settings.go
@@ -13,6 +13,7 @@
 	Platform Platform `json:"platform"`
 	Peers    []string `json:"peers"` // seed addresses of other entry hosts, ip:port
 	Lease    Lease    `json:"lease"`
+	Restore  Restore  `json:"restore"`
 	Traffic  Traffic  `json:"traffic"`
 	Log      Log      `json:"log"`
 }
@@ -39,6 +40,12 @@
 	Sync   Duration `json:"sync"`   // between inventories of one worker
 }
 
+// Restore holds the pace at which drained workers get their work back.
+type Restore struct {
+	Settle   Duration `json:"settle"`   // shortest time of a step, longer than the lag of workers' reports
+	Patience Duration `json:"patience"` // longest time of a step that latency holds back
+}
+
 // Traffic holds the limits of the interactive side.
 type Traffic struct {
 	Queue      int      `json:"queue"`      // waiting requests for each tenant and class
--- a/internal/standin/hoster/machine.go
+++ b/internal/standin/hoster/machine.go
@@ -82,7 +82,7 @@
 	}
 	now := time.Now()
 	if !s.Until.IsZero() && now.After(s.Until) {
-		return fenced("the start is too late for " + s.Task.String())
+		return false, fenced("the start is too late for " + s.Task.String())
 	}
 	r, err := newRun(s, now)
 	if err != nil {
