--- a/internal/operator/commander/configuration.go
+++ b/internal/operator/commander/configuration.go
@@ -1,6 +1,7 @@
 package commander
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -10,8 +11,6 @@
 	"github.com/spf13/cobra"
 	"github.com/tailscale/hujson"
 
-	"encoding/json"
-
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
 
--- a/internal/operator/demonstrator/drain.go
+++ b/internal/operator/demonstrator/drain.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
 	"dotterelcart.dev/dotterelcart/internal/standin/hoster"
 )
@@ -27,6 +28,7 @@
 
 	mu    sync.Mutex
 	state string // for the screen
+	over  bool   // no drain is in force any more
 	back  map[string]bool
 	empty map[string]bool
 }
@@ -53,13 +55,21 @@
 		return
 	}
 	r.say("drained")
-	if err := deployer.Until(ctx, func() error { return r.isOver(ctx) }); err != nil {
+	if err := deployer.Until(ctx, func() error { return r.isRestoring(ctx) }); err != nil {
 		return
 	}
 	r.say("restoring")
-	if r.await(ctx, r.hasWork(), r.back) {
-		r.say("restored")
+	if !r.await(ctx, r.hasWork(), r.back) {
+		return
 	}
+	r.say("restoring, all workers have requests")
+	if err := deployer.Until(ctx, func() error { return r.isOver(ctx) }); err != nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	r.state = "restored"
 }
 
 func (r *drain) length() time.Duration { return time.Duration(r.options.Seconds) * time.Second }
@@ -74,6 +84,20 @@
 	return r.d.Drain(ctx, id, names, time.Duration(float64(r.length())*drainFor))
 }
 
+// isRestoring returns nil once the drain's time is over.
+func (r *drain) isRestoring(ctx context.Context) error {
+	drains, err := r.d.Drains(ctx)
+	if err != nil {
+		return err
+	}
+	for _, d := range drains {
+		if d.State == describer.Draining {
+			return eris.New("draining")
+		}
+	}
+	return nil
+}
+
 // isOver returns nil once no drain is in force.
 func (r *drain) isOver(ctx context.Context) error {
 	drains, err := r.d.Drains(ctx)
@@ -129,7 +153,7 @@
 func (r *drain) restored() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.back) == len(r.workers)
+	return r.over && len(r.back) == len(r.workers)
 }
 
 // missing says what keeps the drain from being restored.
--- a/internal/operator/demonstrator/wave.go
+++ b/internal/operator/demonstrator/wave.go
@@ -35,6 +35,7 @@
 	random   *rand.Rand
 	accepted map[string]int // tasks by job
 	done     map[string]bool
+	latest   map[string]reducer.JobStatus
 }
 
 func newWave(d *deployer.Deployment, o Options, random *rand.Rand) *wave {
@@ -45,6 +46,7 @@
 		random:   random,
 		accepted: make(map[string]int),
 		done:     make(map[string]bool),
+		latest:   make(map[string]reducer.JobStatus),
 	}
 }
 
@@ -99,13 +101,16 @@
 	w.mu.Unlock()
 	for deployer.Pause(ctx, inquireInterval) {
 		var status reducer.JobStatus
-		if deployer.Exchange(ctx, w.client, http.MethodGet, url+"/"+job.ID, nil, &status) != nil || status.State != "done" {
+		if deployer.Exchange(ctx, w.client, http.MethodGet, url+"/"+job.ID, nil, &status) != nil {
 			continue
 		}
 		w.mu.Lock()
-		w.done[job.ID] = true
+		w.latest[job.ID] = status
+		w.done[job.ID] = status.State == "done"
 		w.mu.Unlock()
-		return
+		if status.State == "done" {
+			return
+		}
 	}
 }
 
@@ -113,7 +118,12 @@
 func (w *wave) count() (accepted, done int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return len(w.accepted), len(w.done)
+	for _, is := range w.done {
+		if is {
+			done++
+		}
+	}
+	return len(w.accepted), done
 }
 
 // fill adds the jobs' counts to a report. A job counts as done only if the
@@ -128,10 +138,16 @@
 			continue
 		}
 		out.Lost++
-		out.Violations = append(out.Violations, fmt.Sprintf("job %s was accepted and is not done (said to be: %t)", id, w.done[id]))
+		out.Violations = append(out.Violations, fmt.Sprintf("job %s was accepted and is not done: %s", id, describe(w.latest[id])))
 	}
 }
 
+// describe says what a daemon last said of a job.
+func describe(s reducer.JobStatus) string {
+	return fmt.Sprintf("%q in %s, %d pending, %d started, %d done, %d failed, %s",
+		s.State, s.Shard, s.Pending, s.Started, s.Done, s.Failed, s.Reason)
+}
+
 func (w *wave) completed(id string, tasks int) bool {
 	for i := range tasks {
 		if !w.d.Audit.Finished(describer.TaskID{Job: id, Index: i}) {
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -41,7 +41,7 @@
 	tickInterval   = 100 * time.Millisecond
 	hostsInterval  = time.Second // between reads of the host list
 	gossipInterval = 500 * time.Millisecond
-	workerCalls    = 128     // at a time
+	workerCalls    = 128 // at a time
 	headerTime     = 5 * time.Second
 	idleTime       = 2 * time.Minute
 	maxHeader      = 64 << 10 // bytes
--- a/internal/operator/server/stop.go
+++ b/internal/operator/server/stop.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	balancerTime = time.Second            // for the balancer to see that readiness fails
+	balancerTime = time.Second // for the balancer to see that readiness fails
 	releasePoll  = 20 * time.Millisecond
 )
 
