--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -81,7 +81,7 @@
 	}
 	root.AddCommand(
 		newServe(), newCheck(), newConfiguration(), newIntent(), newPlan(), newConfirm(),
-		newJob(), newStatus(), newStandin(), newVersion(),
+		newJob(), newStatus(), newDemo(), newStandin(), newLoad(), newBench(), newVersion(),
 	)
 	return root
 }
--- a/internal/operator/server/build.go
+++ b/internal/operator/server/build.go
@@ -11,9 +11,9 @@
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/control/executor"
-	"dotterelcart.dev/dotterelcart/internal/control/placer"
 	"dotterelcart.dev/dotterelcart/internal/control/planner"
 	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/control/restorer"
 	"dotterelcart.dev/dotterelcart/internal/operator/reporter"
 	"dotterelcart.dev/dotterelcart/internal/operator/responder"
 	"dotterelcart.dev/dotterelcart/internal/peer/gossiper"
@@ -24,6 +24,7 @@
 	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 	"dotterelcart.dev/dotterelcart/internal/state/holder"
 	"dotterelcart.dev/dotterelcart/internal/traffic/forwarder"
+	"dotterelcart.dev/dotterelcart/internal/traffic/lender"
 )
 
 // build makes the parts, those that others need first.
@@ -56,7 +57,7 @@
 		MaxBody:       maxJobBody,
 		Log:           s.log.With().Str("part", "responder").Logger(),
 	})
-	s.buildTraffic()
+	s.buildTraffic(store)
 	s.tasks.Go(func() { s.watchReadiness(ctx) })
 	return nil
 }
@@ -101,7 +102,10 @@
 		TaskLease:    time.Duration(s.Settings.Lease.Task),
 		LeaseMargin:  time.Duration(s.Settings.Lease.Margin),
 		SyncInterval: time.Duration(s.Settings.Lease.Sync),
-	}, reducer.Policies{Place: placer.Default{}})
+	}, reducer.Policies{Restore: restorer.Options{
+		Settle:   time.Duration(s.Settings.Restore.Settle),
+		Patience: time.Duration(s.Settings.Restore.Patience),
+	}})
 	s.control = executor.New(executor.Options{
 		State:    state,
 		Ledger:   s.holder,
@@ -116,12 +120,17 @@
 	})
 }
 
-func (s *Server) buildTraffic() {
+func (s *Server) buildTraffic(store lender.Store) {
+	name, domain := s.Settings.Name, s.Settings.Domain
+	s.seat = lender.NewSeat(store, domain, name, lender.DefaultTerm, s.log)
+	s.lender = lender.New(lender.Options{Name: name, Domain: domain}, s.table.Load, s.node, s.holder.IsValid, s.seat, s.log)
+	s.node.Handle(messenger.Lend, s.lender.Serve)
 	s.forwarder = forwarder.New(forwarder.Options{
-		Name:    s.Settings.Name,
-		Domain:  s.Settings.Domain,
+		Name:    name,
+		Domain:  domain,
 		Region:  s.Settings.Region,
 		Traffic: s.Settings.Traffic,
+		Slots:   s.lender,
 	}, s.table.Load, s.teams, s.responder, s.metrics.Scope, s.log)
 }
 
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -35,6 +35,7 @@
 	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 	"dotterelcart.dev/dotterelcart/internal/state/holder"
 	"dotterelcart.dev/dotterelcart/internal/traffic/forwarder"
+	"dotterelcart.dev/dotterelcart/internal/traffic/lender"
 )
 
 const (
@@ -64,6 +65,8 @@
 	control   *executor.Executor
 	responder *responder.Responder
 	forwarder *forwarder.Forwarder
+	lender    *lender.Lender
+	seat      *lender.Seat
 
 	callers   *http.Server
 	operators *http.Server
--- a/internal/operator/server/stop.go
+++ b/internal/operator/server/stop.go
@@ -27,6 +27,7 @@
 		if err := s.callers.Shutdown(ctx); err != nil {
 			s.log.Warn().Str("part", "server").Err(err).Msg("callers cut off")
 		}
+		s.lender.HandBack(ctx)
 		s.awaitRelease(ctx)
 		s.close(ctx)
 		s.log.Info().Str("part", "server").Int("cut", cut).Msg("stopped")
@@ -51,6 +52,8 @@
 	s.cancel()
 	_ = s.callers.Close()
 	_ = s.operators.Close()
+	_ = s.lender.Close()
+	s.seat.Close()
 	s.control.Close()
 	if err := s.holder.Close(ctx); err != nil {
 		s.log.Info().Str("part", "server").Err(err).Msg("store lease not revoked, it will lapse")
