--- a/internal/operator/commander/demo.go
+++ b/internal/operator/commander/demo.go
@@ -11,7 +11,10 @@
 )
 
 func newDemo() *cobra.Command {
-	var options demonstrator.Options
+	var (
+		options demonstrator.Options
+		level   string
+	)
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Run three failure domains with their stand-ins in one process",
@@ -23,6 +26,7 @@
 		Example: "  dotterelcart demo --seed 1 --seconds 20 --fault kill",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			options.Log = newLogger(cmd.ErrOrStderr(), level)
 			file, ok := cmd.ErrOrStderr().(*os.File)
 			options.Terminal = ok && isatty.IsTerminal(file.Fd())
 			report, err := demonstrator.Run(cmd.Context(), options, cmd.OutOrStdout(), cmd.ErrOrStderr())
@@ -41,5 +45,6 @@
 	cmd.Flags().Uint64Var(&options.Seed, "seed", 1, "seed of load and faults")
 	cmd.Flags().IntVar(&options.Seconds, "seconds", 20, "length of the load")
 	cmd.Flags().StringVar(&options.Fault, "fault", "none", "none, kill, outage, partition, silence, pause or all")
+	cmd.Flags().StringVar(&level, "log", "disabled", "level of the daemons' logs on stderr")
 	return cmd
 }
--- a/internal/operator/responder/jobs.go
+++ b/internal/operator/responder/jobs.go
@@ -54,33 +54,36 @@
 }
 
 func (r *Responder) onJob(ctx context.Context, method string, name jobName, here localJob) (*reducer.JobStatus, error) {
-	owner, local, err := r.homeOf(name.Job)
-	if err != nil {
-		return nil, err
-	}
-	if local {
+	return atHome(ctx, r, name.Job, method, name, func(ctx context.Context) (*reducer.JobStatus, error) {
 		return here(ctx, name.Job)
-	}
-	var status reducer.JobStatus
-	if err := r.options.Peers.Call(ctx, owner, method, name, &status); err != nil {
-		return nil, err
-	}
-	return &status, nil
+	})
 }
 
 func (r *Responder) submit(ctx context.Context, job describer.Job) (*reducer.JobStatus, error) {
-	owner, local, err := r.homeOf(job.ID)
-	if err != nil {
-		return nil, err
-	}
-	if local {
+	return atHome(ctx, r, job.ID, messenger.Submit, job, func(ctx context.Context) (*reducer.JobStatus, error) {
 		return r.submitHere(ctx, job)
-	}
-	var status reducer.JobStatus
-	if err := r.options.Peers.Call(ctx, owner, messenger.Submit, job, &status); err != nil {
-		return nil, err
-	}
-	return &status, nil
+	})
+}
+
+// atHome asks the owner of the home shard of id: this daemon by here, another
+// one by method and params.
+func atHome[T any](
+	ctx context.Context, r *Responder, id, method string, params any, here func(context.Context) (*T, error),
+) (*T, error) {
+	return acrossHandover(ctx, func() (*T, error) {
+		owner, local, err := r.homeOf(id)
+		if err != nil {
+			return nil, err
+		}
+		if local {
+			return here(ctx)
+		}
+		answer := new(T)
+		if err := r.options.Peers.Call(ctx, owner, method, params, answer); err != nil {
+			return nil, err
+		}
+		return answer, nil
+	})
 }
 
 func (r *Responder) cancel(ctx context.Context, job string) (*reducer.JobStatus, error) {
@@ -124,7 +127,7 @@
 	}
 	owner, ok := table.Owners[shard]
 	if !ok {
-		return "", false, unavailable("no-owner", "shard "+shard+" has no reachable owner")
+		return "", false, unavailable(codeNoOwner, "shard "+shard+" has no reachable owner")
 	}
 	return owner, false, nil
 }
--- a/internal/operator/responder/keys.go
+++ b/internal/operator/responder/keys.go
@@ -18,20 +18,11 @@
 // to send the non-idempotent request with the given key. fresh is false when
 // the key was claimed before, by firstOwner.
 func (r *Responder) Claim(ctx context.Context, key, owner string) (fresh bool, firstOwner string, err error) {
-	address, local, err := r.homeOf(key)
-	if err != nil {
-		return false, "", err
-	}
 	request := keyRequest{Key: key, Owner: owner}
-	if local {
-		claim, err := r.claimHere(ctx, request)
-		if err != nil {
-			return false, "", err
-		}
-		return claim.Fresh, claim.Owner, nil
-	}
-	var claim reducer.KeyClaim
-	if err := r.options.Peers.Call(ctx, address, messenger.ClaimKey, request, &claim); err != nil {
+	claim, err := atHome(ctx, r, key, messenger.ClaimKey, request, func(ctx context.Context) (*reducer.KeyClaim, error) {
+		return r.claimHere(ctx, request)
+	})
+	if err != nil {
 		return false, "", err
 	}
 	return claim.Fresh, claim.Owner, nil
