--- a/internal/control/learner/learner.go
+++ b/internal/control/learner/learner.go
@@ -51,6 +51,7 @@
 type Learner struct {
 	Options Options
 	Models  map[Key]*Model
+	Busy    map[string]*Busy // by service
 }
 
 // Key names one regression.
@@ -67,7 +68,7 @@
 	o.Caution = orDefault(o.Caution, 1)
 	o.HalfLife = orDefault(o.HalfLife, 2*time.Hour)
 	o.Classes = orDefault(o.Classes, 24)
-	return &Learner{Options: o, Models: make(map[Key]*Model)}
+	return &Learner{Options: o, Models: make(map[Key]*Model), Busy: make(map[string]*Busy)}
 }
 
 // Band returns the band of a load, 0 to Bands-1.
@@ -87,6 +88,12 @@
 		l.Models[key] = m
 	}
 	m.observe(l.Options, s)
+	b := l.Busy[key.Service]
+	if b == nil {
+		b = &Busy{}
+		l.Busy[key.Service] = b
+	}
+	b.add(s.Latency.Load, s.Latency.Count, s.Latency.To)
 }
 
 // Estimate returns the coefficient of a class for a service at a load: the
--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -127,13 +127,8 @@
 	for _, service := range w.Host.Services {
 		load := w.Reports[service].Load
 		mean, upper := d.slowdown(service, shares, load)
-		if upper > limits.Slowdown {
-			return 0, objection{slows, service, upper}
-		}
-		base, ok := d.baseline(service, load)
-		target := d.Services[service].Target
-		if ok && target > 0 && base.Seconds()*(1+upper) > limits.Target*target.Seconds() && upper > 0.01 {
-			return 0, objection{endangers, service, upper}
+		if o := d.objects(service, load, upper, limits); o.kind != none {
+			return 0, o
 		}
 		present, _ := d.slowdown(service, before, load)
 		cost += mean - present + totalWeight*mean*w.Share(r.Want)
@@ -141,6 +136,28 @@
 	return cost, objection{}
 }
 
+// objects compares the cautious latency with what the service has at its busy
+// times without batch tasks, and with its target.
+func (d Default) objects(service string, load, upper float64, limits Limits) objection {
+	base, known := d.baseline(service, load)
+	if !known {
+		if upper > limits.Slowdown {
+			return objection{slows, service, upper}
+		}
+		return objection{}
+	}
+	busy, _ := d.Learner.BusyLatency(service)
+	latency := base.Seconds() * (1 + upper)
+	if latency > max(base, busy).Seconds()*(1+limits.Slowdown) {
+		return objection{slows, service, upper}
+	}
+	target := d.Services[service].Target
+	if target > 0 && latency > limits.Target*target.Seconds() && upper > 0.01 {
+		return objection{endangers, service, upper}
+	}
+	return objection{}
+}
+
 func (d Default) slowdown(service string, shares map[string]float64, load float64) (mean, upper float64) {
 	if d.Learner == nil {
 		return 0, 0
