peer/gossiper: views compared in parts, identity of processes, and tests of failures

Found by the specs: a new process of a dead one's name was shown with the old one's shards, since both began with incarnation 1 (now the clock's); 300 hosts that joined by one seed at once did not know each other after 240 s, as each name was passed on 27 times by each host and a host learnt nothing from a seed without budget. A host that reaches nobody now extends its suspicions.

Lines taken out to see the specs fail: the indirect ping (member lost), the addresses of dead members and seeds (halves stayed apart), the clock in the incarnation (old shards), the refutation, the mark of leaving, the factor for failing pings (all others dead), the limit on news (1594 bytes/s against a bound of 1500).

--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -92,7 +92,9 @@
 	order   []string          // names still to ping in this round
 	hosts   []string          // addresses from the host list
 	ticks   int64
-	next    int // of the round over addresses that are not members
+	next    int  // of the round over addresses that are not members
+	differs bool // the latest answer came from a different view
+	failing int  // pings that failed in a row, less those that did not
 	closed  bool
 	sent    int64 // bytes
 }
@@ -115,6 +117,7 @@
 		random:  rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		self:    newMember(o.Self),
 		members: map[string]*entry{},
+		differs: true,
 	}
 	node.Handle(messenger.Ping, g.serve)
 	signal(g.changed)
@@ -210,7 +213,7 @@
 // spreads is how often a piece of news is sent on before it counts as known;
 // g.mu is held.
 func (g *Gossiper) spreads() int {
-	return 3 * int(math.Ceil(math.Log2(float64(len(g.members)+2))))
+	return 4 * int(math.Ceil(math.Log10(float64(len(g.members)+2))))
 }
 
 // report calls the sink, with the latest state only when it is slow.
--- a/internal/peer/gossiper/gossiper_test.go
+++ b/internal/peer/gossiper/gossiper_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"sync"
 	"testing/synctest"
 	"time"
 
@@ -22,11 +23,17 @@
 type cluster struct {
 	network *faker.Network
 	hosts   map[string]*gossiper.Gossiper
-	seen    map[string]int64
+
+	mu   sync.Mutex
+	seen map[string]int64 // latest revision seen by a host
 }
 
 func newCluster() *cluster {
-	return &cluster{faker.NewNetwork(), map[string]*gossiper.Gossiper{}, map[string]int64{}}
+	return &cluster{
+		network: faker.NewNetwork(),
+		hosts:   map[string]*gossiper.Gossiper{},
+		seen:    map[string]int64{},
+	}
 }
 
 func (c *cluster) start(name string, seeds ...string) *gossiper.Gossiper {
@@ -35,7 +42,12 @@
 		Self:  reducer.Peer{Name: name, Domain: domain, Region: "r", Address: name},
 		Seeds: seeds,
 		Seed:  uint64(len(c.hosts) + 1),
-		Log:   zerolog.Nop(),
+		Seen: func(_ string, revision int64) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.seen[name] = revision
+		},
+		Log: zerolog.Nop(),
 	}, c.network.Node(name), func([]reducer.Peer) {})
 	c.hosts[name] = g
 	return g
--- a/internal/peer/gossiper/member.go
+++ b/internal/peer/gossiper/member.go
@@ -62,7 +62,7 @@
 		Address:     p.Address,
 		Shards:      p.Shards,
 		Leaving:     p.Leaving,
-		Incarnation: 1,
+		Incarnation: time.Now().UnixMilli(), // greater than that of an earlier process
 		spread:      1,
 	}
 }
@@ -125,16 +125,18 @@
 		return
 	}
 	e := g.members[m.Name]
-	if e == nil {
-		if m.State == dead {
-			return
-		}
+	switch {
+	case e != nil && !m.prevails(e.member), e == nil && m.State == dead:
+		return
+	case e == nil:
 		e = &entry{}
 		g.members[m.Name] = e
-	} else if !m.prevails(e.member) {
-		return
+		// When many join at once, the comparison of views brings their names
+		// with far fewer bytes than passing on each of them.
+		m.spread = 1
+	default:
+		m.spread = g.spreads()
 	}
-	m.spread = g.spreads()
 	if e.State != m.State {
 		g.log.Info().Str("member", m.Name).Stringer("state", m.State).Msg("Member changed.")
 	}
--- a/internal/peer/gossiper/ping.go
+++ b/internal/peer/gossiper/ping.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"dotterelcart.dev/dotterelcart/internal/peer/messenger"
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 )
@@ -17,15 +19,53 @@
 	Incarnation int64    `json:"incarnation"`
 	Revision    int64    `json:"revision,omitempty"`
 	Sum         uint64   `json:"sum"`
+	Parts       []uint32 `json:"parts,omitempty"`   // request: digests of the parts of the sender's view
 	Unknown     bool     `json:"unknown,omitempty"` // answer: the receiver does not know the sender as it is
 	Target      string   `json:"target,omitempty"`  // request: ping this address on behalf of the sender
 	Members     []member `json:"members,omitempty"`
 }
 
+// partSize is the number of members aimed at in a part of the view. Views that
+// differ are compared part by part, so that few members have to be sent to
+// find a single difference.
+const partSize = 8
+
+// partOf returns the part that a member belongs to.
+func partOf(m member, parts int) int { return int(xxhash.Sum64String(m.Name) % uint64(parts)) }
+
+// digests returns the digests of the parts of the view; g.mu is held.
+func (g *Gossiper) digests(parts int) []uint32 {
+	out := make([]uint32, parts)
+	add := func(m member) { out[partOf(m, parts)] += uint32(m.digest()) }
+	add(g.self)
+	for _, e := range g.members {
+		add(e.member)
+	}
+	return out
+}
+
+// differing returns a test for members of the parts in which the sender's view
+// differs; g.mu is held.
+func (g *Gossiper) differing(parts []uint32) func(member) bool {
+	if len(parts) == 0 {
+		return func(member) bool { return false }
+	}
+	own := g.digests(len(parts))
+	return func(m member) bool {
+		p := partOf(m, len(parts))
+		return own[p] != parts[p]
+	}
+}
+
 // overhead estimates the transport's share of one message: its segment, and
 // half an acknowledgement, with IPv4 and TCP headers and time stamps.
 const overhead = 52 + 26
 
+// introductions is the least number of items in an answer to a host that knows
+// few others. When many hosts join by one seed, its budget is used up at once; a few names let each of them
+// go on elsewhere.
+const introductions = 3
+
 // envelope is the JSON-RPC text around a heartbeat, bytes.
 const envelope = 60
 
@@ -43,7 +83,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := g.compose(h.Name, h.Sum)
+	least := 0
+	if len(h.Parts) == 1 {
+		least = introductions
+	}
+	out := g.compose(h.Name, g.differing(h.Parts), least)
 	out.Unknown = !g.knows(h)
 	return out, nil
 }
@@ -75,8 +119,8 @@
 }
 
 // compose makes a heartbeat for the host with the given name, with as much
-// news as the budget allows; g.mu is held.
-func (g *Gossiper) compose(to string, sum uint64) heartbeat {
+// news as the budget allows, and at least so many items; g.mu is held.
+func (g *Gossiper) compose(to string, differs func(member) bool, least int) heartbeat {
 	out := heartbeat{
 		Name:        g.self.Name,
 		Incarnation: g.self.Incarnation,
@@ -86,9 +130,9 @@
 	size := encodedSize(out) + envelope + overhead
 	now := time.Now()
 	allowed := int(g.limit.TokensAt(now)) - size
-	for _, m := range g.news(to, sum != 0 && sum != out.Sum) {
+	for _, m := range g.news(to, differs) {
 		n := encodedSize(*m) + 1
-		if n > allowed {
+		if n > allowed && len(out.Members) >= least {
 			break
 		}
 		allowed -= n
@@ -100,20 +144,21 @@
 	return out
 }
 
-// spend books bytes; the bare heartbeat of an answer is sent in any case.
+// spend books bytes; an answer's least is sent in any case, and later pings
+// make up for it.
 func (g *Gossiper) spend(now time.Time, size int) {
 	g.sent += int64(size)
 	g.limit.ReserveN(now, min(size, g.limit.Burst()))
 }
 
 // news returns what to send, most urgent first: what the receiver is wrong
-// about itself, what is new, and, when the views differ, the rest in random
+// about itself, what is new, and the members for which differs holds, in random
 // order.
-func (g *Gossiper) news(to string, differs bool) []*member {
+func (g *Gossiper) news(to string, differs func(member) bool) []*member {
 	var first, fresh, rest []*member
 	if g.self.spread > 0 {
 		fresh = append(fresh, &g.self)
-	} else if differs {
+	} else if differs(g.self) {
 		rest = append(rest, &g.self)
 	}
 	for _, name := range g.names() {
@@ -123,10 +168,12 @@
 			first = append(first, &e.member)
 		case e.spread > 0:
 			fresh = append(fresh, &e.member)
-		case differs && e.State != dead:
+		case e.State != dead && differs(e.member):
 			rest = append(rest, &e.member)
 		}
 	}
+	// Shuffled first, or all hosts would pass on the same names first.
+	g.random.Shuffle(len(fresh), func(i, j int) { fresh[i], fresh[j] = fresh[j], fresh[i] })
 	slices.SortStableFunc(fresh, func(a, b *member) int { return b.spread - a.spread })
 	g.random.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
 	return slices.Concat(first, fresh, rest)
@@ -145,7 +192,11 @@
 // ping calls the host at address, or has it ping target.
 func (g *Gossiper) ping(ctx context.Context, address, target string) error {
 	g.mu.Lock()
-	h := g.compose(g.nameOf(address), 0)
+	h := g.compose(g.nameOf(address), g.differing(nil), 0)
+	if g.differs {
+		h.Parts = g.digests(len(g.members)/partSize + 1)
+		g.spend(time.Now(), encodedSize(h.Parts))
+	}
 	g.mu.Unlock()
 	h.Target = target
 	ctx, cancel := context.WithTimeout(ctx, g.timeout(target))
@@ -157,6 +208,7 @@
 	g.take(answer)
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.differs = answer.Sum != g.sum()
 	if answer.Unknown {
 		g.self.spread = max(g.self.spread, 1)
 	}
--- a/internal/peer/gossiper/probe.go
+++ b/internal/peer/gossiper/probe.go
@@ -107,21 +107,21 @@
 
 // probe pings a member, then asks others to do it, then suspects it.
 func (g *Gossiper) probe(m member) {
-	if g.ping(g.ctx, m.Address, "") == nil || g.ctx.Err() != nil {
-		return
-	}
-	if !m.Leaving && g.askOthers(m) {
-		return
-	}
+	reached := g.ping(g.ctx, m.Address, "") == nil || !m.Leaving && g.askOthers(m)
 	if g.ctx.Err() != nil {
 		return
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if reached {
+		g.failing = max(0, g.failing-1)
+		return
+	}
 	if m.Leaving {
 		g.mark(m.Name, m.Incarnation, dead)
 		return
 	}
+	g.failing = min(doubt, g.failing+1)
 	g.mark(m.Name, m.Incarnation, suspect)
 }
 
@@ -146,9 +146,14 @@
 	return slices.Contains(reached, true)
 }
 
+// doubt bounds the factor by which a host that reaches nobody extends its
+// suspicions: then the fault is more likely its own.
+const doubt = 8
+
 // patience is how long a suspicion may stand; g.mu is held.
 func (g *Gossiper) patience() time.Duration {
 	scale := math.Max(1, math.Log10(float64(len(g.members)+1)))
+	scale *= float64(max(1, g.failing))
 	return time.Duration(suspicion * scale * float64(g.options.Interval))
 }
 
