--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/accountant"
@@ -53,56 +54,91 @@
 		limits.Slowdown *= 4
 	}
 	racks := busyRacks(fleet, r.Job.ID)
-	best, why := Choice{Why: noRoom}, ""
+	scarcity := d.scarcity(fleet)
+	best, why := Choice{Why: noRoom}, objection{}
 	score := 0.0
 	for _, name := range fleet.Names() {
 		w := fleet.Workers[name]
 		if !suits(w, r) || !r.Want.Fits(w.Room()) {
 			continue
 		}
-		slower, reason := d.effect(w, r, limits, now)
-		if reason != "" {
-			why = reason
+		cost, o := d.effect(w, r, limits, now)
+		if o.kind != none {
+			why = o
 			continue
 		}
-		s := d.score(w, r, slower, racks)
+		if len(w.Host.Services) == 0 {
+			cost = scarcity * w.Share(r.Want)
+		}
+		s := d.score(w, r, cost, racks)
 		if best.Worker == "" || s > score {
 			best, score = Choice{Worker: name}, s
 		}
 	}
-	if best.Worker == "" && why != "" {
-		best.Why = why
+	if best.Worker == "" && why.kind != none {
+		best.Why = why.String()
 	}
 	return best
 }
 
-// effect returns the expected slow-down of the worker's services with the
-// task, or the reason why the task must stay off.
+// objection is why a task must stay off a worker with room for it.
+type objection struct {
+	kind    objectionKind
+	service string
+	upper   float64
+}
+
+type objectionKind uint8
+
+const (
+	none objectionKind = iota
+	recovering
+	slows
+	endangers
+)
+
+func (o objection) String() string {
+	switch o.kind {
+	case recovering:
+		return "kept off while services recover"
+	case slows:
+		return fmt.Sprintf("would slow %s by up to %.0f %%", o.service, 100*o.upper)
+	case endangers:
+		return fmt.Sprintf("would bring %s too close to its target", o.service)
+	}
+	return ""
+}
+
+// effect returns the cost of the task for the worker's services: what it is
+// expected to add to their relative slow-down, and a part of the whole. Or it
+// returns why the task must stay off.
 func (d Default) effect(
 	w *accountant.Worker, r Request, limits Limits, now time.Time,
-) (slower float64, reason string) {
+) (cost float64, o objection) {
 	if r.Job.Kind == describer.LatencyCritical || len(w.Host.Services) == 0 {
-		return 0, ""
+		return 0, objection{}
 	}
 	if now.Before(w.KeepOff) && r.Job.Priority != describer.Urgent {
-		return 0, "kept off while services recover"
+		return 0, objection{kind: recovering}
 	}
-	shares := w.Shares()
-	shares[r.Job.Class] += float64(r.Want.CPU) / float64(max(w.Host.Capacity.CPU, 1))
+	before := w.Shares()
+	shares := maps.Clone(before)
+	shares[r.Job.Class] += w.Share(r.Want)
 	for _, service := range w.Host.Services {
 		load := w.Reports[service].Load
 		mean, upper := d.slowdown(service, shares, load)
 		if upper > limits.Slowdown {
-			return 0, fmt.Sprintf("would slow %s by up to %.0f %%", service, 100*upper)
+			return 0, objection{slows, service, upper}
 		}
 		base, ok := d.baseline(service, load)
 		target := d.Services[service].Target
 		if ok && target > 0 && base.Seconds()*(1+upper) > limits.Target*target.Seconds() && upper > 0.01 {
-			return 0, fmt.Sprintf("would bring %s too close to its target", service)
+			return 0, objection{endangers, service, upper}
 		}
-		slower += mean
+		present, _ := d.slowdown(service, before, load)
+		cost += mean - present + totalWeight*mean*w.Share(r.Want)
 	}
-	return slower, ""
+	return cost, objection{}
 }
 
 func (d Default) slowdown(service string, shares map[string]float64, load float64) (mean, upper float64) {
@@ -119,16 +155,16 @@
 	return d.Learner.Baseline(service, load)
 }
 
-// Terms of the score. Slow-down of 10 % weighs as much as one tenth.
+// Terms of the score, in units of relative slow-down.
 const (
-	homeBonus   = 1.0  // the worker that a drained task is owed back to
-	rackPenalty = 0.1  // for the share of the job's tasks that the rack holds
-	packBonus   = 0.05 // for a worker that is full already: keeps room for large tasks
-	slowPenalty = 1.0
+	homeBonus   = 1.0   // the worker that a drained task is owed back to
+	rackPenalty = 0.005 // for the share of the job's tasks that the rack holds
+	packBonus   = 0.002 // for a worker that is full already: keeps room for large tasks
+	totalWeight = 0.25  // of the worker's whole slow-down, besides what the task adds
 )
 
-func (d Default) score(w *accountant.Worker, r Request, slower float64, racks map[string]float64) float64 {
-	score := -slowPenalty * slower
+func (d Default) score(w *accountant.Worker, r Request, cost float64, racks map[string]float64) float64 {
+	score := -cost
 	if r.HomeTo == w.Host.Name {
 		score += homeBonus
 	}
@@ -137,15 +173,35 @@
 	return score
 }
 
+// scarcity is the cost, for each share of processors, of the workers without
+// a service: as much as a typical class slows a service, rising with their
+// use. Classes that do less harm go beside services and leave that room to
+// those that do more.
+func (d Default) scarcity(fleet *accountant.Fleet) float64 {
+	var granted, capacity int64
+	for _, name := range fleet.Names() {
+		w := fleet.Workers[name]
+		if len(w.Host.Services) > 0 || w.Closed {
+			continue
+		}
+		granted += w.Granted.CPU
+		capacity += w.Host.Capacity.CPU
+	}
+	if capacity == 0 || d.Learner == nil {
+		return 0
+	}
+	use := float64(granted) / float64(capacity)
+	return use * use * d.Learner.Options.Prior
+}
+
 // busyRacks returns the share of the job's running tasks in each rack.
 func busyRacks(fleet *accountant.Fleet, job string) map[string]float64 {
 	counts, total := make(map[string]float64), 0.0
-	for _, w := range fleet.Workers {
-		for task := range w.Grants {
-			if task.Job == job {
-				counts[w.Host.Rack]++
-				total++
-			}
+	for _, name := range fleet.Names() {
+		w := fleet.Workers[name]
+		if n := w.Running(job); n > 0 {
+			counts[w.Host.Rack] += float64(n)
+			total += float64(n)
 		}
 	}
 	for rack := range counts {
--- a/internal/control/reducer/book.go
+++ b/internal/control/reducer/book.go
@@ -52,8 +52,7 @@
 	case describer.JobCancelled:
 		h.applyCancel(r)
 	case describer.WorkerSetAside:
-		h.book.asides[r.Worker] = r.Reason
-		h.refresh(h.worker(r.Worker))
+		h.aside(r.Worker, r.Reason)
 	case describer.WorkerTrusted:
 		delete(h.book.asides, r.Worker)
 		h.refresh(h.worker(r.Worker))
@@ -114,14 +113,24 @@
 		}
 		return
 	}
-	if t.state != describer.Started || t.token != r.Token {
+	if t.token != r.Token {
+		return
+	}
+	if t.state == describer.Pending && r.Kind == describer.TaskFinished {
+		h.move(t, r.Time, func() { t.finish(r) })
+		h.book.done++
+		return
+	}
+	if t.state != describer.Started {
 		return
 	}
 	switch r.Kind {
 	case describer.TaskResized:
-		h.move(t, r.Time, func() { t.granted = r.Granted })
+		h.applyResize(t, r.Granted)
 	case describer.TaskReleased:
+		before := t.evictions
 		h.move(t, r.Time, func() { t.release(r) })
+		h.book.evicted += int64(t.evictions - before)
 	case describer.TaskFailed:
 		h.move(t, r.Time, func() { t.fail(r) })
 	case describer.TaskFinished:
--- a/internal/operator/server/server.go
+++ b/internal/operator/server/server.go
@@ -35,13 +35,14 @@
 	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 	"dotterelcart.dev/dotterelcart/internal/state/holder"
 	"dotterelcart.dev/dotterelcart/internal/traffic/forwarder"
+	"dotterelcart.dev/dotterelcart/internal/traffic/lender"
 )
 
 const (
 	tickInterval   = 100 * time.Millisecond
 	hostsInterval  = time.Second // between reads of the host list
 	gossipInterval = 500 * time.Millisecond
-	workerCalls    = 128     // at a time
+	workerCalls    = 128 // at a time
 	headerTime     = 5 * time.Second
 	idleTime       = 2 * time.Minute
 	maxHeader      = 64 << 10 // bytes
@@ -64,12 +65,15 @@
 	control   *executor.Executor
 	responder *responder.Responder
 	forwarder *forwarder.Forwarder
+	lender    *lender.Lender
+	seat      *lender.Seat
 
 	callers   *http.Server
 	operators *http.Server
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 	ending    sync.Once
+	stopping  atomic.Bool
 }
 
 // New starts a daemon. It is ready once it has a configuration and a routing
--- a/internal/peer/gossiper/member.go
+++ b/internal/peer/gossiper/member.go
@@ -137,6 +137,9 @@
 	default:
 		m.spread = g.spreads()
 	}
+	if route, ok := g.routes[m.Name]; ok {
+		m.Address = route
+	}
 	if e.State != m.State {
 		g.log.Info().Str("member", m.Name).Stringer("state", m.State).Msg("Member changed.")
 	}
--- a/internal/standin/hoster/machine.go
+++ b/internal/standin/hoster/machine.go
@@ -59,32 +59,37 @@
 	return m
 }
 
-// Start begins a run.
-func (m *Machine) Start(s runner.Start) error {
+// Start begins a run. It reports whether one began, which a repetition does
+// not do.
+func (m *Machine) Start(s runner.Start) (bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
 	if err := m.fence(s.Token.Epoch); err != nil {
-		return err
+		return false, err
 	}
 	id := runner.Run{Task: s.Task, Token: s.Token}
 	seen := m.fences[s.Task]
 	over, known := m.ended[id]
 	switch {
 	case s.Token == seen && (!known || over.Ran):
-		return nil // a repetition
+		return false, nil // a repetition
 	case s.Token.Less(seen), known:
-		return fenced("token is too old for " + s.Task.String())
+		return false, fenced("token is too old for " + s.Task.String())
 	}
 	if r := m.runs[s.Task]; r != nil {
 		m.end(r, auditor.Stopped, r.checkpoint())
 	}
-	r, err := newRun(s, time.Now())
+	now := time.Now()
+	if !s.Until.IsZero() && now.After(s.Until) {
+		return false, fenced("the start is too late for " + s.Task.String())
+	}
+	r, err := newRun(s, now)
 	if err != nil {
-		return listener.Refuse(http.StatusBadRequest, "malformed", err.Error())
+		return false, listener.Refuse(http.StatusBadRequest, "malformed", err.Error())
 	}
 	if m.options.Enforce && !s.Granted.Fits(m.options.Host.Capacity.Sub(m.granted())) {
-		return listener.Refuse(http.StatusConflict, "full", "no room for "+s.Task.String())
+		return false, listener.Refuse(http.StatusConflict, "full", "no room for "+s.Task.String())
 	}
 	m.fences[s.Task] = s.Token
 	if m.failing {
@@ -95,7 +100,7 @@
 	m.audit.Began(s.Task, m.options.Host.Name)
 	m.checkCapacity()
 	m.schedule()
-	return nil
+	return true, nil
 }
 
 // Stop ends a run and fences its token.
@@ -103,7 +108,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
-	if err := m.fence(s.Token.Epoch); err != nil {
+	if err := m.fence(max(s.Epoch, s.Token.Epoch)); err != nil {
 		return runner.Stopped{}, err
 	}
 	if m.fences[s.Task].Less(s.Token) {
@@ -129,13 +134,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
-	if err := m.fence(t.Token.Epoch); err != nil {
+	if err := m.fence(max(t.Epoch, t.Token.Epoch)); err != nil {
 		return err
 	}
 	r := m.runs[t.Task]
 	if r == nil || r.start.Token != t.Token {
 		return listener.Refuse(http.StatusNotFound, "unknown", "no such run")
 	}
+	order := describer.Token{Epoch: t.Epoch, Sequence: t.Sequence}
+	if order.Less(r.throttled) {
+		return fenced("a newer grant is in force")
+	}
+	r.throttled = order
 	r.start.Granted.CPU = t.CPU
 	m.checkCapacity()
 	m.schedule()
@@ -156,7 +166,7 @@
 	now := time.Now()
 	for _, id := range s.Renew {
 		if r := m.runs[id.Task]; r != nil && r.start.Token == id.Token {
-			r.ends = now.Add(s.Lease)
+			r.ends = later(r.ends, leaseEnd(now, s.Lease, s.Until))
 		}
 	}
 	m.schedule()
@@ -164,7 +174,7 @@
 }
 
 func (m *Machine) inventory(now time.Time) runner.Synced {
-	out := runner.Synced{Capacity: m.options.Host.Capacity, Latency: m.meter.take(now)}
+	out := runner.Synced{Clock: now, Capacity: m.options.Host.Capacity, Latency: m.meter.take(now)}
 	for _, r := range m.runs {
 		out.Running = append(out.Running, r.report(now, m.options.Lag))
 	}
