control/reducer: smaller grants are booked when the worker has taken the throttle

The successor repeated a growth, then shrank the run; the next inventory showed a grant that was older than both and was booked; then the growth arrived.

The test now also splits a daemon and a worker off together, loses answers one way, drops workers from the host list, loses proposals, runs for minutes and audits the checkpoint that a run resumes from.

--- a/internal/control/reducer/grant.go
+++ b/internal/control/reducer/grant.go
@@ -79,6 +79,7 @@
 		return
 	}
 	t.shrinkTo = cpu
+	t.shrinkFrom = h.sequence + 1
 	h.throttle(t, cpu)
 }
 
@@ -91,10 +92,12 @@
 }
 
 // settleGrant compares the grant in force with the booked one, and repeats
-// what was not carried out.
+// what was not carried out. A smaller grant is booked only when the worker has
+// taken the throttle itself: a low grant may be older than a growth that is
+// still on its way.
 func (h *shard) settleGrant(t *task, r *runner.Running) {
 	switch {
-	case t.shrinkTo > 0 && r.Granted.CPU <= t.shrinkTo:
+	case t.shrinkTo > 0 && r.Order.Epoch == h.epoch && r.Order.Sequence >= t.shrinkFrom:
 		t.shrinkTo = 0
 		h.resize(t, r.Granted.CPU)
 		h.idle = false
--- a/internal/control/reducer/ledgers_test.go
+++ b/internal/control/reducer/ledgers_test.go
@@ -18,6 +18,8 @@
 	shards    map[string]*ledger
 	drained   map[string]bool // drains that were ever begun
 	started   map[runner.Run]int
+	saved     map[describer.TaskID]string     // latest durable checkpoint
+	resumes   map[runner.Run]string           // checkpoint that a run has to resume from
 	released  map[runner.Run]bool             // because their leases lapsed at a silent worker
 	over      map[describer.TaskID]runner.Run // finished durably
 	jobs      map[string]*describer.Job
@@ -58,6 +60,8 @@
 		shards:    map[string]*ledger{"bne-1": {}, "bne-2": {}},
 		drained:   make(map[string]bool),
 		started:   make(map[runner.Run]int),
+		saved:     make(map[describer.TaskID]string),
+		resumes:   make(map[runner.Run]string),
 		released:  make(map[runner.Run]bool),
 		over:      make(map[describer.TaskID]runner.Run),
 		jobs:      make(map[string]*describer.Job),
@@ -133,6 +137,7 @@
 			s.world.t.Fatalf("%s is started after its cancellation", r.Task)
 		}
 		s.started[run] = s.commits
+		s.resumes[run] = s.saved[r.Task]
 	case describer.TaskFinished:
 		if first, ok := s.over[r.Task]; ok {
 			s.world.t.Fatalf("%s ends twice, in %v and in %v", r.Task, first, run)
@@ -140,6 +145,9 @@
 		s.over[r.Task] = run
 	case describer.TaskReleased:
 		s.released[run] = r.Reason == "lease lapsed"
+		if r.Checkpoint != "" {
+			s.saved[r.Task] = r.Checkpoint
+		}
 	case describer.TaskSetAside:
 		s.aside[r.Task] = true
 	case describer.DrainRestored:
@@ -198,6 +206,9 @@
 	if c, ok := w.store.completed[s.Task]; ok && !w.store.released[c] {
 		w.t.Fatalf("%s begins again after it was completed", s.Task)
 	}
+	if s.Checkpoint != w.store.resumes[run] {
+		w.t.Fatalf("%s resumes from %q, not from %q", s.Task, s.Checkpoint, w.store.resumes[run])
+	}
 	for _, other := range w.machines {
 		other.advance()
 		if r := other.runs[s.Task]; r != nil {
--- a/internal/control/reducer/ownership.go
+++ b/internal/control/reducer/ownership.go
@@ -214,7 +214,7 @@
 		h.apply(r)
 	}
 	h.journal.sinceSnapshot = len(e.Records)
-	for _, w := range h.order {
+	for _, w := range slices.Clone(h.order) { // sync may forget one
 		h.refresh(w)
 		h.sync(w)
 	}
--- a/internal/control/reducer/property_test.go
+++ b/internal/control/reducer/property_test.go
@@ -37,7 +37,7 @@
 // step does one thing at random, most often something ordinary.
 func (w *world) step(i int) {
 	length := time.Duration(rapid.IntRange(1, 60).Draw(w.t, "seconds")) * time.Second
-	switch rapid.IntRange(0, 15).Draw(w.t, "what") {
+	switch rapid.IntRange(0, 18).Draw(w.t, "what") {
 	case 0, 1, 2, 3:
 		w.submit(fmt.Sprintf("job-%d", i), rapid.IntRange(1, 6).Draw(w.t, "tasks"))
 	case 4:
@@ -93,6 +93,16 @@
 		n.blind = true
 		w.after(length, func() { n.blind = false })
 	case 15:
+		n, m := w.node(), w.anyMachine()
+		n.mute[m.name] = true
+		w.after(length, func() { n.mute[m.name] = false })
+	case 16:
+		w.split(w.node(), w.anyMachine(), 3*length)
+	case 17:
+		m := w.anyMachine()
+		m.unlisted = true
+		w.after(length, func() { m.unlisted = false })
+	case 18:
 		n := w.node()
 		n.reduce(StopRequested{})
 		life := n.life
@@ -105,6 +115,18 @@
 	}
 }
 
+// split leaves a worker on the side of one daemon, and the store on the other.
+func (w *world) split(alone *node, m *machine, length time.Duration) {
+	for _, n := range w.nodes {
+		if n != alone {
+			n.cut[m.name] = true
+			w.after(length, func() { n.cut[m.name] = false })
+		}
+	}
+	alone.cutStore, alone.blind = true, true
+	w.after(length, func() { alone.cutStore, alone.blind = false, false })
+}
+
 func (w *world) everywhere(do func(*node)) {
 	for _, n := range w.nodes {
 		do(n)
@@ -149,7 +171,7 @@
 	w.pass(2 * time.Minute)
 	w.store.up = true
 	for _, m := range w.machines {
-		m.dead, m.bad = false, false
+		m.dead, m.bad, m.unlisted = false, false, false
 	}
 	for _, n := range w.nodes {
 		if !n.alive {
@@ -157,6 +179,7 @@
 		}
 		n.cutStore, n.blind = false, false
 		clear(n.cut)
+		clear(n.mute)
 		if n.paused {
 			n.resume()
 		}
--- a/internal/control/reducer/stop.go
+++ b/internal/control/reducer/stop.go
@@ -22,20 +22,20 @@
 	if t.state != describer.Started || t.stop != nil && t.stop.asked {
 		return
 	}
+	w := h.worker(t.worker)
+	if w.account.Host.Control == "" {
+		return // known from the ledger only; whoever wants the end tries again
+	}
 	t.stop = &why
 	if t.phase == decided {
 		return
 	}
-	w := h.worker(t.worker)
 	t.stop.asked = true
 	w.stops++
 	h.emitStop(w, runner.Run{Task: t.id(), Token: t.token}, why.checkpoint)
 }
 
 func (h *shard) emitStop(w *worker, r runner.Run, checkpoint bool) {
-	if w.account.Host.Control == "" {
-		return
-	}
 	h.state.emit(StopTask{
 		Shard:   h.id,
 		Epoch:   h.epoch,
--- a/internal/control/reducer/task.go
+++ b/internal/control/reducer/task.go
@@ -66,15 +66,16 @@
 	state      describer.TaskState
 	ran        bool
 
-	phase    phase
-	queued   bool
-	slot     int32     // in worker.runs
-	call     uint64    // worker.calls when the start was confirmed
-	seen     uint64    // worker.calls of the latest inventory that named it
-	batch    int64     // of the latest record
-	stop     *stopping // a stop is wanted
-	shrinkTo int64     // processors of a throttle that no inventory shows yet; 0 is none
-	policy   string    // why it isn't placed
+	phase      phase
+	queued     bool
+	slot       int32     // in worker.runs
+	call       uint64    // worker.calls when the start was confirmed
+	seen       uint64    // worker.calls of the latest inventory that named it
+	batch      int64     // of the latest record
+	stop       *stopping // a stop is wanted
+	shrinkTo   int64     // processors of a throttle that no inventory shows yet; 0 is none
+	shrinkFrom int64     // sequence of the first such throttle
+	policy     string    // why it isn't placed
 }
 
 func (t *task) id() describer.TaskID {
--- a/internal/control/reducer/world_test.go
+++ b/internal/control/reducer/world_test.go
@@ -58,7 +58,7 @@
 		w.machines = append(w.machines, newMachine(w, name, time.Duration(i)*time.Hour))
 	}
 	for i := range 3 {
-		n := &node{world: w, name: fmt.Sprintf("entry-%d", i), cut: make(map[string]bool)}
+		n := &node{world: w, name: fmt.Sprintf("entry-%d", i), cut: make(map[string]bool), mute: make(map[string]bool)}
 		w.nodes = append(w.nodes, n)
 		n.boot()
 	}
@@ -78,6 +78,14 @@
 	w.letters = slices.Insert(w.letters, at, l)
 }
 
+// length is a run's, mostly short.
+func (w *world) length() time.Duration {
+	if w.chance(0.2) {
+		return w.between(time.Minute, 4*time.Minute)
+	}
+	return w.between(time.Second, 15*time.Second)
+}
+
 // pass lets time go by.
 func (w *world) pass(d time.Duration) {
 	for end := w.now.Add(d); len(w.letters) > 0 && !w.letters[0].due.After(end); {
@@ -99,6 +107,7 @@
 	inbox    []Event
 	cutStore bool
 	cut      map[string]bool // workers out of reach
+	mute     map[string]bool // workers that hear it, and whose answers are lost
 	blind    bool            // sees no peer
 	owns     map[string]int64
 	appends  map[string][]Append
@@ -186,6 +195,7 @@
 		}
 	}
 	n.reduce(PeersChanged{Alive: peers})
+	n.reduce(HostsListed{Hosts: n.world.hosts()})
 }
 
 // renew keeps the shards' leases in the store.
@@ -259,7 +269,9 @@
 		}
 		n.revision = e.Table.Revision
 	case Propose:
-		n.later(w.between(1e6, 5e7), func() { w.store.propose(n, e) })
+		if !w.chance(0.3) {
+			n.later(w.between(1e6, 5e7), func() { w.store.propose(n, e) })
+		}
 	}
 }
 
@@ -340,7 +352,7 @@
 			return
 		}
 		e := do(m)
-		if !w.chance(0.05) {
+		if !w.chance(0.05) && !n.mute[worker] {
 			n.later(w.between(2e6, 2e8), answer(e))
 		}
 	})
@@ -357,12 +369,8 @@
 		names = append(names, m.name)
 	}
 	hosts := testHosts(names...)
-	for i := range hosts {
-		if i >= 2 {
-			hosts[i].Rack = "r2"
-		}
-	}
-	return hosts
+	hosts[2].Rack, hosts[3].Rack = "r2", "r2"
+	return slices.DeleteFunc(hosts, func(h describer.Host) bool { return w.machine(h.Name).unlisted })
 }
 
 // machine is a worker that keeps to its contract and audits its callers.
@@ -372,6 +380,7 @@
 	offset   time.Duration // of its clock
 	capacity describer.Resources
 	dead     bool
+	unlisted bool // missing in the host list
 	bad      bool // fails every run
 	epoch    int64
 	fences   map[describer.TaskID]describer.Token
@@ -467,7 +476,7 @@
 	m.fences[s.Task] = s.Token
 	m.world.audit(m, s)
 	m.runs[s.Task] = &machineRun{
-		Start: s, began: m.clock(), lease: m.leaseEnd(s.Lease, s.Until), length: m.world.between(1e9, 15e9),
+		Start: s, began: m.clock(), lease: m.leaseEnd(s.Lease, s.Until), length: m.world.length(),
 	}
 	if sum := m.granted(); !sum.Fits(m.capacity) {
 		m.world.t.Fatalf("%s is overfilled: %v", m.name, sum)
@@ -537,7 +546,7 @@
 	for _, id := range sortedTasks(m.runs) {
 		r := m.runs[id]
 		out.Running = append(out.Running, runner.Running{
-			Run: runner.Run{Task: id, Token: r.Token}, Granted: r.Granted, Used: r.used(m),
+			Run: runner.Run{Task: id, Token: r.Token}, Granted: r.Granted, Used: r.used(m), Order: r.throttled,
 		})
 	}
 	for _, f := range m.finished {
--- a/internal/platform/runner/runner.go
+++ b/internal/platform/runner/runner.go
@@ -101,6 +101,7 @@
 // Running is a run in progress with its lagging usage.
 type Running struct {
 	Run
+	Order    describer.Token     `json:"order,omitzero"` // epoch and sequence of the throttle in force
 	Granted  describer.Resources `json:"granted"`
 	Used     describer.Resources `json:"used"`
 	Progress float64             `json:"progress"` // 0 to 1
