--- a/internal/control/accountant/accountant.go
+++ b/internal/control/accountant/accountant.go
@@ -22,22 +22,28 @@
 // Fleet is the capacity accounting of one shard's workers.
 type Fleet struct {
 	Workers map[string]*Worker
+
+	names []string // cache of Names
 }
 
 // Worker is the account of one worker.
 type Worker struct {
 	Host     describer.Host
-	Grants   map[describer.TaskID]Grant
-	Granted  describer.Resources       // sum of Grants
-	Reserved describer.Resources       // kept for the backend server, never granted
-	Used     describer.Resources       // latest lagging report
-	Reports  map[string]runner.Latency // latest lagging report by service
-	Closed   bool                      // draining, drained, leaving or set aside: nothing is placed here
-	Opened   time.Time                 // when Closed last became false; gradual restore starts from it
-	KeepOff  time.Time                 // no batch task is placed before this time
-	Limited  bool                      // restoring: batch grants stay within Limit
-	Limit    int64                     // millicores of batch grants while Limited
-	Heard    time.Time                 // last inventory
+	Grants   map[describer.TaskID]Grant // changed by Hold, Adopt, Resize and Drop only, but for reports
+	Granted  describer.Resources        // sum of Grants
+	Reserved describer.Resources        // kept for the backend server, never granted
+	Used     describer.Resources        // latest lagging report
+	Reports  map[string]runner.Latency  // latest lagging report by service
+	Closed   bool                       // draining, drained, leaving or set aside: nothing is placed here
+	Opened   time.Time                  // when Closed last became false; gradual restore starts from it
+	KeepOff  time.Time                  // no batch task is placed before this time
+	Limited  bool                       // restoring: batch grants stay within Limit
+	Limit    int64                      // millicores of batch grants while Limited
+	Heard    time.Time                  // last inventory
+
+	jobs    map[string]int   // grants by job
+	classes map[string]int64 // millicores of batch grants by class
+	batch   int64            // sum of classes
 }
 
 // Grant is what one run holds.
@@ -55,14 +61,34 @@
 	Since     time.Time
 }
 
-// Names returns the workers' names in order.
-func (f *Fleet) Names() []string { return slices.Sorted(maps.Keys(f.Workers)) }
+// Names returns the workers' names in order. The slice must not be changed.
+func (f *Fleet) Names() []string {
+	if !f.isCached() {
+		f.names = slices.Sorted(maps.Keys(f.Workers))
+	}
+	return f.names
+}
+
+// isCached reports whether names holds exactly the keys of Workers.
+func (f *Fleet) isCached() bool {
+	if len(f.names) != len(f.Workers) {
+		return false
+	}
+	for _, name := range f.names {
+		if _, ok := f.Workers[name]; !ok {
+			return false
+		}
+	}
+	return true
+}
 
 // Clone returns a copy whose grants can be changed independently.
 func (w *Worker) Clone() *Worker {
 	c := *w
 	c.Grants = maps.Clone(w.Grants)
 	c.Reports = maps.Clone(w.Reports)
+	c.jobs = maps.Clone(w.jobs)
+	c.classes = maps.Clone(w.classes)
 	return &c
 }
 
@@ -85,35 +111,29 @@
 }
 
 // BatchCPU returns the millicores granted to batch tasks.
-func (w *Worker) BatchCPU() int64 {
-	var sum int64
-	for _, g := range w.Grants {
-		if g.Kind == describer.Batch {
-			sum += g.Resources.CPU
-		}
-	}
-	return sum
-}
+func (w *Worker) BatchCPU() int64 { return w.batch }
+
+// Running returns how many tasks of a job hold grants.
+func (w *Worker) Running(job string) int { return w.jobs[job] }
 
 // Tasks returns the tasks that hold grants, ordered by job and index.
 func (w *Worker) Tasks() []describer.TaskID {
 	return slices.SortedFunc(maps.Keys(w.Grants), compareTasks)
 }
 
+// Share returns the share of the worker's processors that r is.
+func (w *Worker) Share(r describer.Resources) float64 {
+	return float64(r.CPU) / float64(max(w.Host.Capacity.CPU, 1))
+}
+
 // Shares returns for each class of batch tasks the share of the worker's
 // processors, 0 to 1, that its grants hold.
 func (w *Worker) Shares() map[string]float64 {
 	if w.Host.Capacity.CPU <= 0 {
 		return nil
 	}
-	sums := make(map[string]int64)
-	for _, g := range w.Grants {
-		if g.Kind == describer.Batch {
-			sums[g.Class] += g.Resources.CPU
-		}
-	}
-	shares := make(map[string]float64, len(sums))
-	for class, cpu := range sums {
+	shares := make(map[string]float64, len(w.classes)+1)
+	for class, cpu := range w.classes {
 		shares[class] = float64(cpu) / float64(w.Host.Capacity.CPU)
 	}
 	return shares
@@ -137,12 +157,36 @@
 	if isNegative(g.Resources) || !g.Resources.Fits(w.Free()) {
 		return fmt.Errorf("accountant: %s does not fit on %s", task, w.Host.Name)
 	}
+	w.Adopt(task, g)
+	return nil
+}
+
+// Adopt adds a grant that exists already, whether it fits or not: a run that
+// a former owner started. The task must not hold one.
+func (w *Worker) Adopt(task describer.TaskID, g Grant) {
 	if w.Grants == nil {
 		w.Grants = make(map[describer.TaskID]Grant)
 	}
+	if w.jobs == nil {
+		w.jobs = make(map[string]int)
+		w.classes = make(map[string]int64)
+	}
+	w.jobs[task.Job]++
+	w.count(g, g.Resources.CPU)
 	w.Grants[task] = g
 	w.Granted = w.Granted.Add(g.Resources)
-	return nil
+}
+
+// count keeps the sums of batch grants.
+func (w *Worker) count(g Grant, cpu int64) {
+	if g.Kind != describer.Batch {
+		return
+	}
+	w.batch += cpu
+	w.classes[g.Class] += cpu
+	if w.classes[g.Class] == 0 {
+		delete(w.classes, g.Class)
+	}
 }
 
 // Resize changes the task's grant if it is of the given token. It returns an
@@ -157,6 +201,7 @@
 	if isNegative(to) || !fitsGrowth(more, w.Free()) {
 		return fmt.Errorf("accountant: %s does not fit on %s at its new size", task, w.Host.Name)
 	}
+	w.count(g, more.CPU)
 	g.Resources = to
 	w.Grants[task] = g
 	w.Granted = w.Granted.Add(more)
@@ -170,6 +215,10 @@
 		return
 	}
 	delete(w.Grants, task)
+	w.count(g, -g.Resources.CPU)
+	if w.jobs[task.Job]--; w.jobs[task.Job] == 0 {
+		delete(w.jobs, task.Job)
+	}
 	w.Granted = w.Granted.Sub(g.Resources)
 }
 
--- a/internal/control/learner/learner.go
+++ b/internal/control/learner/learner.go
@@ -3,7 +3,7 @@
 // # Model
 //
 // For each service and band of load, the logarithm of the 99th percentile of
-// latency is taken as a baseline plus, for each class of batch tasks, a
+// latency is taken as a baseline, linear in load, plus, for each class of batch tasks, a
 // coefficient times the share of the worker's processors that the class held.
 // Each band is a Bayesian linear regression: coefficients without evidence
 // stay at the prior, evidence ages because uncertainty grows with time, and
@@ -51,6 +51,7 @@
 type Learner struct {
 	Options Options
 	Models  map[Key]*Model
+	Busy    map[string]*Busy // by service
 }
 
 // Key names one regression.
@@ -67,7 +68,7 @@
 	o.Caution = orDefault(o.Caution, 1)
 	o.HalfLife = orDefault(o.HalfLife, 2*time.Hour)
 	o.Classes = orDefault(o.Classes, 24)
-	return &Learner{Options: o, Models: make(map[Key]*Model)}
+	return &Learner{Options: o, Models: make(map[Key]*Model), Busy: make(map[string]*Busy)}
 }
 
 // Band returns the band of a load, 0 to Bands-1.
@@ -87,6 +88,12 @@
 		l.Models[key] = m
 	}
 	m.observe(l.Options, s)
+	b := l.Busy[key.Service]
+	if b == nil {
+		b = &Busy{}
+		l.Busy[key.Service] = b
+	}
+	b.add(s.Latency.Load, s.Latency.Count, s.Latency.To)
 }
 
 // Estimate returns the coefficient of a class for a service at a load: the
@@ -117,7 +124,7 @@
 	if m == nil {
 		return 0, false
 	}
-	return time.Duration(math.Exp(m.Mean[0]) * float64(time.Second)), true
+	return time.Duration(math.Exp(m.baseline(load)) * float64(time.Second)), true
 }
 
 // Explain returns one line on each load band in which the service was seen
--- a/internal/operator/server/stop.go
+++ b/internal/operator/server/stop.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	balancerTime = time.Second            // for the balancer to see that readiness fails
+	balancerTime = time.Second // for the balancer to see that readiness fails
 	releasePoll  = 20 * time.Millisecond
 )
 
@@ -18,6 +18,7 @@
 func (s *Server) Shutdown(ctx context.Context) (cut int) {
 	s.ending.Do(func() {
 		s.log.Info().Str("part", "server").Msg("planned stop")
+		s.stopping.Store(true)
 		s.metrics.Ready.Store(false)
 		s.members.Leave()
 		s.control.Post(reducer.StopRequested{})
@@ -26,6 +27,7 @@
 		if err := s.callers.Shutdown(ctx); err != nil {
 			s.log.Warn().Str("part", "server").Err(err).Msg("callers cut off")
 		}
+		s.lender.HandBack(ctx)
 		s.awaitRelease(ctx)
 		s.close(ctx)
 		s.log.Info().Str("part", "server").Int("cut", cut).Msg("stopped")
@@ -50,6 +52,8 @@
 	s.cancel()
 	_ = s.callers.Close()
 	_ = s.operators.Close()
+	_ = s.lender.Close()
+	s.seat.Close()
 	s.control.Close()
 	if err := s.holder.Close(ctx); err != nil {
 		s.log.Info().Str("part", "server").Err(err).Msg("store lease not revoked, it will lapse")
@@ -57,7 +61,7 @@
 	s.config.Close()
 	s.members.Close()
 	_ = s.node.Close()
-	s.forwarder.Close()
+	_ = s.forwarder.Close()
 	s.tasks.Wait()
 	_ = s.metrics.Close()
 	close(s.Done)
