--- a/internal/traffic/forwarder/claims.go
+++ b/internal/traffic/forwarder/claims.go
@@ -12,8 +12,8 @@
 
 const (
 	claimTimeout = time.Second // of one call to the claimer
-	maxClaims    = 4096        // keys remembered
-	maxCopied    = 64 << 10    // bytes of an answer that is remembered
+	maxClaims    = 1024        // keys remembered
+	maxCopied    = 16 << 10    // bytes of an answer that is remembered
 )
 
 // claimState is what this entry host knows of a key.
--- a/internal/traffic/router/health.go
+++ b/internal/traffic/router/health.go
@@ -29,7 +29,7 @@
 		h.Floor = 0.7
 	}
 	if h.Slow <= 0 {
-		h.Slow = 5
+		h.Slow = 3
 	}
 	if h.Ramp <= 0 {
 		h.Ramp = 20 * time.Second
@@ -68,6 +68,7 @@
 	case Answered:
 		s.failures = 0
 		s.observe(now.Sub(p.since).Seconds())
+		s.seen = now
 		s.grow(r.Slots.Limit(s.backend))
 	case Failed:
 		s.failures++
--- a/internal/traffic/router/policy.go
+++ b/internal/traffic/router/policy.go
@@ -19,16 +19,24 @@
 }
 
 // LeastLoaded chooses the smallest share of slots in use, scaled by the
-// expected slow-down. Equal candidates are chosen at random, so that entry
-// hosts with the same view do not pick the same one.
+// expected slow-down and by latency that stands out. Equal candidates are
+// chosen at random, so that entry hosts with the same view do not pick the
+// same one.
 type LeastLoaded struct{}
 
+// noise is how far above the least a latency may be without counting.
+const noise = 2
+
 // Choose implements Policy.
 func (LeastLoaded) Choose(c []Candidate, random *rand.Rand) int {
 	best, ties := 0, 0
 	lowest := 0.0
+	usual := noise * leastLatency(c)
 	for i := range c {
 		score := float64(c[i].Flight+1) / float64(c[i].Limit) * (1 + c[i].Interference)
+		if c[i].Latency > usual {
+			score *= c[i].Latency / usual
+		}
 		switch {
 		case i == 0 || score < lowest:
 			best, lowest, ties = i, score, 1
@@ -42,6 +50,17 @@
 	return best
 }
 
+// leastLatency returns the least of the known latencies.
+func leastLatency(c []Candidate) float64 {
+	least := 0.0
+	for i := range c {
+		if c[i].Latency > 0 && (least == 0 || c[i].Latency < least) {
+			least = c[i].Latency
+		}
+	}
+	return least
+}
+
 // Random chooses blindly. It is a baseline.
 type Random struct{}
 
--- a/internal/traffic/router/server.go
+++ b/internal/traffic/router/server.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
@@ -34,8 +35,9 @@
 // server is what this entry host knows of one backend server.
 type server struct {
 	backend describer.Backend
-	flight  int     // requests in flight from this entry host
-	latency float64 // mean in seconds, exponentially weighted
+	flight  int       // requests in flight from this entry host
+	latency float64   // mean in seconds, exponentially weighted
+	seen    time.Time // last answer
 
 	failures int       // in a row
 	ejected  time.Time // until
@@ -44,4 +46,16 @@
 	window   float64   // learnt limit of requests in flight, 0 is none
 }
 
+// memory is the time in which what is known of latency counts half.
+const memory = 10 * time.Second
+
+// recent returns the mean latency, fading so that a server which is passed over
+// for having been slow is tried again.
+func (s *server) recent(now time.Time) float64 {
+	if s.latency == 0 {
+		return 0
+	}
+	return s.latency * math.Exp2(-float64(now.Sub(s.seen))/float64(memory))
+}
+
 func (s *server) isEjected(now time.Time) bool { return now.Before(s.ejected) }
