traffic/router: no ejection on fewer than 30 answers

A mean that begins with a single answer is three times the others' by chance. 'does not eject on few answers' was seen failing with one answer.

traffic/loader: the test's server breaks off after a piece of the answer; the client repeats a GET over a kept connection that closes without one, so that the former check of the count could not hold ('199 counted, 207 sent').

--- a/internal/traffic/loader/loader_test.go
+++ b/internal/traffic/loader/loader_test.go
@@ -40,6 +40,8 @@
 			w.Header().Set("Dotterel-Verdict", "not-run")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		case k%10 == 5:
+			w.Write([]byte("half"))
+			http.NewResponseController(w).Flush()
 			panic(http.ErrAbortHandler)
 		}
 		<-stalled
@@ -61,7 +63,7 @@
 			}
 		}
 	}
-	if sum != n.Load() && sum != n.Load()-report.Rows[0].Lost {
+	if sum != n.Load() {
 		t.Errorf("%d counted, %d sent", sum, n.Load())
 	}
 	if waited < 20 {
--- a/internal/traffic/router/health.go
+++ b/internal/traffic/router/health.go
@@ -58,6 +58,8 @@
 	latencyWeight = 0.1  // of the newest answer in the mean
 	windowGrowth  = 0.05 // per answer
 	windowCut     = 0.75 // on overload
+
+	enough = 30 // answers before a mean latency counts in ejection
 )
 
 // learn updates the server after a request; the lock is held.
@@ -81,6 +83,7 @@
 }
 
 func (s *server) observe(seconds float64) {
+	s.answers++
 	if s.latency == 0 {
 		s.latency = seconds
 		return
@@ -112,10 +115,13 @@
 // isOutlier reports whether the server is far slower than the mean of the
 // other ones at its distance.
 func (r *Router) isOutlier(p *Place) bool {
+	if p.server.answers < enough {
+		return false
+	}
 	row := r.row(p)
 	sum, n := 0.0, 0
 	for _, s := range row {
-		if s != p.server && s.latency > 0 {
+		if s != p.server && s.answers >= enough {
 			sum += s.latency
 			n++
 		}
@@ -137,6 +143,7 @@
 	s.returned = s.ejected
 	s.ejects++
 	s.latency = 0
+	s.answers = 0
 }
 
 func (r *Router) mayEject(p *Place, now time.Time) bool {
--- a/internal/traffic/router/router_test.go
+++ b/internal/traffic/router/router_test.go
@@ -150,6 +150,18 @@
 		Expect(finish(t, 100, answered)).NotTo(HaveKey("w003"))
 	})
 
+	It("does not eject on few answers", func() {
+		t := fleet(8, nil)
+		n := 0
+		finish(t, 40, func(p *router.Place) {
+			if n++; p.Backend.Worker == "w003" && n > 20 {
+				c.now = c.now.Add(50 * time.Millisecond)
+			}
+			answered(p)
+		})
+		Expect(r.Capacity(t, "desk")).To(Equal(32))
+	})
+
 	It("learns a lower limit from refusals and raises it again", func() {
 		t := fleet(1, nil)
 		first := []*router.Place{take(t), take(t), take(t)}
--- a/internal/traffic/router/server.go
+++ b/internal/traffic/router/server.go
@@ -39,6 +39,7 @@
 	latency float64   // mean in seconds, exponentially weighted
 	seen    time.Time // last answer
 
+	answers  int       // since it was last ejected
 	failures int       // in a row
 	ejected  time.Time // until
 	returned time.Time // end of the last ejection; slow start begins
