--- a/internal/traffic/dialer/carrier.go
+++ b/internal/traffic/dialer/carrier.go
@@ -106,6 +106,7 @@
 	c.close()
 	if conn := c.current(); conn == nil || !conn.seal(mark) {
 		out.Verdict = classifier.NotRun
+		out.Status = http.StatusServiceUnavailable
 		out.Code = "unreachable"
 		out.Message = "no byte of the request was sent"
 	}
--- a/internal/traffic/forwarder/compare_test.go
+++ b/internal/traffic/forwarder/compare_test.go
@@ -114,14 +114,35 @@
 		for _, v := range variants {
 			b.Run(s.name+"/"+v.name, func(b *testing.B) {
 				for b.Loop() {
-					compare(b, v, s.load, s.harm)
+					report := compare(b, v, s.load, s.harm, []loader.Kind{kind("minara", 1)})
+					show(b, report.Rows[0])
+					b.ReportMetric(report.Goodput(), "good/s")
 				}
 			})
 		}
 	}
 }
 
-func compare(b *testing.B, v variant, load float64, harm func([]*machine)) {
+// BenchmarkTenants shows the tenant with a tenth of its share beside one with
+// ten times its share.
+func BenchmarkTenants(b *testing.B) {
+	for _, v := range variants {
+		b.Run(v.name, func(b *testing.B) {
+			for b.Loop() {
+				mix := []loader.Kind{kind("minara", 0.05), kind("council", 5)}
+				report := compare(b, v, 5.05, func([]*machine) {}, mix)
+				show(b, report.Rows[0])
+				b.ReportMetric(float64(report.Rows[1].Answered)/runTime.Seconds(), "council-good/s")
+			}
+		})
+	}
+}
+
+func kind(tenant string, share float64) loader.Kind {
+	return loader.Kind{Tenant: tenant, Service: "desk", Share: share, Deadline: parser.Duration(callerTime)}
+}
+
+func compare(b *testing.B, v variant, load float64, harm func([]*machine), mix []loader.Kind) loader.Report {
 	var all []*machine
 	table := &describer.RoutingTable{Ready: true, Services: map[string][]describer.Backend{}}
 	for i := range fleetSize {
@@ -145,23 +166,25 @@
 	if v.plain {
 		options.Health = router.Health{Failures: 1 << 30, Slow: 1 << 30}
 	}
-	teams := []describer.Team{{Name: "minara", Weight: 1}}
+	teams := []describer.Team{{Name: "minara", Weight: 1}, {Name: "council", Weight: 1}}
 	f := forwarder.New(options, func() *describer.RoutingTable { return table }, func() []describer.Team { return teams }, nil, nil, zerolog.Nop())
 	defer f.Close()
 	front := httptest.NewServer(f)
 	defer front.Close()
 	report, err := loader.Run(context.Background(), loader.Options{Settings: loader.Settings{
 		Targets: []string{front.URL}, Rate: load * fleetRate, Duration: parser.Duration(runTime), Seed: 7,
-		Mix: []loader.Kind{{Tenant: "minara", Service: "desk", Share: 1, Deadline: parser.Duration(callerTime)}},
+		Mix: mix,
 	}})
 	if err != nil {
 		b.Fatal(err)
 	}
-	row := report.Rows[0]
+	return report
+}
+
+func show(b *testing.B, row *loader.Row) {
 	b.ReportMetric(float64(row.Quantile(0.5).Microseconds())/1000, "p50-ms")
 	b.ReportMetric(float64(row.Quantile(0.99).Microseconds())/1000, "p99-ms")
 	b.ReportMetric(float64(row.Quantile(0.999).Microseconds())/1000, "p99.9-ms")
-	b.ReportMetric(report.Goodput(), "good/s")
 	b.ReportMetric(float64(row.Refused), "refused")
 	b.ReportMetric(float64(row.Failed+row.Lost+row.Late+row.Unsent), "failed")
 	b.ReportMetric(0, "ns/op")
--- a/internal/traffic/limiter/service.go
+++ b/internal/traffic/limiter/service.go
@@ -39,7 +39,11 @@
 
 const meanWeight = 0.1 // of the newest observation
 
+// observe learns how long a place was held; 0 says that it was not used.
 func (s *service[T]) observe(held time.Duration) {
+	if held == 0 {
+		return
+	}
 	if s.mean == 0 {
 		s.mean = held.Seconds()
 		return
