--- a/internal/traffic/router/health.go
+++ b/internal/traffic/router/health.go
@@ -29,7 +29,7 @@
 		h.Floor = 0.7
 	}
 	if h.Slow <= 0 {
-		h.Slow = 5
+		h.Slow = 3
 	}
 	if h.Ramp <= 0 {
 		h.Ramp = 20 * time.Second
@@ -58,6 +58,8 @@
 	latencyWeight = 0.1  // of the newest answer in the mean
 	windowGrowth  = 0.05 // per answer
 	windowCut     = 0.75 // on overload
+
+	enough = 30 // answers before a mean latency counts in ejection
 )
 
 // learn updates the server after a request; the lock is held.
@@ -68,6 +70,7 @@
 	case Answered:
 		s.failures = 0
 		s.observe(now.Sub(p.since).Seconds())
+		s.seen = now
 		s.grow(r.Slots.Limit(s.backend))
 	case Failed:
 		s.failures++
@@ -80,6 +83,7 @@
 }
 
 func (s *server) observe(seconds float64) {
+	s.answers++
 	if s.latency == 0 {
 		s.latency = seconds
 		return
@@ -111,10 +115,13 @@
 // isOutlier reports whether the server is far slower than the mean of the
 // other ones at its distance.
 func (r *Router) isOutlier(p *Place) bool {
+	if p.server.answers < enough {
+		return false
+	}
 	row := r.row(p)
 	sum, n := 0.0, 0
 	for _, s := range row {
-		if s != p.server && s.latency > 0 {
+		if s != p.server && s.answers >= enough {
 			sum += s.latency
 			n++
 		}
@@ -136,6 +143,7 @@
 	s.returned = s.ejected
 	s.ejects++
 	s.latency = 0
+	s.answers = 0
 }
 
 func (r *Router) mayEject(p *Place, now time.Time) bool {
