--- a/internal/control/evaluator/control.go
+++ b/internal/control/evaluator/control.go
@@ -161,6 +161,9 @@
 			g := h.account.Grants[task]
 			k.usage.Observe(g)
 			to := placer.Resize(g, h.account.Room())
+			if p, ok := k.policy.(placer.Default); ok && !p.MayGrow(h.account, g, to, k.now) {
+				to.CPU = g.Resources.CPU
+			}
 			if to != g.Resources && h.account.Resize(task, g.Token, to) == nil {
 				k.changed(h)
 			}
--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -136,6 +136,20 @@
 	return cost, objection{}
 }
 
+// MayGrow reports whether a running task may get the processors of a greater
+// grant, which is weighed like a placement.
+func (d Default) MayGrow(w *accountant.Worker, g accountant.Grant, to describer.Resources, now time.Time) bool {
+	if to.CPU <= g.Resources.CPU {
+		return true
+	}
+	r := Request{
+		Job:  &describer.Job{Class: g.Class, Kind: g.Kind, Priority: g.Priority},
+		Want: to.Sub(g.Resources),
+	}
+	_, o := d.effect(w, r, d.Limits.orDefault(d.Weights), now)
+	return o.kind == none
+}
+
 // objects compares the cautious latency with what the service has at its busy
 // times without batch tasks, and with its target.
 func (d Default) objects(service string, load, upper float64, limits Limits) objection {
