--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -162,7 +162,7 @@
 	}
 	busy, _ := d.Learner.BusyLatency(service)
 	latency := base.Seconds() * (1 + upper)
-	if latency > max(base, busy).Seconds()*(1+limits.Slowdown) {
+	if latency > max(base.Seconds()*(1+limits.Slowdown), busy.Seconds()) {
 		return objection{slows, service, upper}
 	}
 	target := d.Services[service].Target
