traffic/dialer, lender: specs of shrinking loans

Both were found by taking lines out that no spec missed: closing idle connections when fewer are lent ('timed out'), and counting a loan from when the call was sent ('the loan must end a term after it was asked for'). With trim out, several connections that came back at once were all closed; put now takes its own off the count under the lock.

--- a/internal/traffic/dialer/dialer_test.go
+++ b/internal/traffic/dialer/dialer_test.go
@@ -113,6 +113,41 @@
 		<-done
 	})
 
+	It("closes idle connections when fewer are lent", func() {
+		var lent atomic.Int64
+		lent.Store(3)
+		all := make(chan struct{}, 3)
+		proceed := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.Method != http.MethodHead {
+				all <- struct{}{}
+				<-proceed
+			}
+		}))
+		DeferCleanup(server.Close)
+		address := server.Listener.Addr().String()
+		d := start(dialer.Options{
+			Silence:     100 * time.Millisecond,
+			Connections: func(describer.Backend) int { return int(lent.Load()) },
+		})
+		done := make(chan struct{}, 3)
+		for range 3 {
+			go func() {
+				defer GinkgoRecover()
+				read(d.Send(backend(address), request("GET", address, "")))
+				done <- struct{}{}
+			}()
+			<-all
+		}
+		close(proceed)
+		for range 3 {
+			<-done
+		}
+		Expect(d.Open("w")).To(Equal(3))
+		lent.Store(1)
+		Eventually(func() int { return d.Open("w") }).Should(Equal(1))
+	})
+
 	It("closes an idle connection that does not answer a probe", func() {
 		var silent atomic.Bool
 		held := make(chan struct{})
--- a/internal/traffic/dialer/pool.go
+++ b/internal/traffic/dialer/pool.go
@@ -69,8 +69,9 @@
 func (p *Pool) put(c *carrier) {
 	p.lock.Lock()
 	if p.retired || p.open > p.options.Connections(p.backend) || !c.usable() {
+		p.open--
 		p.lock.Unlock()
-		p.drop(c)
+		c.close()
 		return
 	}
 	c.used = time.Now()
--- a/internal/traffic/lender/lender_test.go
+++ b/internal/traffic/lender/lender_test.go
@@ -273,3 +273,31 @@
 		w.close()
 	})
 }
+
+// slow answers every call with a loan, after a while.
+type slow struct{}
+
+func (slow) Call(_ context.Context, _, _ string, _, result any) error {
+	time.Sleep(1500 * time.Millisecond)
+	*result.(*loans) = loans{Epoch: 1, Term: DefaultTerm, Loans: []grant{{Worker: worker.Worker, Slots: 4}}}
+	return nil
+}
+
+// TestLoanCountsFromWhenSent delays the answer: the owner may have counted
+// from the moment at which the call was sent.
+func TestLoanCountsFromWhenSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, owner: "elsewhere"}
+		l := New(Options{Name: "a"}, w.table("a"), slow{}, func() bool { return false }, nil, zerolog.Nop())
+		sent := time.Now()
+		l.Acquire(worker, sent.Add(time.Second))
+		time.Sleep(1600 * time.Millisecond)
+		if got := l.Limit(worker); got != 4 {
+			t.Errorf("limit %d", got)
+		}
+		if _, ok := l.Acquire(worker, sent.Add(DefaultTerm)); ok {
+			t.Error("the loan must end a term after it was asked for")
+		}
+		l.Close()
+	})
+}
