--- a/internal/operator/rehearser/commands.go
+++ b/internal/operator/rehearser/commands.go
@@ -69,7 +69,10 @@
 	w.watch = newWatcher(w.ctx, w.d)
 	ctx, cancel := w.limited()
 	defer cancel()
-	return w.d.Configure(ctx)
+	if err := w.d.Configure(ctx); err != nil {
+		return err
+	}
+	return expect(w, []string{"owners"})
 }
 
 func (w *world) startOne(name string) error {
@@ -101,7 +104,7 @@
 	return nil
 }
 
-func kill(w *world, args []string) error {
+func crash(w *world, args []string) error {
 	return on(w, args, (*deployer.Entry).Kill, (*hoster.Worker).Kill)
 }
 
--- a/internal/operator/rehearser/rehearser.go
+++ b/internal/operator/rehearser/rehearser.go
@@ -8,7 +8,7 @@
 //
 //	start [entries=N] [workers=N]  the whole deployment, and wait until it serves
 //	start NAME                     a dead entry host or worker
-//	kill NAME                      at once
+//	crash NAME                     at once
 //	pause NAME, resume NAME        freeze and unfreeze
 //	cut LINK [drop], heal LINK     region or local; without drop bytes wait
 //	outage on|off|slow D|lose N    of the store
@@ -77,7 +77,7 @@
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"start":     positive(start),
-			"kill":      positive(kill),
+			"crash":     positive(crash),
 			"pause":     positive(pause),
 			"resume":    positive(resume),
 			"cut":       positive(cut),
--- a/internal/operator/server/build.go
+++ b/internal/operator/server/build.go
@@ -11,9 +11,9 @@
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/control/executor"
-	"dotterelcart.dev/dotterelcart/internal/control/placer"
 	"dotterelcart.dev/dotterelcart/internal/control/planner"
 	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/control/restorer"
 	"dotterelcart.dev/dotterelcart/internal/operator/reporter"
 	"dotterelcart.dev/dotterelcart/internal/operator/responder"
 	"dotterelcart.dev/dotterelcart/internal/peer/gossiper"
@@ -101,7 +101,10 @@
 		TaskLease:    time.Duration(s.Settings.Lease.Task),
 		LeaseMargin:  time.Duration(s.Settings.Lease.Margin),
 		SyncInterval: time.Duration(s.Settings.Lease.Sync),
-	}, reducer.Policies{Place: placer.Default{}})
+	}, reducer.Policies{Restore: restorer.Options{
+		Settle:   time.Duration(s.Settings.Restore.Settle),
+		Patience: time.Duration(s.Settings.Restore.Patience),
+	}})
 	s.control = executor.New(executor.Options{
 		State:    state,
 		Ledger:   s.holder,
--- a/internal/standin/hoster/backend.go
+++ b/internal/standin/hoster/backend.go
@@ -71,6 +71,10 @@
 		b.refuse(w, &b.worker.Counts.Connections)
 		return
 	}
+	if r.Method == http.MethodHead {
+		w.WriteHeader(http.StatusNoContent) // a probe is no work and takes no slot
+		return
+	}
 	select {
 	case b.slots <- struct{}{}:
 		defer func() { <-b.slots }()
