--- a/internal/operator/server/build.go
+++ b/internal/operator/server/build.go
@@ -24,6 +24,7 @@
 	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 	"dotterelcart.dev/dotterelcart/internal/state/holder"
 	"dotterelcart.dev/dotterelcart/internal/traffic/forwarder"
+	"dotterelcart.dev/dotterelcart/internal/traffic/lender"
 )
 
 // build makes the parts, those that others need first.
@@ -56,7 +57,7 @@
 		MaxBody:       maxJobBody,
 		Log:           s.log.With().Str("part", "responder").Logger(),
 	})
-	s.buildTraffic()
+	s.buildTraffic(store)
 	s.tasks.Go(func() { s.watchReadiness(ctx) })
 	return nil
 }
@@ -119,12 +120,17 @@
 	})
 }
 
-func (s *Server) buildTraffic() {
+func (s *Server) buildTraffic(store lender.Store) {
+	name, domain := s.Settings.Name, s.Settings.Domain
+	s.seat = lender.NewSeat(store, domain, name, lender.DefaultTerm, s.log)
+	s.lender = lender.New(lender.Options{Name: name, Domain: domain}, s.table.Load, s.node, s.holder.IsValid, s.seat, s.log)
+	s.node.Handle(messenger.Lend, s.lender.Serve)
 	s.forwarder = forwarder.New(forwarder.Options{
-		Name:    s.Settings.Name,
-		Domain:  s.Settings.Domain,
+		Name:    name,
+		Domain:  domain,
 		Region:  s.Settings.Region,
 		Traffic: s.Settings.Traffic,
+		Slots:   s.lender,
 	}, s.table.Load, s.teams, s.responder, s.metrics.Scope, s.log)
 }
 
