--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -126,18 +126,21 @@
 	outcome := l.try(client, m, q)
 	if outcome == Unclear {
 		outcome = l.try(client, m, q)
+		if outcome == Denied {
+			outcome = Unclear // what is denied is the second attempt only
+		}
 	}
 	l.count(q, outcome, time.Since(began))
 	return outcome
 }
 
-// CallAt sends a request to an address, once. The error is for people.
-func (l *Load) CallAt(client *http.Client, address string, q Request) (Outcome, error) {
+// CallAt sends a request to an address, once. The text says why it failed.
+func (l *Load) CallAt(client *http.Client, address string, q Request) (Outcome, string) {
 	began := time.Now()
 	a := q.send(client, address)
 	l.check(q, a)
 	l.count(q, a.outcome, time.Since(began))
-	return a.outcome, a.err
+	return a.outcome, a.code
 }
 
 func (l *Load) count(q Request, outcome Outcome, took time.Duration) {
