control/placer: no slow-down limit far below the target; trials where nothing is known

A task of 6 % of an idle worker was kept off for good ("would slow menu-desk by up to 19 %"), since the limit of 12 % holds whatever the target, and since no report can come before a first run. Below half of the target any slow-down is accepted now; without reports an idle worker takes one task of at most a tenth of it. Seen failing without the two conditions.

--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -23,6 +23,8 @@
 type Limits struct {
 	Slowdown float64       // cautious relative slow-down of a service that batch may cause at most
 	Target   float64       // share of the service's target that the expected latency may take
+	Comfort  float64       // share of the service's target below which slow-down does not matter
+	Trial    float64       // share of an idle worker's processors that a task may take while nothing is known
 	Patience time.Duration // before its deadline, in which a task may take twice the slow-down
 }
 
@@ -38,6 +40,12 @@
 	if l.Target == 0 {
 		l.Target = 0.9
 	}
+	if l.Comfort == 0 {
+		l.Comfort = 0.5
+	}
+	if l.Trial == 0 {
+		l.Trial = 0.1
+	}
 	if l.Patience == 0 {
 		l.Patience = 30 * time.Minute
 	}
@@ -127,7 +135,8 @@
 	for _, service := range w.Host.Services {
 		load := w.Reports[service].Load
 		mean, upper := d.slowdown(service, shares, load)
-		if o := d.objects(service, load, upper, limits); o.kind != none {
+		isTrial := len(before) == 0 && w.Share(r.Want) <= limits.Trial
+		if o := d.objects(service, load, upper, isTrial, limits); o.kind != none {
 			return 0, o
 		}
 		present, _ := d.slowdown(service, before, load)
@@ -137,21 +146,25 @@
 }
 
 // objects compares the cautious latency with what the service has at its busy
-// times without batch tasks, and with its target.
-func (d Default) objects(service string, load, upper float64, limits Limits) objection {
+// times without batch tasks, and with its target. Without any report, one small
+// task at a time is tried: nothing would ever be known otherwise.
+func (d Default) objects(service string, load, upper float64, isTrial bool, limits Limits) objection {
 	base, known := d.baseline(service, load)
 	if !known {
-		if upper > limits.Slowdown {
+		if upper > limits.Slowdown && !isTrial {
 			return objection{slows, service, upper}
 		}
 		return objection{}
 	}
 	busy, _ := d.Learner.BusyLatency(service)
 	latency := base.Seconds() * (1 + upper)
+	target := d.Services[service].Target
+	if target > 0 && latency <= limits.Comfort*target.Seconds() {
+		return objection{}
+	}
 	if latency > max(base, busy).Seconds()*(1+limits.Slowdown) {
 		return objection{slows, service, upper}
 	}
-	target := d.Services[service].Target
 	if target > 0 && latency > limits.Target*target.Seconds() && upper > 0.01 {
 		return objection{endangers, service, upper}
 	}
--- a/internal/control/placer/placer_test.go
+++ b/internal/control/placer/placer_test.go
@@ -60,6 +60,30 @@
 		Expect(choice.Why).To(HavePrefix("would slow desk by up to "))
 	})
 
+	It("tries one small task where nothing is known", func() {
+		f := fleet(worker("a", "desk"))
+		policy := placer.Default{Learner: learner.New(learner.Options{}), Services: target}
+		Expect(policy.Place(f, request(0, 1500), now).Worker).To(Equal("a"))
+		hold(f.Workers["a"], 0, 1500)
+		Expect(policy.Place(f, request(1, 1500), now).Worker).To(BeEmpty())
+	})
+
+	It("accepts slow-down far below the target", func() {
+		place := func(p99 time.Duration) string {
+			f := fleet(worker("a", "desk"))
+			l := learner.New(learner.Options{Prior: 1})
+			for i := range 20 {
+				from := now.Add(time.Duration(i) * time.Second)
+				l.Observe(learner.Sample{Latency: runner.Latency{
+					Service: "desk", From: from, To: from.Add(time.Second), P99: p99, Count: 50,
+				}})
+			}
+			return placer.Default{Learner: l, Services: target}.Place(f, request(0, 4000), now).Worker
+		}
+		Expect(place(10 * time.Millisecond)).To(Equal("a"))
+		Expect(place(60 * time.Millisecond)).To(BeEmpty())
+	})
+
 	It("keeps off while services recover, except for urgent tasks", func() {
 		f := fleet(worker("a", "desk"))
 		f.Workers["a"].KeepOff = now.Add(time.Second)
