--- a/internal/traffic/forwarder/compare_test.go
+++ b/internal/traffic/forwarder/compare_test.go
@@ -77,6 +77,14 @@
 	io.WriteString(w, "held")
 }
 
+// halve lets the real slots be half of the declared ones, at the same rate.
+func halve(all []*machine) {
+	for _, m := range all {
+		m.slots = make(chan struct{}, slots/2)
+		m.slow = 0.5
+	}
+}
+
 // variant is a way of forwarding that is compared.
 type variant struct {
 	name   string
@@ -102,6 +110,7 @@
 	{"steady", 0.6, func([]*machine) {}},
 	{"noisy", 0.6, func(all []*machine) { all[0].slow = 4 }},
 	{"silent", 0.6, func(all []*machine) { all[0].silent.Store(true) }},
+	{"declared", 0.9, func(all []*machine) { halve(all) }},
 	{"overload1.5", 1.5, func([]*machine) {}},
 	{"overload3", 3, func([]*machine) {}},
 }
--- a/internal/traffic/lender/seat.go
+++ b/internal/traffic/lender/seat.go
@@ -25,9 +25,11 @@
 	// above it use lent slots only.
 	DefaultSeats = 4
 
-	seatTerm   = 24 * time.Hour   // a seat lasts this long without the store
-	seatRenew  = time.Hour        // between renewals
-	seatCheck  = 30 * time.Second // between looks at the record
+	seatTerm     = 24 * time.Hour   // a seat lasts this long without the store
+	seatRenew    = time.Hour        // between renewals
+	seatCheck    = 30 * time.Second // between looks at the record
+	releaseTries = 5                // when other hosts change the record meanwhile
+
 	seatMargin = 10 * time.Minute // for wall clocks that differ
 )
 
@@ -101,20 +103,25 @@
 func (s *Seat) Release(ctx context.Context) {
 	s.Close()
 	s.drop()
-	err := s.change(ctx, func(r *record) bool {
-		for i := range r.Seats {
-			if r.Seats[i].Name == s.name && r.Seats[i].Born == s.born {
-				r.Seats[i] = entry{}
-				return true
-			}
-		}
-		return false
-	}, func() {})
+	err := s.change(ctx, s.vacate, func() {})
+	for i := 1; i < releaseTries && errors.Is(err, storer.ErrConflict); i++ {
+		err = s.change(ctx, s.vacate, func() {})
+	}
 	if err != nil {
 		s.log.Warn().Err(err).Msg("Seat not released.")
 	}
 }
 
+func (s *Seat) vacate(r *record) bool {
+	for i := range r.Seats {
+		if r.Seats[i].Name == s.name && r.Seats[i].Born == s.born {
+			r.Seats[i] = entry{}
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends renewals and keeps the record.
 func (s *Seat) Close() {
 	s.once.Do(s.stop)
