--- a/internal/traffic/forwarder/compare_test.go
+++ b/internal/traffic/forwarder/compare_test.go
@@ -37,6 +37,7 @@
 	*httptest.Server
 	slots  chan struct{}
 	slow   float64
+	thrash bool        // work takes longer with more than half of the slots in use
 	silent atomic.Bool // the next request's connection falls silent
 	dead   sync.Map    // silent connections by remote address
 
@@ -68,7 +69,11 @@
 	}
 	defer func() { <-m.slots }()
 	m.lock.Lock()
-	work := time.Duration(m.random.ExpFloat64() * m.slow * float64(meanWork))
+	factor := m.slow
+	if busy := 2 * float64(len(m.slots)) / slots; m.thrash && busy > 1 {
+		factor *= busy * busy
+	}
+	work := time.Duration(m.random.ExpFloat64() * factor * float64(meanWork))
 	m.lock.Unlock()
 	select {
 	case <-time.After(work):
@@ -77,11 +82,12 @@
 	io.WriteString(w, "held")
 }
 
-// halve lets the real slots be half of the declared ones, at the same rate.
-func halve(all []*machine) {
+// thrash lets half of the declared slots serve what all should, and work take
+// longer beyond that.
+func thrash(all []*machine) {
 	for _, m := range all {
-		m.slots = make(chan struct{}, slots/2)
 		m.slow = 0.5
+		m.thrash = true
 	}
 }
 
@@ -110,7 +116,7 @@
 	{"steady", 0.6, func([]*machine) {}},
 	{"noisy", 0.6, func(all []*machine) { all[0].slow = 4 }},
 	{"silent", 0.6, func(all []*machine) { all[0].silent.Store(true) }},
-	{"declared", 0.9, func(all []*machine) { halve(all) }},
+	{"thrash", 1.5, thrash},
 	{"overload1.5", 1.5, func([]*machine) {}},
 	{"overload3", 3, func([]*machine) {}},
 }
