--- a/internal/traffic/lender/borrower.go
+++ b/internal/traffic/lender/borrower.go
@@ -16,8 +16,10 @@
 	until    time.Time // of the loan
 	usedLent int
 	usedBase int
-	peak     int // most in use at once since the last renewal
-	unmet    int // requests that found no slot since then
+	peak     int  // most in use at once since the last renewal
+	unmet    int  // requests that found no slot since then
+	wanted   int  // in the latest call
+	short    bool // the latest call failed or brought less: another at once won't help
 }
 
 // Limit implements router.Slots.
@@ -47,7 +49,9 @@
 		return func() { l.release(&a.usedBase) }, true
 	}
 	a.unmet++
-	l.rouse()
+	if !a.short {
+		l.rouse()
+	}
 	return nil, false
 }
 
@@ -140,6 +144,7 @@
 	out, err := l.call(ctx, table, a)
 	if err != nil {
 		l.log.Debug().Err(err).Str("shard", shard).Msg("No loan.")
+		l.setShort(shard)
 		return
 	}
 	if l.take(out, sent) {
@@ -179,11 +184,23 @@
 		}
 		a.peak = a.usedLent + a.usedBase
 		a.unmet = 0
+		a.wanted = w.Want
 		out.Wants = append(out.Wants, w)
 	}
 	return out
 }
 
+// setShort keeps unmet wants from causing calls before the next interval.
+func (l *Lender) setShort(shard string) {
+	l.lock.Lock()
+	defer l.lock.Unlock()
+	for _, a := range l.accounts {
+		if a.backend.Shard == shard {
+			a.short = true
+		}
+	}
+}
+
 // opened counts open connections. The lock is not held meanwhile, since the
 // holder of the connections asks for limits under locks of its own.
 func (l *Lender) opened(shard string) map[string]int {
@@ -217,6 +234,7 @@
 		grown = grown || g.Slots > account.lent
 		account.lent = g.Slots
 		account.until = until
+		account.short = g.Slots < account.wanted
 	}
 	return grown
 }
--- a/internal/traffic/lender/lender_test.go
+++ b/internal/traffic/lender/lender_test.go
@@ -301,3 +301,53 @@
 		l.Close()
 	})
 }
+
+// counter counts calls and bytes, and lends nothing.
+type counter struct {
+	calls int
+	bytes int
+}
+
+func (c *counter) Call(_ context.Context, _, _ string, params, _ any) error {
+	data, _ := json.Marshal(params)
+	c.calls++
+	c.bytes += len(data)
+	return errLost
+}
+
+// TestUnmetWantsDoNotFlood lets requests find no slot all the time.
+func TestUnmetWantsDoNotFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, owner: "elsewhere"}
+		c := new(counter)
+		l := New(Options{Name: "a"}, w.table("a"), c, func() bool { return false }, nil, zerolog.Nop())
+		for range 10000 {
+			l.Acquire(worker, time.Now().Add(time.Second))
+			time.Sleep(time.Millisecond)
+		}
+		l.Close()
+		if c.calls > 7 {
+			t.Errorf("%d calls in 10 s", c.calls)
+		}
+	})
+}
+
+// TestCallSize logs what a worker adds to a call and its answer.
+func TestCallSize(t *testing.T) {
+	size := func(workers int) (int, int) {
+		a, out := &ask{Host: "seq-bne-entry-1", Born: 1 << 60, Sequence: 1 << 20, Shard: "seq-bne-1"}, &loans{Epoch: 100, Term: DefaultTerm}
+		for i := range workers {
+			a.Wants = append(a.Wants, want{Worker: fmt.Sprintf("seq-bne-w%05d", i), Want: 3, Held: 2})
+			out.Loans = append(out.Loans, grant{Worker: fmt.Sprintf("seq-bne-w%05d", i), Slots: 3})
+		}
+		x, _ := json.Marshal(a)
+		y, _ := json.Marshal(out)
+		return len(x), len(y)
+	}
+	x0, y0 := size(0)
+	x, y := size(100)
+	t.Logf("call %d + %.1f bytes a worker, answer %d + %.1f", x0, float64(x-x0)/100, y0, float64(y-y0)/100)
+	if (x-x0)/100 > 60 || (y-y0)/100 > 50 {
+		t.Error("more bytes for each worker than docs/notes/slots.md says")
+	}
+}
--- /dev/null
+++ b/internal/traffic/retrier/retrier_test.go
@@ -0,0 +1,67 @@
+package retrier_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+	"dotterelcart.dev/dotterelcart/internal/traffic/retrier"
+)
+
+// TestBudget draws orders of first attempts and retries: the retries never
+// exceed the share of first attempts and the reserve.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := retrier.NewBudget(0.25, 4)
+		first, retries := 0, 0
+		for _, isFirst := range rapid.SliceOf(rapid.Bool()).Draw(t, "order") {
+			if isFirst {
+				b.First()
+				first++
+			} else if b.Take() {
+				retries++
+			}
+		}
+		if float64(retries) > 4+0.25*float64(first) {
+			t.Fatalf("%d retries for %d first attempts", retries, first)
+		}
+	})
+}
+
+func TestMay(t *testing.T) {
+	for verdict, want := range map[classifier.Verdict][2]bool{
+		classifier.NotRun:     {true, true},
+		classifier.MayHaveRun: {true, false},
+		classifier.Ran:        {false, false},
+	} {
+		err := &classifier.Error{Verdict: verdict}
+		if got := [2]bool{retrier.May(err, true), retrier.May(err, false)}; got != want {
+			t.Errorf("%s: %v", verdict, got)
+		}
+	}
+	if retrier.May(errors.New("unknown"), false) {
+		t.Error("an error without a verdict may have run")
+	}
+}
+
+func TestWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := retrier.New()
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if !r.Wait(ctx) || !r.Wait(ctx) || r.Wait(ctx) {
+			t.Error("3 attempts at most")
+		}
+		short, stop := context.WithTimeout(context.Background(), time.Millisecond)
+		defer stop()
+		start := time.Now()
+		if retrier.New().Wait(short) || time.Since(start) != 0 {
+			t.Error("a wait beyond the deadline must be given up at once")
+		}
+	})
+}
