--- a/internal/peer/gossiper/gossiper.go
+++ b/internal/peer/gossiper/gossiper.go
@@ -90,6 +90,8 @@
 	random  *rand.Rand
 	self    member
 	members map[string]*entry // others, by name
+	sorted  []string          // names of members
+	others  uint64            // digest of members
 	order   []string          // names still to ping in this round
 	hosts   []string          // addresses from the host list
 	routes  map[string]string // of these, by name
--- a/internal/peer/gossiper/member.go
+++ b/internal/peer/gossiper/member.go
@@ -95,12 +95,17 @@
 }
 
 // sum is the digest of the whole view; g.mu is held.
-func (g *Gossiper) sum() uint64 {
-	out := g.self.digest()
-	for _, e := range g.members {
-		out += e.digest()
+func (g *Gossiper) sum() uint64 { return g.self.digest() + g.others }
+
+// refresh computes what is derived from the members; g.mu is held.
+func (g *Gossiper) refresh() {
+	g.others = 0
+	g.sorted = g.sorted[:0]
+	for name, e := range g.members {
+		g.others += e.digest()
+		g.sorted = append(g.sorted, name)
 	}
-	return out
+	slices.Sort(g.sorted)
 }
 
 // alive returns the members that are not dead; g.mu is held.
@@ -144,6 +149,7 @@
 		g.log.Info().Str("member", m.Name).Stringer("state", m.State).Msg("Member changed.")
 	}
 	e.member, e.since = m, time.Now()
+	g.refresh()
 	signal(g.changed)
 }
 
@@ -177,6 +183,7 @@
 			g.mark(name, e.Incarnation, dead)
 		case e.State == dead && now.Sub(e.since) > forgetAfter:
 			delete(g.members, name)
+			g.refresh()
 		}
 	}
 }
--- a/internal/peer/gossiper/ping.go
+++ b/internal/peer/gossiper/ping.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -179,15 +178,9 @@
 	return slices.Concat(first, fresh, rest)
 }
 
-// names returns the members' names sorted, so that a seed gives one order.
-func (g *Gossiper) names() []string {
-	out := make([]string, 0, len(g.members))
-	for name := range g.members {
-		out = append(out, name)
-	}
-	slices.SortFunc(out, strings.Compare)
-	return out
-}
+// names returns the members' names sorted, so that a seed gives one order; the
+// list is valid while g.mu is held.
+func (g *Gossiper) names() []string { return g.sorted }
 
 // ping calls the host at address, or has it ping target.
 func (g *Gossiper) ping(ctx context.Context, address, target string) error {
--- a/internal/peer/gossiper/probe.go
+++ b/internal/peer/gossiper/probe.go
@@ -64,7 +64,7 @@
 func (g *Gossiper) target() *entry {
 	for range len(g.members) + 1 {
 		if len(g.order) == 0 {
-			g.order = g.names()
+			g.order = slices.Clone(g.names())
 			g.random.Shuffle(len(g.order), func(i, j int) { g.order[i], g.order[j] = g.order[j], g.order[i] })
 		}
 		if len(g.order) == 0 {
@@ -128,7 +128,7 @@
 // askOthers reports whether some other host can reach the member.
 func (g *Gossiper) askOthers(m member) bool {
 	g.mu.Lock()
-	names := g.names()
+	names := slices.Clone(g.names())
 	g.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 	var helpers []string
 	for _, name := range names {
--- a/internal/peer/messenger/call.go
+++ b/internal/peer/messenger/call.go
@@ -61,8 +61,6 @@
 			n.drop(address, l)
 		}
 		return failed(classifier.MayHaveRun, "timeout", ctx.Err())
-	case l.isClosed():
-		n.drop(address, l)
 	}
 	return failed(classifier.MayHaveRun, "lost", err)
 }
--- a/internal/state/faker/faker.go
+++ b/internal/state/faker/faker.go
@@ -4,13 +4,13 @@
 // # Model
 //
 // One [Store] is shared by several [Client] values, one for each daemon of a
-// test. A client's Fault hook decides the fate of each of its calls: refused,
+// test. The function set by SetFault decides the fate of each of its calls: refused,
 // carried out with the answer lost, or answered from the past. Time is that of
 // the time package, so a testing/synctest bubble makes it virtual.
 //
 //	store := faker.New()
 //	a, b := store.Client("a"), store.Client("b")
-//	a.Fault = func(c faker.Call) faker.Fate { return faker.LoseAnswer }
+//	a.SetFault(func(c faker.Call) faker.Fate { return faker.LoseAnswer })
 package faker
 
 import (
@@ -143,12 +143,11 @@
 // Client is one daemon's access. It implements storer.Store.
 type Client struct {
 	Name  string
-	Fault func(Call) Fate            // nil answers every call
-	Delay func(Call) time.Duration   // before the call has effect; nil is none
-	Trace func(call Call, err error) // after each call that had effect or was answered
 	store *Store
 
 	mu    sync.Mutex
+	fault func(Call) Fate
+	delay func(Call) time.Duration
 	down  bool
 	count map[string]int64
 	calls int64
@@ -156,6 +155,22 @@
 
 var _ storer.Store = (*Client)(nil)
 
+// SetFault sets what decides the fate of each call; nil answers every call.
+// The function is called by one goroutine at a time.
+func (c *Client) SetFault(f func(Call) Fate) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = f
+}
+
+// SetDelay sets the time before each call has its effect; nil is none. The
+// function is called by one goroutine at a time.
+func (c *Client) SetDelay(f func(Call) time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.delay = f
+}
+
 // SetDown begins or ends an outage for this client.
 func (c *Client) SetDown(down bool) {
 	c.mu.Lock()
@@ -184,8 +199,8 @@
 	switch {
 	case c.down:
 		return Drop
-	case c.Fault != nil:
-		return c.Fault(call)
+	case c.fault != nil:
+		return c.fault(call)
 	}
 	return Answer
 }
@@ -196,11 +211,13 @@
 	c.calls++
 	c.count[operation]++
 	call := Call{Client: c.Name, Operation: operation, Key: key, Value: value, Number: c.calls}
-	c.mu.Unlock()
-	if c.Delay != nil {
-		// The call has its effect late, whether or not anybody still waits.
-		time.Sleep(c.Delay(call))
+	var delay time.Duration
+	if c.delay != nil {
+		delay = c.delay(call)
 	}
+	c.mu.Unlock()
+	// The call has its effect late, whether or not anybody still waits.
+	time.Sleep(delay)
 	fate := c.fate(call)
 	if fate == Drop {
 		return lost()
@@ -209,9 +226,6 @@
 	c.store.expire()
 	err := f(c.store, fate == Stale)
 	c.store.mu.Unlock()
-	if c.Trace != nil {
-		c.Trace(call, err)
-	}
 	if fate == LoseAnswer {
 		return lost()
 	}
--- /dev/null
+++ b/internal/state/holder/target_test.go
@@ -0,0 +1,73 @@
+package holder_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+)
+
+// The stated target, and what the store takes of the whole fleet.
+const (
+	startRate   = 3400.0 // task starts a second
+	fleetShards = 110    // ten for each of 11 failure domains
+	writeRate   = 300.0  // store writes a second, the low end of several hundred
+	perStart    = 3      // records: start, finish, and its share of jobs and resizes
+)
+
+var _ = Describe("Holder at the target", func() {
+	It("commits the starts of the fleet within the store's rate of writes", virtual(func() {
+		const seconds = 60
+		s := faker.New()
+		a := start(s, "a")
+		defer a.stop()
+		a.SetShards(fleetShards)
+		a.client.SetDelay(func(faker.Call) time.Duration { return 5 * time.Millisecond })
+		a.claim()
+		before := a.Calls()
+		rate := startRate / fleetShards
+		batches := int64(rate * seconds * perStart)
+		for i := range batches {
+			a.append(1, i+1, "job")
+			time.Sleep(time.Duration(float64(time.Second) / rate / perStart))
+		}
+		time.Sleep(time.Second)
+		Expect(a.take()).To(HaveLen(int(batches)))
+		calls := a.Calls()
+		swaps := float64(calls["swap"]-before["swap"]) / seconds * fleetShards
+		renewals := float64(calls["renew"]-before["renew"]) / seconds * fleetShards
+		reads := float64(calls["get"]-before["get"]) / seconds * fleetShards
+		AddReportEntry("store calls a second of the fleet", fmt.Sprintf(
+			"segments %.0f, renewals %.0f, reads %.0f; %.1f records a segment",
+			swaps, renewals, reads, startRate*perStart/swaps))
+		Expect(swaps + renewals).To(BeNumerically("<", writeRate))
+		Expect(reads).To(BeNumerically("<", 2))
+	}))
+
+	It("hands a dead owner's shard to a successor within two times to live", virtual(func() {
+		s := faker.New()
+		a, b := start(s, "a"), start(s, "b")
+		defer b.stop()
+		defer a.stop()
+		a.claim()
+		for i := range int64(1000) {
+			a.append(1, i+1, "job")
+		}
+		time.Sleep(10 * time.Second)
+		b.client.SetDelay(func(faker.Call) time.Duration { return 5 * time.Millisecond })
+		a.client.SetDown(true)
+		died := time.Now()
+		for {
+			if _, ok := b.claim().(reducer.ShardClaimed); ok {
+				break
+			}
+		}
+		took := time.Since(died)
+		AddReportEntry("virtual time from a crash to ShardClaimed", took.String())
+		Expect(took).To(BeNumerically("<", 20*time.Second))
+	}))
+})
--- a/internal/state/journaler/head.go
+++ b/internal/state/journaler/head.go
@@ -18,6 +18,9 @@
 	Snapshot snapshot `json:"snapshot,omitzero"`
 }
 
+// maxChunks bounds a snapshot, about 1 GB.
+const maxChunks = 1024
+
 // snapshot names the chunks that replace all batches of earlier epochs, and
 // those of its own epoch up to Batch.
 type snapshot struct {
@@ -50,7 +53,7 @@
 	if h.Epoch < 1 || h.Sequence < 1 || h.Slot < 0 || h.Nonce == "" {
 		return head{}, errors.New("journaler: head out of range")
 	}
-	if s := h.Snapshot; s.Chunks < 0 || s.Size < 0 || s.Size > int64(s.Chunks)*MaxPayload {
+	if s := h.Snapshot; s.Chunks < 0 || s.Chunks > maxChunks || s.Size < 0 || s.Size > int64(s.Chunks)*MaxPayload {
 		return head{}, errors.New("journaler: snapshot out of range")
 	}
 	return h, nil
--- a/internal/state/journaler/save.go
+++ b/internal/state/journaler/save.go
@@ -16,6 +16,10 @@
 // save writes a snapshot in chunks under a name that nobody else uses,
 // switches the head to it and removes what nobody can refer to any more.
 func (l *Ledger) save(ctx context.Context, batch int64, data []byte) error {
+	if len(data) > maxChunks*MaxPayload {
+		l.log.Error().Int("size", len(data)).Msg("Snapshot is too large, the ledger goes on growing.")
+		return nil
+	}
 	s := snapshot{
 		Name:  fmt.Sprintf("%d-%d-%s", l.Epoch, l.chain.head.Change, l.nonce),
 		Size:  int64(len(data)),
