--- a/internal/peer/gossiper/failure_test.go
+++ b/internal/peer/gossiper/failure_test.go
@@ -138,13 +138,21 @@
 				time.Sleep(20 * time.Second)
 				quiet := c.sent() - joined
 				c.stop("d1/1")
-				time.Sleep(20 * time.Second)
+				dropped := 0
+				for second := range 20 {
+					time.Sleep(time.Second)
+					if dropped == 0 && c.agree(hosts-1) {
+						dropped = second + 1
+					}
+				}
 				busy := c.sent() - joined - quiet
 				perHost := func(bytes int64) float64 { return float64(bytes) / 20 / float64(hosts) }
 				AddReportEntry(fmt.Sprintf("%d hosts: bytes sent a second by each", hosts),
-					fmt.Sprintf("quiet %.0f, one dead %.0f, joining %.0f", perHost(quiet), perHost(busy), perHost(joined)/6))
+					fmt.Sprintf("quiet %.0f, one dead %.0f, joining %.0f; dropped after %d s",
+						perHost(quiet), perHost(busy), perHost(joined)/6, dropped))
 				Expect(perHost(quiet)).To(BeNumerically("<", share*budget/2))
 				Expect(perHost(busy)).To(BeNumerically("<", share*budget/2))
+				Expect(dropped).To(BeNumerically(">", 0))
 				Expect(perHost(joined) / 6).To(BeNumerically("<", share*budget))
 			})()
 		},
@@ -162,10 +170,20 @@
 	return nil
 }
 
-// sent returns the bytes sent by all hosts.
+// agree reports whether every host knows as many members.
+func (c *cluster) agree(members int) bool {
+	for _, g := range c.hosts {
+		if len(g.Alive()) != members {
+			return false
+		}
+	}
+	return true
+}
+
+// sent returns the bytes sent by all hosts, stopped ones included.
 func (c *cluster) sent() int64 {
 	synctest.Wait()
-	var out int64
+	out := c.gone
 	for _, g := range c.hosts {
 		out += g.Sent()
 	}
--- a/internal/peer/gossiper/gossiper_test.go
+++ b/internal/peer/gossiper/gossiper_test.go
@@ -23,6 +23,7 @@
 type cluster struct {
 	network *faker.Network
 	hosts   map[string]*gossiper.Gossiper
+	gone    int64 // bytes sent by stopped hosts
 
 	mu   sync.Mutex
 	seen map[string]int64 // latest revision seen by a host
@@ -63,6 +64,7 @@
 	c.network.Remove(name)
 	c.hosts[name].Close()
 	<-c.hosts[name].Done
+	c.gone += c.hosts[name].Sent()
 	delete(c.hosts, name)
 }
 
