state/holder: the store is reported as reached after each renewal

The contract of StoreReached became stricter: it follows each renewal, and a lost shard is reported first. The holder reported changes only, so an idle owner would have looked cut off from the store and its task leases would have run out. Now only the lease decides while shards are held: it was renewed, or it is gone and all owner records have been written again.

state/journaler: reading ahead is tried once, so that an answer too large for one call does not keep a shard from being claimed.

--- a/internal/state/holder/holder.go
+++ b/internal/state/holder/holder.go
@@ -75,11 +75,13 @@
 	tasks   sync.WaitGroup
 	shards  atomic.Int64 // of the whole fleet
 
-	mu     sync.Mutex
-	seats  map[string]*seat
-	closed bool
-	outbox []reducer.Event
-	wake   chan struct{}
+	mu      sync.Mutex
+	seats   map[string]*seat
+	known   bool // reached was reported
+	reached bool
+	closed  bool
+	outbox  []reducer.Event
+	wake    chan struct{}
 }
 
 // seat is one shard that is being claimed, held or released.
@@ -114,12 +116,13 @@
 		seats:   map[string]*seat{},
 		wake:    make(chan struct{}, 1),
 	}
-	h.store = &watchedStore{Store: store, report: func(ok bool) { h.emit(reducer.StoreReached{OK: ok}) }}
+	h.store = &watchedStore{Store: store, report: h.noted}
 	h.lease = leaser.New(leaser.Options{
-		TTL:    o.TTL,
-		Margin: o.Margin,
-		Ended:  func(int64) { h.reassertAll() },
-		Log:    o.Log,
+		TTL:     o.TTL,
+		Margin:  o.Margin,
+		Renewed: h.renewed,
+		Ended:   func(int64) { h.reassertAll() },
+		Log:     o.Log,
 	}, h.store)
 	go func() {
 		defer close(h.Done)
@@ -190,12 +193,6 @@
 	return time.Duration(float64(n) / h.options.Budget * float64(time.Second))
 }
 
-func (h *Holder) emit(e reducer.Event) {
-	h.mu.Lock()
-	h.post(e)
-	h.mu.Unlock()
-}
-
 // post queues an event; h.mu is held.
 func (h *Holder) post(e reducer.Event) {
 	h.outbox = append(h.outbox, e)
--- a/internal/state/holder/holder_test.go
+++ b/internal/state/holder/holder_test.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	events  []reducer.Event
 	reached []bool
+	observe func(reducer.Event) // of all events, if set
 }
 
 func start(s *faker.Store, name string) *daemon {
@@ -33,6 +34,9 @@
 	d.Holder = holder.New(holder.Options{Daemon: name, Log: zerolog.Nop()}, d.client, func(e reducer.Event) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if d.observe != nil {
+			d.observe(e)
+		}
 		if r, ok := e.(reducer.StoreReached); ok {
 			d.reached = append(d.reached, r.OK)
 			return
@@ -58,6 +62,23 @@
 	return out
 }
 
+// reports returns what was reported about the store since the last time.
+func (d *daemon) reports() []bool {
+	synctest.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := d.reached
+	d.reached = nil
+	return out
+}
+
+// watch calls f with each event, or ends that with nil.
+func (d *daemon) watch(f func(reducer.Event)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.observe = f
+}
+
 // claim returns the event that the claim ended with.
 func (d *daemon) claim() reducer.Event {
 	d.take()
--- a/internal/state/holder/seat.go
+++ b/internal/state/holder/seat.go
@@ -58,6 +58,7 @@
 	}
 	s.phase, s.ledger = held, ledger
 	h.begin(func() { <-ledger.Done })
+	h.settle(false)
 	h.post(reducer.ShardClaimed{
 		Shard:    s.shard,
 		Epoch:    content.Epoch,
@@ -197,6 +198,9 @@
 	}
 	delete(h.seats, s.shard)
 	h.post(reducer.ShardLost{Shard: s.shard, Epoch: s.ledger.Epoch})
+	if s.asserting {
+		h.settle(true)
+	}
 	h.log.Info().Str("shard", s.shard).Int64("epoch", s.ledger.Epoch).Msg("Shard given up.")
 	return true
 }
@@ -213,6 +217,7 @@
 			h.reassert(s)
 		}
 	}
+	h.settle(true)
 }
 
 // reassert writes the owner record under a new lease; h.mu is held.
@@ -263,6 +268,7 @@
 		return false
 	}
 	s.asserting = false
+	h.settle(true)
 	return true
 }
 
--- a/internal/state/holder/watch.go
+++ b/internal/state/holder/watch.go
@@ -10,15 +10,15 @@
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 )
 
-// watchedStore counts calls and reports whenever the store begins or ceases to
-// answer.
+// renewal is the name of the operation Renew.
+const renewal = "renew"
+
+// watchedStore counts calls and reports whether each had an answer.
 type watchedStore struct {
 	Store
-	report func(ok bool)
+	report func(operation string, ok bool)
 
 	mu    sync.Mutex
-	known bool
-	ok    bool
 	count map[string]int64
 }
 
@@ -29,17 +29,12 @@
 	ok := err == nil || errors.Is(err, storer.ErrNotFound) ||
 		errors.Is(err, storer.ErrConflict) || errors.Is(err, storer.ErrNoLease)
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	if w.count == nil {
 		w.count = map[string]int64{}
 	}
 	w.count[operation]++
-	if w.known && w.ok == ok {
-		return
-	}
-	w.known, w.ok = true, ok
-	// Reported under the lock, so that reports keep their order.
-	w.report(ok)
+	w.mu.Unlock()
+	w.report(operation, ok)
 }
 
 func (w *watchedStore) calls() map[string]int64 {
@@ -80,7 +75,7 @@
 
 func (w *watchedStore) Renew(ctx context.Context, lease int64) error {
 	err := w.Store.Renew(ctx, lease)
-	w.note("renew", err)
+	w.note(renewal, err)
 	return err
 }
 
--- a/internal/state/journaler/journaler_test.go
+++ b/internal/state/journaler/journaler_test.go
@@ -231,6 +231,22 @@
 		Expect(c.records()).To(Equal("1.1 2.1"))
 	}))
 
+	It("reads segments one by one when they cannot be listed", virtual(func() {
+		a := open(store.Client("a"))
+		a.write(1, 2, 3)
+		a.stop()
+		client := store.Client("b")
+		client.SetFault(func(c faker.Call) faker.Fate {
+			if c.Operation == "list" {
+				return faker.Drop
+			}
+			return faker.Answer
+		})
+		b := open(client)
+		defer b.stop()
+		Expect(b.records()).To(Equal("1.1 1.2 1.3"))
+	}))
+
 	It("leaves no chunks of unfinished snapshots behind", virtual(func() {
 		client := store.Client("a")
 		a := open(client)
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -101,10 +101,7 @@
 	if err != nil {
 		return Content{}, err
 	}
-	ahead, err := l.readAhead(ctx)
-	if err != nil {
-		return Content{}, err
-	}
+	ahead := l.readAhead(ctx)
 	r := replayer{snapshot: l.chain.head.Snapshot}
 	w := l.segmentWrite()
 	for {
@@ -165,17 +162,21 @@
 }
 
 // readAhead reads all slots in one call, so that a replay from another region
-// does not wait a round trip for each segment.
-func (l *Ledger) readAhead(ctx context.Context) (map[string]storer.Item, error) {
-	slots := make(map[string]storer.Item)
-	err := retry(ctx, l.options.Timeout, func(ctx context.Context) error {
-		items, _, err := l.store.List(ctx, slotPrefix(l.options.Shard))
-		for _, item := range items {
-			slots[item.Key] = item
-		}
-		return err
-	})
-	return slots, err
+// does not wait a round trip for each segment. It is tried once: if the answer
+// is too much for one call, the slots are read one by one.
+func (l *Ledger) readAhead(ctx context.Context) map[string]storer.Item {
+	ctx, cancel := context.WithTimeout(ctx, l.options.Timeout)
+	defer cancel()
+	items, _, err := l.store.List(ctx, slotPrefix(l.options.Shard))
+	if err != nil {
+		l.log.Info().Err(err).Msg("Segments not read in one call.")
+		return nil
+	}
+	slots := make(map[string]storer.Item, len(items))
+	for _, item := range items {
+		slots[item.Key] = item
+	}
+	return slots
 }
 
 // nextSlot returns the slot at the end of the chain. What was read ahead is
--- a/internal/state/leaser/leaser.go
+++ b/internal/state/leaser/leaser.go
@@ -39,10 +39,11 @@
 
 // Options configure a Lease.
 type Options struct {
-	TTL    time.Duration
-	Margin time.Duration   // for clock drift
-	Ended  func(old int64) // called when the store has answered that the lease is gone
-	Log    zerolog.Logger
+	TTL     time.Duration
+	Margin  time.Duration   // for clock drift
+	Renewed func()          // called after each successful renewal
+	Ended   func(old int64) // called when the store has answered that the lease is gone
+	Log     zerolog.Logger
 }
 
 // Lease is one store lease with its renewals. It is safe for concurrent use.
@@ -54,6 +55,7 @@
 	log     zerolog.Logger
 	cancel  context.CancelFunc
 	granted chan struct{}
+	poke    chan struct{}
 	acquire chan struct{} // held by the goroutine that asks for a grant
 
 	mu    sync.Mutex
@@ -71,6 +73,7 @@
 		log:     o.Log.With().Str("part", "leaser").Logger(),
 		cancel:  cancel,
 		granted: make(chan struct{}, 1),
+		poke:    make(chan struct{}, 1),
 		acquire: make(chan struct{}, 1),
 	}
 	go func() {
@@ -97,11 +100,18 @@
 		return 0, err
 	}
 	l.set(id, sent)
+	signal(l.granted)
+	return id, nil
+}
+
+// Poke renews the lease soon, such as when the store answers again.
+func (l *Lease) Poke() { signal(l.poke) }
+
+func signal(c chan struct{}) {
 	select {
-	case l.granted <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
-	return id, nil
 }
 
 // ID returns the lease in force, or 0. A lease stays in force until the store
@@ -141,6 +151,8 @@
 		case <-ctx.Done():
 			return
 		case <-l.granted:
+		case <-l.poke:
+			l.renew(ctx, interval)
 		case <-timer.C:
 			l.renew(ctx, interval)
 		}
@@ -159,7 +171,9 @@
 	err := l.store.Renew(call, id)
 	switch {
 	case err == nil:
-		l.extend(id, sent)
+		if l.extend(id, sent) && l.options.Renewed != nil {
+			l.options.Renewed()
+		}
 	case errors.Is(err, storer.ErrNoLease):
 		l.log.Warn().Int64("lease", id).Msg("Lease is gone.")
 		if l.forget(id) && l.options.Ended != nil {
@@ -178,13 +192,14 @@
 }
 
 // extend does nothing when the lease was revoked in the meantime.
-func (l *Lease) extend(id int64, sent time.Time) {
+func (l *Lease) extend(id int64, sent time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.id != id {
-		return
+		return false
 	}
 	l.until = sent.Add(l.options.TTL - l.options.Margin)
+	return true
 }
 
 func (l *Lease) forget(id int64) bool {
