control/reducer: a shard whose owner is cut off from the store is taken over

Found by TestSplit: nobody claimed a shard that a live peer said it owned, and two successors handed it to each other and to the cut-off daemon for ever, which began the wait for its worker anew each time. A claim is now tried every 30 s, a recovering shard isn't handed over, and an owner stays longer each time that nobody takes its offer.

--- a/internal/control/reducer/grant.go
+++ b/internal/control/reducer/grant.go
@@ -128,10 +128,11 @@
 	w := h.worker(t.worker)
 	id := t.id()
 	if w.account.Resize(id, t.token, to) != nil {
+		// In replay the worker's capacity may not be known yet.
 		g := w.account.Grants[id]
-		w.account.Granted = w.account.Granted.Add(to.Sub(g.Resources))
+		w.account.Drop(id, t.token)
 		g.Resources = to
-		w.account.Grants[id] = g
+		w.account.Adopt(id, g)
 	}
 	team := h.team(t.job.Team)
 	team.used = team.used.Add(to.Sub(t.granted))
--- a/internal/control/reducer/ownership.go
+++ b/internal/control/reducer/ownership.go
@@ -17,6 +17,8 @@
 	claimRetryMost = 30 * time.Second // upper bound of the same
 	settleTime     = 10 * time.Second // of stable membership before a shard is handed over
 	rankDelay      = 10 * time.Second // the n-th daemon of a shard's ranking claims it after n times this
+	doubtDelay     = 30 * time.Second // between claims of a shard that a live peer says it owns
+	tenureMost     = time.Hour        // of a shard that nobody takes over, before it is offered again
 	handOverPause  = 30 * time.Second // before a shard that was handed over is claimed again
 )
 
@@ -57,7 +59,7 @@
 		found[c.ID] = true
 		h := s.shards[c.ID]
 		if h == nil {
-			h = &shard{state: s, id: c.ID, freeAt: s.now}
+			h = &shard{state: s, id: c.ID, freeAt: s.now, tenure: settleTime}
 			s.shards[c.ID] = h
 		}
 		h.config = c
@@ -94,13 +96,14 @@
 	s.reviewOwnership()
 }
 
-// rank returns how many live peers go before this daemon for the shard.
-func (s *State) rank(id string) int {
+// rank returns how many live peers go before this daemon for the shard, one
+// of them not counted.
+func (s *State) rank(id, without string) int {
 	seed := xxhash.Sum64String(id)
 	mine := mix(seed, xxhash.Sum64String(s.options.Daemon))
 	before := 0
 	for _, p := range s.peers {
-		if p.Name == s.options.Daemon || p.Domain != s.options.Domain || p.Leaving {
+		if p.Name == s.options.Daemon || p.Name == without || p.Domain != s.options.Domain || p.Leaving {
 			continue
 		}
 		weight := mix(seed, xxhash.Sum64String(p.Name))
@@ -136,26 +139,68 @@
 
 func (h *shard) considerClaim() {
 	s := h.state
-	if s.holder(h.id) != "" {
-		h.freeAt = s.now
-		return
+	wait := time.Duration(s.rank(h.id, "")) * rankDelay
+	if holder := s.holder(h.id); holder == "" {
+		h.heldAt = time.Time{}
+	} else {
+		// It may be cut off from the store and not know that it lost the shard.
+		h.freeAt = time.Time{}
+		if h.heldAt.IsZero() {
+			h.heldAt = s.now
+		}
+		wait = s.doubt(h, holder)
 	}
-	wait := time.Duration(s.rank(h.id)) * rankDelay
-	if s.stopping || s.now.Before(h.tryAt) || s.now.Sub(h.freeAt) < wait {
+	if s.stopping || s.now.Before(h.tryAt) || s.now.Sub(h.since()) < wait {
 		return
 	}
 	h.phase = claiming
 	s.emit(Claim{Shard: h.id})
 }
 
+// since returns from when a claim's wait counts.
+func (h *shard) since() time.Time {
+	if !h.heldAt.IsZero() {
+		return h.heldAt
+	}
+	if h.freeAt.IsZero() {
+		h.freeAt = h.state.now
+	}
+	return h.freeAt
+}
+
+// doubt returns how long a daemon waits before it tries to claim a shard that
+// a live peer says it owns.
+func (s *State) doubt(h *shard, holder string) time.Duration {
+	return doubtDelay + time.Duration(s.rank(h.id, holder))*rankDelay
+}
+
 // considerRelease hands a shard to a better placed daemon once membership
 // has been stable for a while.
 func (h *shard) considerRelease() {
 	s := h.state
-	better := s.rank(h.id) > 0 && s.now.Sub(s.settled) >= settleTime && s.now.Sub(h.claimed) >= settleTime
-	if s.stopping || better && s.reached {
+	if s.stopping {
 		h.phase = releasing
+		return
+	}
+	stable := s.now.Sub(s.settled) >= settleTime && s.now.Sub(h.claimed) >= h.tenure
+	if s.rank(h.id, "") == 0 || !stable || !s.reached || h.isRecovering() {
+		return
+	}
+	// Whoever is better placed may be cut off from the store. If nobody takes
+	// the shard over and it comes back, it stays longer each time.
+	h.tenure = min(2*max(h.tenure, settleTime), tenureMost)
+	h.phase = releasing
+}
+
+// isRecovering reports whether some worker with runs has not been heard yet.
+// A hand-over would begin the wait for it anew.
+func (h *shard) isRecovering() bool {
+	for _, w := range h.order {
+		if !w.heard && len(w.runs) > 0 {
+			return true
+		}
 	}
+	return false
 }
 
 // handOver emits Release once every decision has been sent to the ledger.
@@ -174,6 +219,7 @@
 	}
 	h.phase = foreign
 	wait := min(claimRetry<<min(h.tries, 8), claimRetryMost)
+	h.heldAt = time.Time{}
 	h.tries++
 	h.tryAt = s.now.Add(wait)
 }
--- a/internal/control/reducer/policy.go
+++ b/internal/control/reducer/policy.go
@@ -160,7 +160,11 @@
 	}
 	worst := 0.0
 	for _, service := range w.account.Host.Services {
-		mean, _ := h.state.policies.Learner.Slowdown(service, shares, w.account.Reports[service].Load)
+		load := w.account.Reports[service].Load
+		if _, seen := h.state.policies.Learner.Baseline(service, load); !seen {
+			continue
+		}
+		mean, _ := h.state.policies.Learner.Slowdown(service, shares, load)
 		worst = max(worst, mean)
 	}
 	return worst
--- a/internal/control/reducer/property_test.go
+++ b/internal/control/reducer/property_test.go
@@ -17,7 +17,7 @@
 		w := newWorld(t, rapid.Uint64().Draw(t, "seed"))
 		w.pass(5 * time.Second)
 		for i := range rapid.IntRange(5, 60).Draw(t, "steps") {
-			w.step(i)
+			w.step(t, i)
 			w.pass(time.Duration(rapid.IntRange(0, 6000).Draw(t, "pass")) * time.Millisecond)
 		}
 		w.heal()
@@ -26,28 +26,28 @@
 	})
 }
 
-func (w *world) node() *node {
-	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(w.t, "node")]
+func (w *world) node(t *rapid.T) *node {
+	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
 }
 
-func (w *world) anyMachine() *machine {
-	return w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(w.t, "worker")]
+func (w *world) anyMachine(t *rapid.T) *machine {
+	return w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(t, "worker")]
 }
 
 // step does one thing at random, most often something ordinary.
-func (w *world) step(i int) {
-	length := time.Duration(rapid.IntRange(1, 60).Draw(w.t, "seconds")) * time.Second
-	switch rapid.IntRange(0, 18).Draw(w.t, "what") {
+func (w *world) step(t *rapid.T, i int) {
+	length := time.Duration(rapid.IntRange(1, 60).Draw(t, "seconds")) * time.Second
+	switch rapid.IntRange(0, 18).Draw(t, "what") {
 	case 0, 1, 2, 3:
-		w.submit(fmt.Sprintf("job-%d", i), rapid.IntRange(1, 6).Draw(w.t, "tasks"))
+		w.submit(fmt.Sprintf("job-%d", i), rapid.IntRange(1, 6).Draw(t, "tasks"))
 	case 4:
 		w.everywhere(func(n *node) { n.reduce(Cancelled{Job: fmt.Sprintf("job-%d", max(i-2, 0))}) })
 	case 5:
-		n := w.node()
+		n := w.node(t)
 		n.kill()
 		w.after(length/4, n.boot)
 	case 6:
-		n := w.node()
+		n := w.node(t)
 		if n.alive && !n.paused {
 			n.paused = true
 			life := n.life
@@ -58,18 +58,18 @@
 			})
 		}
 	case 7:
-		n := w.node()
+		n := w.node(t)
 		n.cutStore = true
 		w.after(length, func() { n.cutStore = false })
 	case 8:
-		n, m := w.node(), w.anyMachine()
+		n, m := w.node(t), w.anyMachine(t)
 		n.cut[m.name] = true
 		w.after(length, func() { n.cut[m.name] = false })
 	case 9:
 		w.store.up = false
 		w.after(length, func() { w.store.up = true })
 	case 10:
-		m := w.anyMachine()
+		m := w.anyMachine(t)
 		if !m.dead {
 			m.advance()
 			m.dead = true
@@ -78,32 +78,32 @@
 			w.after(max(length, 15*time.Second), func() { m.dead = false })
 		}
 	case 11:
-		m := w.anyMachine()
+		m := w.anyMachine(t)
 		m.bad = true
 		w.after(length, func() { m.bad = false })
 	case 12:
-		w.drain(fmt.Sprintf("drain-%d", i), w.anyMachine().name, length)
+		w.drain(fmt.Sprintf("drain-%d", i), w.anyMachine(t).name, length)
 	case 13:
 		old := w.store.config
-		old.Revision -= int64(rapid.IntRange(0, 3).Draw(w.t, "older"))
-		n := w.node()
+		old.Revision -= int64(rapid.IntRange(0, 3).Draw(t, "older"))
+		n := w.node(t)
 		w.after(length, func() { n.reduce(Configured{Configuration: old}) })
 	case 14:
-		n := w.node()
+		n := w.node(t)
 		n.blind = true
 		w.after(length, func() { n.blind = false })
 	case 15:
-		n, m := w.node(), w.anyMachine()
+		n, m := w.node(t), w.anyMachine(t)
 		n.mute[m.name] = true
 		w.after(length, func() { n.mute[m.name] = false })
 	case 16:
-		w.split(w.node(), w.anyMachine(), 3*length)
+		w.split(w.node(t), w.anyMachine(t), 3*length)
 	case 17:
-		m := w.anyMachine()
+		m := w.anyMachine(t)
 		m.unlisted = true
 		w.after(length, func() { m.unlisted = false })
 	case 18:
-		n := w.node()
+		n := w.node(t)
 		n.reduce(StopRequested{})
 		life := n.life
 		w.after(length/2, func() {
--- a/internal/control/reducer/shard.go
+++ b/internal/control/reducer/shard.go
@@ -42,8 +42,10 @@
 	phase   ownership
 	tryAt   time.Time // of the next claim
 	tries   int
-	freeAt  time.Time // since when no live peer says that it owns the shard
-	handing bool      // Release was emitted
+	heldAt  time.Time     // since when a live peer says that it owns the shard, or the latest claim
+	freeAt  time.Time     // since when no live peer says that it owns the shard
+	tenure  time.Duration // before it may be handed over to a better placed daemon
+	handing bool          // Release was emitted
 
 	epoch    int64
 	book     *book
--- a/internal/control/reducer/status.go
+++ b/internal/control/reducer/status.go
@@ -89,11 +89,11 @@
 		Done:    h.book.done,
 		Evicted: h.book.evicted,
 	}
+	if h.phase == owning && h.isRecovering() {
+		out.Phase = "recovering"
+	}
 	for _, w := range h.order {
 		out.Started += len(w.runs)
-		if h.phase == owning && !w.heard && len(w.runs) > 0 {
-			out.Phase = "recovering"
-		}
 	}
 	for _, t := range h.teams {
 		out.Pending += t.pending.Len()
--- a/internal/control/reducer/worker.go
+++ b/internal/control/reducer/worker.go
@@ -188,8 +188,7 @@
 		Since:     h.state.now,
 	}
 	if w.account.Hold(t.id(), g) != nil {
-		w.account.Grants[t.id()] = g
-		w.account.Granted = w.account.Granted.Add(t.granted)
+		w.account.Adopt(t.id(), g)
 	}
 	t.slot = int32(len(w.runs))
 	w.runs = append(w.runs, t)
--- a/internal/control/reducer/world_test.go
+++ b/internal/control/reducer/world_test.go
@@ -8,8 +8,6 @@
 	"sort"
 	"time"
 
-	"pgregory.net/rapid"
-
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/control/placer"
 	"dotterelcart.dev/dotterelcart/internal/platform/runner"
@@ -26,7 +24,7 @@
 // world is a virtual fleet: daemons, workers with leases and fences, a store
 // with outages, and messages that are lost or late.
 type world struct {
-	t        *rapid.T
+	t        failer
 	now      time.Time
 	rng      *rand.Rand
 	letters  []letter
@@ -38,6 +36,7 @@
 	asked    map[RequestID]string // submissions by request
 	refused  map[string]bool      // jobs with a refusal that promises NotRun
 	calm     bool                 // nothing more is lost or late
+	long     bool                 // runs take hours
 }
 
 // letter is something that happens at a time.
@@ -47,7 +46,12 @@
 	do  func()
 }
 
-func newWorld(t *rapid.T, seed uint64) *world {
+// failer is what the audits need of a test.
+type failer interface {
+	Fatalf(format string, args ...any)
+}
+
+func newWorld(t failer, seed uint64) *world {
 	w := &world{
 		t: t, now: start, rng: rand.New(rand.NewPCG(seed, 1)),
 		asked: make(map[RequestID]string), refused: make(map[string]bool),
@@ -80,6 +84,9 @@
 
 // length is a run's, mostly short.
 func (w *world) length() time.Duration {
+	if w.long {
+		return 10 * time.Hour
+	}
 	if w.chance(0.2) {
 		return w.between(time.Minute, 4*time.Minute)
 	}
