--- a/internal/control/escalator/escalator.go
+++ b/internal/control/escalator/escalator.go
@@ -70,8 +70,9 @@
 	Worker   *accountant.Worker
 	Services map[string]describer.Service // by name
 	Learner  *learner.Learner
-	State    *State  // of the worker, kept between calls
-	Budget   *Budget // shared by the shard's workers
+	Bounds   map[string]time.Duration // optional, by service: throttle where more is expected
+	State    *State                   // of the worker, kept between calls
+	Budget   *Budget                  // shared by the shard's workers
 	Options  Options
 }
 
@@ -136,6 +137,12 @@
 		return nil
 	case ratio > in.Options.Enter:
 		return escalate(in, service, ratio)
+	}
+	if service, excess := expected(in); excess > 1 {
+		in.State.Calm = time.Time{}
+		return prevent(in, service, excess)
+	}
+	switch {
 	case ratio < in.Options.Leave:
 		return relax(in)
 	}
@@ -192,3 +199,25 @@
 	}
 	return before
 }
+
+// expected returns the service whose expected latency is the highest as a
+// share of its bound.
+func expected(in Input) (service string, excess float64) {
+	if in.Learner == nil {
+		return "", 0
+	}
+	shares := in.Worker.Shares()
+	for name, bound := range in.Bounds {
+		load := in.Worker.Reports[name].Load
+		base, known := in.Learner.Baseline(name, load)
+		if !known || bound <= 0 {
+			continue
+		}
+		mean, _ := in.Learner.Slowdown(name, shares, load)
+		e := base.Seconds() * (1 + mean) / bound.Seconds()
+		if e > excess || e == excess && name < service {
+			service, excess = name, e
+		}
+	}
+	return service, excess
+}
--- a/internal/control/escalator/escalator_test.go
+++ b/internal/control/escalator/escalator_test.go
@@ -12,6 +12,7 @@
 
 	"dotterelcart.dev/dotterelcart/internal/control/accountant"
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/control/learner"
 	"dotterelcart.dev/dotterelcart/internal/platform/runner"
 )
 
@@ -27,6 +28,9 @@
 	budget *Budget
 	taken  map[Kind]int
 	order  []Kind
+
+	learner *learner.Learner
+	bounds  map[string]time.Duration
 }
 
 func newBench(tasks int, burst float64) *bench {
@@ -49,7 +53,7 @@
 		P99: time.Duration(ratio * float64(target)),
 	}}
 	actions := Decide(Input{
-		Now: b.now, Worker: b.worker, State: &b.state, Budget: b.budget,
+		Now: b.now, Worker: b.worker, State: &b.state, Budget: b.budget, Learner: b.learner, Bounds: b.bounds,
 		Services: map[string]describer.Service{"desk": {Name: "desk", Target: target}},
 	})
 	for _, a := range actions {
@@ -108,6 +112,8 @@
 
 	It("does nothing but keep tasks off when batch is not to blame", func() {
 		b := newBench(0, 9)
+		small := accountant.Grant{Class: "c", Resources: describer.Resources{CPU: 200}}
+		Expect(b.worker.Hold(describer.TaskID{Job: "small"}, small)).To(Succeed())
 		for range 20 {
 			b.report(3)
 		}
@@ -115,6 +121,22 @@
 		Expect(b.taken[KeepOff]).To(Equal(20))
 	})
 
+	It("throttles, and no more, where more than the bound is expected", func() {
+		b := newBench(3, 9)
+		b.learner = learner.New(learner.Options{})
+		b.bounds = map[string]time.Duration{"desk": 55 * time.Millisecond}
+		for range 30 {
+			b.learner.Observe(learner.Sample{Latency: runner.Latency{
+				Service: "desk", To: b.now, Count: 300, Load: 0.5, P99: target / 2,
+			}})
+		}
+		for range 30 {
+			b.report(0.6)
+		}
+		Expect(b.taken).To(HaveLen(1))
+		Expect(b.taken[Throttle]).To(Equal(3))
+	})
+
 	It("raises throttled grants again when the target has been kept for a while", func() {
 		b := newBench(2, 9)
 		b.report(1.5)
--- a/internal/control/escalator/step.go
+++ b/internal/control/escalator/step.go
@@ -60,6 +60,20 @@
 	return in.State.acted(in.Now, kind, append(actions, evictions...))
 }
 
+// prevent throttles, and no more, where a service is expected to exceed its
+// bound because load has risen since its batch tasks were placed.
+func prevent(in Input, service string, excess float64) []Action {
+	if in.Now.Sub(in.State.Acted) < in.Options.Settle {
+		return nil
+	}
+	throttles := throttle(in, suspectsOf(in, service), math.Log(excess), service)
+	if len(throttles) == 0 {
+		return nil
+	}
+	in.State.backOff(in.Now)
+	return in.State.acted(in.Now, max(in.State.Level, Throttle), throttles)
+}
+
 // relax undoes throttles, one task at a time, the largest first.
 func relax(in Input) []Action {
 	in.State.Hold = max(in.State.Hold, 2*in.Options.Settle)
--- a/internal/control/evaluator/control.go
+++ b/internal/control/evaluator/control.go
@@ -177,9 +177,13 @@
 		return
 	}
 	for _, h := range k.hosts {
+		var bounds map[string]time.Duration
+		if p, ok := k.policy.(placer.Default); ok {
+			bounds = p.Bounds(h.account)
+		}
 		actions := escalator.Decide(escalator.Input{
 			Now: k.now, Worker: h.account, Services: services(k.deployment), Learner: k.learner,
-			State: k.states[h.account.Host.Name], Budget: k.budget,
+			Bounds: bounds, State: k.states[h.account.Host.Name], Budget: k.budget,
 		})
 		for _, a := range actions {
 			k.carryOut(h, a)
--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -160,9 +160,8 @@
 		}
 		return objection{}
 	}
-	busy, _ := d.Learner.BusyLatency(service)
 	latency := base.Seconds() * (1 + upper)
-	if latency > max(base.Seconds()*(1+limits.Slowdown), busy.Seconds()) {
+	if latency > d.bound(service, base, limits).Seconds() {
 		return objection{slows, service, upper}
 	}
 	target := d.Services[service].Target
@@ -172,6 +171,25 @@
 	return objection{}
 }
 
+// bound is the latency that batch tasks may bring a service to.
+func (d Default) bound(service string, base time.Duration, limits Limits) time.Duration {
+	busy, _ := d.Learner.BusyLatency(service)
+	return max(time.Duration(float64(base)*(1+limits.Slowdown)), busy)
+}
+
+// Bounds returns for each service of a worker the latency that batch tasks
+// may bring it to at its present load, where there is evidence.
+func (d Default) Bounds(w *accountant.Worker) map[string]time.Duration {
+	limits := d.Limits.orDefault(d.Weights)
+	bounds := make(map[string]time.Duration)
+	for _, service := range w.Host.Services {
+		if base, ok := d.baseline(service, w.Reports[service].Load); ok {
+			bounds[service] = d.bound(service, base, limits)
+		}
+	}
+	return bounds
+}
+
 func (d Default) slowdown(service string, shares map[string]float64, load float64) (mean, upper float64) {
 	if d.Learner == nil {
 		return 0, 0
--- a/internal/control/restorer/restorer_test.go
+++ b/internal/control/restorer/restorer_test.go
@@ -98,6 +98,7 @@
 		Expect(d.Open).To(BeFalse())
 		Expect(d.Held).To(Equal("no answer from the worker for 1h0m0s"))
 		Expect(b.state.Step).To(Equal(0))
+		Expect(b.report(0.5).Limit).To(BeEquivalentTo(2000))
 		b.in.Gone = true
 		Expect(Decide(b.in).Done).To(BeTrue())
 	})
