operator/responder: a drain is planned with the owners of its workers only

During a partition no drain could be planned anywhere, since the owners of all shards were asked (configuration printed "shard seq-bne-r1 has no reachable owner" for 60 s).

--- a/internal/control/placer/placer_test.go
+++ b/internal/control/placer/placer_test.go
@@ -62,10 +62,12 @@
 
 	It("tries one small task where nothing is known", func() {
 		f := fleet(worker("a", "desk"))
-		policy := placer.Default{Learner: learner.New(learner.Options{}), Services: target}
+		policy := placer.Default{Learner: learner.New(learner.Options{Prior: 3}), Services: target}
 		Expect(policy.Place(f, request(0, 1500), now).Worker).To(Equal("a"))
 		hold(f.Workers["a"], 0, 1500)
 		Expect(policy.Place(f, request(1, 1500), now).Worker).To(BeEmpty())
+		f.Workers["a"].Drop(request(100, 0).Task, describer.Token{})
+		Expect(policy.Place(f, request(1, 1500), now).Worker).To(Equal("a"))
 	})
 
 	It("accepts slow-down far below the target", func() {
--- a/internal/operator/responder/shards.go
+++ b/internal/operator/responder/shards.go
@@ -46,8 +46,8 @@
 		return nil, unavailable("not-ready", "no configuration is known yet")
 	}
 	owners := make(map[string]bool)
-	for _, shard := range configuration.Shards {
-		owner, _, err := r.ownerOf(shard.ID)
+	for _, shard := range r.shardsFor(configuration, intent) {
+		owner, _, err := r.ownerOf(shard)
 		if err != nil {
 			return nil, err
 		}
@@ -56,6 +56,37 @@
 	return slices.Sorted(maps.Keys(owners)), nil
 }
 
+// shardsFor returns the shards that the intent may touch: those of the workers
+// for a drain, whose owners a partition may leave in reach, and otherwise all.
+func (r *Responder) shardsFor(c describer.Configuration, intent describer.Intent) []string {
+	var all, some []string
+	for _, shard := range c.Shards {
+		all = append(all, shard.ID)
+	}
+	if intent.Action != describer.DrainOff {
+		return all
+	}
+	shards := shardsByWorker(r.options.Table())
+	for _, worker := range intent.Workers {
+		shard, ok := shards[worker]
+		if !ok {
+			return all // their owners say that nobody knows the worker
+		}
+		some = append(some, shard)
+	}
+	return some
+}
+
+func shardsByWorker(table *describer.RoutingTable) map[string]string {
+	out := make(map[string]string)
+	for _, backends := range table.Services {
+		for _, b := range backends {
+			out[b.Worker] = b.Shard
+		}
+	}
+	return out
+}
+
 // reports collects the status of this daemon and of every owner of a shard
 // that can be reached.
 func (r *Responder) reports(ctx context.Context, worker string) []reducer.Status {
