--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -145,6 +145,20 @@
 	return cost, objection{}
 }
 
+// MayGrow reports whether a running task may get the processors of a greater
+// grant, which is weighed like a placement.
+func (d Default) MayGrow(w *accountant.Worker, g accountant.Grant, to describer.Resources, now time.Time) bool {
+	if to.CPU <= g.Resources.CPU {
+		return true
+	}
+	r := Request{
+		Job:  &describer.Job{Class: g.Class, Kind: g.Kind, Priority: g.Priority},
+		Want: to.Sub(g.Resources),
+	}
+	_, o := d.effect(w, r, d.Limits.orDefault(d.Weights), now)
+	return o.kind == none
+}
+
 // objects compares the cautious latency with what the service has at its busy
 // times without batch tasks, and with its target. Without any report, one small
 // task at a time is tried: nothing would ever be known otherwise.
@@ -162,7 +176,7 @@
 	if target > 0 && latency <= limits.Comfort*target.Seconds() {
 		return objection{}
 	}
-	if latency > max(base, busy).Seconds()*(1+limits.Slowdown) {
+	if latency > max(base.Seconds()*(1+limits.Slowdown), busy.Seconds()) {
 		return objection{slows, service, upper}
 	}
 	if target > 0 && latency > limits.Target*target.Seconds() && upper > 0.01 {
