--- a/internal/control/evaluator/control.go
+++ b/internal/control/evaluator/control.go
@@ -161,6 +161,9 @@
 			g := h.account.Grants[task]
 			k.usage.Observe(g)
 			to := placer.Resize(g, h.account.Room())
+			if p, ok := k.policy.(placer.Default); ok && !p.MayGrow(h.account, g, to, k.now) {
+				to.CPU = g.Resources.CPU
+			}
 			if to != g.Resources && h.account.Resize(task, g.Token, to) == nil {
 				k.changed(h)
 			}
@@ -174,9 +177,13 @@
 		return
 	}
 	for _, h := range k.hosts {
+		var bounds map[string]time.Duration
+		if p, ok := k.policy.(placer.Default); ok {
+			bounds = p.Bounds(h.account)
+		}
 		actions := escalator.Decide(escalator.Input{
 			Now: k.now, Worker: h.account, Services: services(k.deployment), Learner: k.learner,
-			State: k.states[h.account.Host.Name], Budget: k.budget,
+			Bounds: bounds, State: k.states[h.account.Host.Name], Budget: k.budget,
 		})
 		for _, a := range actions {
 			k.carryOut(h, a)
--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -23,6 +23,8 @@
 type Limits struct {
 	Slowdown float64       // cautious relative slow-down of a service that batch may cause at most
 	Target   float64       // share of the service's target that the expected latency may take
+	Comfort  float64       // share of the service's target below which slow-down does not matter
+	Trial    float64       // share of an idle worker's processors that a task may take while nothing is known
 	Patience time.Duration // before its deadline, in which a task may take twice the slow-down
 }
 
@@ -38,6 +40,12 @@
 	if l.Target == 0 {
 		l.Target = 0.9
 	}
+	if l.Comfort == 0 {
+		l.Comfort = 0.5
+	}
+	if l.Trial == 0 {
+		l.Trial = 0.1
+	}
 	if l.Patience == 0 {
 		l.Patience = 30 * time.Minute
 	}
@@ -127,7 +135,8 @@
 	for _, service := range w.Host.Services {
 		load := w.Reports[service].Load
 		mean, upper := d.slowdown(service, shares, load)
-		if o := d.objects(service, load, upper, limits); o.kind != none {
+		isTrial := len(before) == 0 && w.Share(r.Want) <= limits.Trial
+		if o := d.objects(service, load, upper, isTrial, limits); o.kind != none {
 			return 0, o
 		}
 		present, _ := d.slowdown(service, before, load)
@@ -136,19 +145,33 @@
 	return cost, objection{}
 }
 
+// MayGrow reports whether a running task may get the processors of a greater
+// grant, which is weighed like a placement.
+func (d Default) MayGrow(w *accountant.Worker, g accountant.Grant, to describer.Resources, now time.Time) bool {
+	if to.CPU <= g.Resources.CPU {
+		return true
+	}
+	r := Request{
+		Job:  &describer.Job{Class: g.Class, Kind: g.Kind, Priority: g.Priority},
+		Want: to.Sub(g.Resources),
+	}
+	_, o := d.effect(w, r, d.Limits.orDefault(d.Weights), now)
+	return o.kind == none
+}
+
 // objects compares the cautious latency with what the service has at its busy
-// times without batch tasks, and with its target.
-func (d Default) objects(service string, load, upper float64, limits Limits) objection {
+// times without batch tasks, and with its target. Without any report, one small
+// task at a time is tried: nothing would ever be known otherwise.
+func (d Default) objects(service string, load, upper float64, isTrial bool, limits Limits) objection {
 	base, known := d.baseline(service, load)
 	if !known {
-		if upper > limits.Slowdown {
+		if upper > limits.Slowdown && !isTrial {
 			return objection{slows, service, upper}
 		}
 		return objection{}
 	}
-	busy, _ := d.Learner.BusyLatency(service)
 	latency := base.Seconds() * (1 + upper)
-	if latency > max(base, busy).Seconds()*(1+limits.Slowdown) {
+	if latency > d.bound(service, base, limits).Seconds() {
 		return objection{slows, service, upper}
 	}
 	target := d.Services[service].Target
@@ -158,6 +181,26 @@
 	return objection{}
 }
 
+// bound is the latency that batch tasks may bring a service to.
+func (d Default) bound(service string, base time.Duration, limits Limits) time.Duration {
+	busy, _ := d.Learner.BusyLatency(service)
+	comfort := limits.Comfort * float64(d.Services[service].Target)
+	return max(time.Duration(float64(base)*(1+limits.Slowdown)), busy, time.Duration(comfort))
+}
+
+// Bounds returns for each service of a worker the latency that batch tasks
+// may bring it to at its present load, where there is evidence.
+func (d Default) Bounds(w *accountant.Worker) map[string]time.Duration {
+	limits := d.Limits.orDefault(d.Weights)
+	bounds := make(map[string]time.Duration)
+	for _, service := range w.Host.Services {
+		if base, ok := d.baseline(service, w.Reports[service].Load); ok {
+			bounds[service] = d.bound(service, base, limits)
+		}
+	}
+	return bounds
+}
+
 func (d Default) slowdown(service string, shares map[string]float64, load float64) (mean, upper float64) {
 	if d.Learner == nil {
 		return 0, 0
--- a/internal/peer/gossiper/member.go
+++ b/internal/peer/gossiper/member.go
@@ -62,7 +62,7 @@
 		Address:     p.Address,
 		Shards:      p.Shards,
 		Leaving:     p.Leaving,
-		Incarnation: 1,
+		Incarnation: time.Now().UnixMilli(), // greater than that of an earlier process
 		spread:      1,
 	}
 }
@@ -95,12 +95,17 @@
 }
 
 // sum is the digest of the whole view; g.mu is held.
-func (g *Gossiper) sum() uint64 {
-	out := g.self.digest()
-	for _, e := range g.members {
-		out += e.digest()
+func (g *Gossiper) sum() uint64 { return g.self.digest() + g.others }
+
+// refresh computes what is derived from the members; g.mu is held.
+func (g *Gossiper) refresh() {
+	g.others = 0
+	g.sorted = g.sorted[:0]
+	for name, e := range g.members {
+		g.others += e.digest()
+		g.sorted = append(g.sorted, name)
 	}
-	return out
+	slices.Sort(g.sorted)
 }
 
 // alive returns the members that are not dead; g.mu is held.
@@ -125,16 +130,18 @@
 		return
 	}
 	e := g.members[m.Name]
-	if e == nil {
-		if m.State == dead {
-			return
-		}
+	switch {
+	case e != nil && !m.prevails(e.member), e == nil && m.State == dead:
+		return
+	case e == nil:
 		e = &entry{}
 		g.members[m.Name] = e
-	} else if !m.prevails(e.member) {
-		return
+		// When many join at once, the comparison of views brings their names
+		// with far fewer bytes than passing on each of them.
+		m.spread = 1
+	default:
+		m.spread = g.spreads()
 	}
-	m.spread = g.spreads()
 	if route, ok := g.routes[m.Name]; ok {
 		m.Address = route
 	}
@@ -142,6 +149,7 @@
 		g.log.Info().Str("member", m.Name).Stringer("state", m.State).Msg("Member changed.")
 	}
 	e.member, e.since = m, time.Now()
+	g.refresh()
 	signal(g.changed)
 }
 
@@ -175,6 +183,7 @@
 			g.mark(name, e.Incarnation, dead)
 		case e.State == dead && now.Sub(e.since) > forgetAfter:
 			delete(g.members, name)
+			g.refresh()
 		}
 	}
 }
--- a/internal/state/journaler/open.go
+++ b/internal/state/journaler/open.go
@@ -101,10 +101,11 @@
 	if err != nil {
 		return Content{}, err
 	}
+	ahead := l.readAhead(ctx)
 	r := replayer{snapshot: l.chain.head.Snapshot}
 	w := l.segmentWrite()
 	for {
-		item, s, err := l.readSlot(ctx, l.chain.end)
+		item, s, err := l.nextSlot(ctx, ahead)
 		if err != nil {
 			return Content{}, err
 		}
@@ -160,6 +161,40 @@
 	return true, nil
 }
 
+// readAhead reads all slots in one call, so that a replay from another region
+// does not wait a round trip for each segment. It is tried once: if the answer
+// is too much for one call, the slots are read one by one.
+func (l *Ledger) readAhead(ctx context.Context) map[string]storer.Item {
+	ctx, cancel := context.WithTimeout(ctx, l.options.Timeout)
+	defer cancel()
+	items, _, err := l.store.List(ctx, slotPrefix(l.options.Shard))
+	if err != nil {
+		l.log.Info().Err(err).Msg("Segments not read in one call.")
+		return nil
+	}
+	slots := make(map[string]storer.Item, len(items))
+	for _, item := range items {
+		slots[item.Key] = item
+	}
+	return slots
+}
+
+// nextSlot returns the slot at the end of the chain. What was read ahead is
+// used once: if the barrier finds it outdated, the slot is read again.
+func (l *Ledger) nextSlot(ctx context.Context, ahead map[string]storer.Item) (storer.Item, segment, error) {
+	key := slotKey(l.options.Shard, l.chain.end)
+	item, ok := ahead[key]
+	if !ok {
+		return l.readSlot(ctx, l.chain.end)
+	}
+	delete(ahead, key)
+	s, err := decodeSegment(item.Value)
+	if err != nil {
+		return item, s, fmt.Errorf("%w: %w", errCorrupt, err)
+	}
+	return item, s, nil
+}
+
 func (l *Ledger) readSlot(ctx context.Context, slot int) (item storer.Item, s segment, err error) {
 	err = retry(ctx, l.options.Timeout, func(ctx context.Context) error {
 		item, err = l.store.Get(ctx, slotKey(l.options.Shard, slot))
