control/reducer: scripted tests of a late start and a late result

Seen failing: TestLateStart without the worker's clock in extend prints 'job/0 runs on w1 as {3 1} and on w0 as {2 1}'.

--- a/internal/control/reducer/decision_test.go
+++ b/internal/control/reducer/decision_test.go
@@ -182,6 +182,26 @@
 		Expect(kinds(d.durable())).To(ContainElement(describer.WorkerTrusted))
 	})
 
+	It("of a worker to answer don't lose a result that comes before a new start", func() {
+		d := newDesk("w1")
+		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
+		d.durable()
+		run := runOf(d.started()[0])
+		var records []describer.Record
+		for range 50 {
+			d.wait(time.Second)
+			for _, c := range taken[SyncWorker](d) {
+				d.do(WorkerFailed{Shard: "bne-1", Epoch: 1, Worker: c.Worker})
+			}
+			records = append(records, d.durable()...)
+		}
+		Expect(kinds(records)).To(Equal([]describer.RecordKind{describer.TaskReleased}))
+		d.wait(6 * time.Second)
+		d.inventory(runner.Synced{Finished: []runner.Finished{{Run: run, OK: true}}})
+		Expect(kinds(d.durable())).To(Equal([]describer.RecordKind{describer.TaskFinished}))
+		Expect(d.status("menu").State).To(Equal("done"))
+	})
+
 	It("leave a stale result without effect", func() {
 		d := newDesk("w1")
 		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
--- a/internal/control/reducer/split_test.go
+++ b/internal/control/reducer/split_test.go
@@ -3,8 +3,48 @@
 import (
 	"testing"
 	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
 
+// TestLateStart lets a start arrive after its sender has died and a successor
+// that can't reach the worker has restarted the task elsewhere.
+func TestLateStart(t *testing.T) {
+	w := newWorld(t, 1)
+	w.calm, w.long = true, true
+	w.pass(40 * time.Second)
+	w.late = 3 * time.Minute
+	w.submit("job", 1)
+	w.pass(2 * time.Second)
+	w.late = 0
+	for _, n := range w.nodes {
+		if _, ok := n.owns[HomeShard(&w.store.config, "job")]; ok {
+			n.kill()
+			continue
+		}
+		for run := range w.store.started {
+			n.cut[w.startedOn(run.Task)] = true
+		}
+	}
+	w.pass(150 * time.Second)
+	if w.running() != 1 {
+		t.Fatal("the successor must have restarted the task")
+	}
+	w.pass(time.Minute)
+}
+
+// startedOn returns the worker that the task's owner believes to run it.
+func (w *world) startedOn(id describer.TaskID) string {
+	for _, n := range w.nodes {
+		for _, h := range n.state.order {
+			if h.book != nil && h.book.task(id) != nil {
+				return h.book.task(id).worker
+			}
+		}
+	}
+	return ""
+}
+
 // calmWorld has one task that runs for hours, on a worker of one owner.
 func calmWorld(t *testing.T) (w *world, owner *node, m *machine) {
 	w = newWorld(t, 1)
--- a/internal/control/reducer/world_test.go
+++ b/internal/control/reducer/world_test.go
@@ -37,6 +37,7 @@
 	refused  map[string]bool      // jobs with a refusal that promises NotRun
 	calm     bool                 // nothing more is lost or late
 	long     bool                 // runs take hours
+	late     time.Duration        // of every start, if set
 }
 
 // letter is something that happens at a time.
@@ -354,6 +355,9 @@
 	if w.chance(0.06) {
 		there = w.between(worldTimeout, worldLate)
 	}
+	if _, ok := failed.(StartAnswered); ok && w.late > 0 {
+		there = w.late
+	}
 	w.after(there, func() {
 		if m.dead || n.cut[worker] {
 			return
