--- a/internal/control/reducer/decision_test.go
+++ b/internal/control/reducer/decision_test.go
@@ -115,6 +115,22 @@
 		Expect(d.started()[0].Start.Task.Job).To(Equal("urgent"))
 	})
 
+	It("books a growing grant before the worker hears of it", func() {
+		d := newDesk("w1")
+		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
+		d.durable()
+		s := d.started()[0]
+		busy := runner.Synced{Running: []runner.Running{{Run: runOf(s), Granted: s.Start.Granted, Used: s.Start.Granted}}}
+		d.wait(20 * time.Second)
+		d.inventory(busy)
+		Expect(taken[ThrottleTask](d)).To(BeEmpty())
+		records := d.durable()
+		Expect(kinds(records)).To(Equal([]describer.RecordKind{describer.TaskResized}))
+		throttles := taken[ThrottleTask](d)
+		Expect(throttles).To(HaveLen(1))
+		Expect(throttles[0].Throttle.CPU).To(Equal(records[0].Granted.CPU))
+	})
+
 	It("waits while the store is away, and goes on renewing", func() {
 		d := newDesk("w1")
 		d.do(Submitted{Request: 1, Job: testJob("menu", 6)})
