--- a/internal/control/learner/busy.go
+++ b/internal/control/learner/busy.go
@@ -7,7 +7,7 @@
 
 const (
 	busyBins     = 50             // of load
-	busyQuantile = 0.9            // of requests, ordered by the load they met
+	busyQuantile = 0.7            // of requests, ordered by the load they met
 	busyMemory   = 12 * time.Hour // in which a report loses half of its weight
 )
 
@@ -31,7 +31,7 @@
 	b.Weights[min(max(int(load*busyBins), 0), busyBins-1)] += float64(count)
 }
 
-// load returns the load that only a tenth of the requests exceed.
+// load returns the load that three tenths of the requests exceed.
 func (b *Busy) load() float64 {
 	total := 0.0
 	for _, w := range b.Weights {
