--- a/internal/platform/runner/runner.go
+++ b/internal/platform/runner/runner.go
@@ -30,15 +30,18 @@
 	Token      describer.Token     `json:"token"`
 	Class      string              `json:"class"`
 	Kind       describer.Kind      `json:"kind"`
-	Granted    describer.Resources `json:"granted"` // enforced by throttling
-	Lease      time.Duration       `json:"lease"`   // the worker stops the task when it lapses
-	RunTime    time.Duration       `json:"runtime"` // declared
+	Granted    describer.Resources `json:"granted"`        // enforced by throttling
+	Lease      time.Duration       `json:"lease"`          // the worker stops the task when it lapses
+	Until      time.Time           `json:"until,omitzero"` // by the worker's clock; see Sync.Until
+	RunTime    time.Duration       `json:"runtime"`        // declared
 	Checkpoint string              `json:"checkpoint,omitempty"`
 	Payload    json.RawMessage     `json:"payload,omitempty"`
 }
 
-// Stop asks for the end of a run.
+// Stop asks for the end of a run. The run may be of a former owner, so Epoch
+// is that of the caller's ownership, and it fences.
 type Stop struct {
+	Epoch      int64            `json:"epoch"`
 	Task       describer.TaskID `json:"task"`
 	Token      describer.Token  `json:"token"`
 	Checkpoint bool             `json:"checkpoint"` // save progress first
@@ -53,11 +56,16 @@
 	Result     json.RawMessage `json:"result,omitempty"`
 }
 
-// Throttle sets the processor grant of a run.
+// Throttle sets the processor grant of a run. Epoch is that of the caller's
+// ownership, and it fences. A worker ignores a call whose Epoch and Sequence
+// are not after those of the last one for the run, so that a late message
+// can't undo a newer one.
 type Throttle struct {
-	Task  describer.TaskID `json:"task"`
-	Token describer.Token  `json:"token"`
-	CPU   int64            `json:"cpu"` // millicores
+	Epoch    int64            `json:"epoch"`
+	Sequence int64            `json:"sequence"`
+	Task     describer.TaskID `json:"task"`
+	Token    describer.Token  `json:"token"`
+	CPU      int64            `json:"cpu"` // millicores
 }
 
 // Run names one run of a task.
@@ -68,16 +76,22 @@
 
 // Sync renews leases in bulk and exchanges state: one call a worker and
 // interval. It raises the worker's epoch.
+//
+// Until bounds what a late message can do: a lease that the call grants ends
+// no later than Until by the worker's own clock, and a start that arrives
+// after it is refused. Zero leaves Lease from the arrival as the only bound.
 type Sync struct {
 	Shard string        `json:"shard"`
 	Epoch int64         `json:"epoch"`
 	Lease time.Duration `json:"lease"`
+	Until time.Time     `json:"until,omitzero"`
 	Renew []Run         `json:"renew,omitempty"` // runs to keep; others keep their remaining lease
 	Ack   []Run         `json:"ack,omitempty"`   // finished runs whose end is durable; the worker forgets them
 }
 
 // Synced is the worker's inventory.
 type Synced struct {
+	Clock    time.Time           `json:"clock,omitzero"` // the worker's, when it answered
 	Capacity describer.Resources `json:"capacity"`
 	Running  []Running           `json:"running"`
 	Finished []Finished          `json:"finished"` // kept until acknowledged
@@ -87,6 +101,7 @@
 // Running is a run in progress with its lagging usage.
 type Running struct {
 	Run
+	Order    describer.Token     `json:"order,omitzero"` // epoch and sequence of the throttle in force
 	Granted  describer.Resources `json:"granted"`
 	Used     describer.Resources `json:"used"`
 	Progress float64             `json:"progress"` // 0 to 1
