--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -46,6 +46,7 @@
 	random  *rand.Rand
 	latency *hdrhistogram.Histogram // microseconds
 	denied  []string                // ids said not to have run
+	unclear map[string]bool         // ids of which some attempt may have run
 	counts  Report
 	serial  int
 }
@@ -66,7 +67,7 @@
 
 // New returns callers that are still silent.
 func New(d *deployer.Deployment, random *rand.Rand, rate float64) *Load {
-	return &Load{d: d, rate: rate, random: random, latency: hdrhistogram.New(1, highestMicros, 3), counts: Report{Codes: make(map[string]int)}}
+	return &Load{d: d, rate: rate, random: random, latency: hdrhistogram.New(1, highestMicros, 3), unclear: make(map[string]bool), counts: Report{Codes: make(map[string]int)}}
 }
 
 // Run sends requests until ctx ends, and returns when all have ended.
@@ -152,9 +153,12 @@
 		_ = l.latency.RecordValue(min(took.Microseconds(), highestMicros))
 	case Denied:
 		l.counts.Failed++
-		l.denied = append(l.denied, q.ID)
+		if !l.unclear[q.ID] { // or else only the repetition has not run
+			l.denied = append(l.denied, q.ID)
+		}
 	case Unclear:
 		l.counts.Failed++
+		l.unclear[q.ID] = true
 	}
 }
 
