--- a/internal/operator/rehearser/rehearser.go
+++ b/internal/operator/rehearser/rehearser.go
@@ -15,7 +15,8 @@
 //	silence WORKER|all             open connections go silent for good
 //	spoil WORKER cut|lose N        next answers end half way, or are lost
 //	leave NAME                     planned stop of an entry host; a worker leaves
-//	submit JOB DOMAIN TASKS WORK   until it is acknowledged
+//	submit JOB DOMAIN TASKS WORK [MEMORY]
+//	                               until it is acknowledged; memory in MiB
 //	cancel JOB DOMAIN              until it is acknowledged
 //	call PLACE OUTCOME ID [charge] one request, again while it is denied: answered,
 //	                               denied or unclear
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -67,7 +67,12 @@
 
 // New returns callers that are still silent.
 func New(d *deployer.Deployment, random *rand.Rand, rate float64) *Load {
-	return &Load{d: d, rate: rate, random: random, latency: hdrhistogram.New(1, highestMicros, 3), unclear: make(map[string]bool), counts: Report{Codes: make(map[string]int)}}
+	return &Load{
+		d: d, rate: rate, random: random,
+		latency: hdrhistogram.New(1, highestMicros, 3),
+		unclear: make(map[string]bool),
+		counts:  Report{Codes: make(map[string]int)},
+	}
 }
 
 // Run sends requests until ctx ends, and returns when all have ended.
