--- a/internal/operator/rehearser/commands.go
+++ b/internal/operator/rehearser/commands.go
@@ -300,8 +300,15 @@
 	if err != nil {
 		return err
 	}
+	var work time.Duration
+	if len(args) > 1 {
+		if work, err = time.ParseDuration(args[1]); err != nil {
+			return err
+		}
+	}
 	w.endLoad()
 	w.calls = caller.New(w.d, random(), rate)
+	w.calls.Work = work
 	ctx, stop := context.WithCancel(w.ctx)
 	stopped := make(chan struct{})
 	w.mu.Lock()
--- a/internal/operator/rehearser/rehearser.go
+++ b/internal/operator/rehearser/rehearser.go
@@ -20,7 +20,7 @@
 //	cancel JOB DOMAIN              until it is acknowledged
 //	call PLACE OUTCOME ID [charge] one request, again while it is denied: answered,
 //	                               denied or unclear
-//	load RATE, load stop           callers in every domain
+//	load RATE [WORK], load stop    callers in every domain; service time
 //	drain ID D WORKER...           confirmed; D is for how long
 //	race ID1 ID2 D WORKER...       two operators drain at once; one must be refused
 //	expect CONDITION...            wait for it, see conditions.go
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -39,6 +39,8 @@
 
 // Load is the callers of all failure domains.
 type Load struct {
+	Work time.Duration // service time asked for; the worker's own if 0
+
 	d    *deployer.Deployment
 	rate float64 // requests a second in each domain
 
@@ -114,6 +116,7 @@
 		Tenant: "owners",
 		Class:  "menu",
 		Size:   1 + l.random.IntN(maxAnswer),
+		Work:   l.Work,
 	}
 	if l.random.IntN(4) == 0 {
 		q.Tenant = "tourism"
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strings"
+	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/standin/deployer"
 	"dotterelcart.dev/dotterelcart/internal/standin/hoster"
@@ -21,6 +22,7 @@
 	Class  string
 	Body   string // of a charge
 	Size   int    // bytes of answer
+	Work   time.Duration
 }
 
 // Outcome is what a caller knows after an attempt.
@@ -100,6 +102,9 @@
 	r.Header.Set("Dotterel-Deadline", callDeadline.String())
 	r.Header.Set(hoster.HeaderRequest, q.ID)
 	r.Header.Set(hoster.HeaderSize, fmt.Sprint(q.Size))
+	if q.Work > 0 {
+		r.Header.Set(hoster.HeaderWork, q.Work.String())
+	}
 	if q.Charge {
 		r.Header.Set(hoster.HeaderKey, q.ID)
 	}
