--- a/internal/operator/demonstrator/demonstrator.go
+++ b/internal/operator/demonstrator/demonstrator.go
@@ -45,7 +45,7 @@
 )
 
 const (
-	startLimit  = 15 * time.Second // for all daemons to become ready
+	startLimit  = 7 * time.Second  // for all daemons to become ready
 	settleLimit = 12 * time.Second // for jobs and the restore after the load
 	minSeconds  = 5
 	entryHosts  = 2  // in each failure domain
--- /dev/null
+++ b/internal/operator/demonstrator/demonstrator_test.go
@@ -0,0 +1,49 @@
+package demonstrator_test
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/operator/demonstrator"
+)
+
+var _ = Describe("Run", func() {
+	run := func(o demonstrator.Options) (demonstrator.Report, error) {
+		return demonstrator.Run(context.Background(), o, io.Discard, io.Discard)
+	}
+
+	It("refuses unknown faults and too short runs", func() {
+		_, err := run(demonstrator.Options{Seconds: 10, Fault: "flood"})
+		Expect(err).To(MatchError(ContainSubstring("flood")))
+		_, err = run(demonstrator.Options{Seconds: 1})
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("violates nothing when an entry host and a worker are killed", func() {
+		if testing.Short() {
+			Skip("a run takes some 15 seconds")
+		}
+		report, err := run(demonstrator.Options{Seed: 1, Seconds: 6, Fault: demonstrator.FaultKill})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(report.Violations).To(BeEmpty())
+		Expect(report.OK()).To(BeTrue())
+		Expect(report.Done).To(BeNumerically(">", 0))
+	})
+})
+
+var _ = Describe("Report", func() {
+	It("is not OK with any violation", func() {
+		Expect(demonstrator.Report{Restored: true}.OK()).To(BeTrue())
+		Expect(demonstrator.Report{}.OK()).To(BeFalse())
+		for _, r := range []demonstrator.Report{
+			{Wrong: 1}, {Cut: 1}, {Duplicated: 1}, {Untrue: 1}, {Lost: 1}, {Overfilled: 1}, {Late: 1},
+		} {
+			r.Restored = true
+			Expect(r.OK()).To(BeFalse())
+		}
+	})
+})
