standin/deployer, delayer: scenarios do not depend on the machine's speed

Cause: on a busy machine (load average 22, race detector) the stand-ins' own latency passed the service's target of 60 ms, so batch tasks were rightly kept off and two scenarios ran into their limits. Scenarios now state a lenient target; the demo keeps 60 ms. A dial to a relay that drops may itself be reset; the spec accepted only a reset after it.

--- a/internal/operator/rehearser/commands.go
+++ b/internal/operator/rehearser/commands.go
@@ -27,8 +27,12 @@
 const (
 	defaultEntries = 2
 	defaultWorkers = 3
-	taskCPU        = 500  // millicores of each submitted task
-	taskMemory     = 1024 // MiB of one whose memory is not stated
+
+	// lenientTarget is a latency target that a slow machine does not miss;
+	// otherwise batch tasks would be kept off for as long as it is busy.
+	lenientTarget = 30 * time.Second
+	taskCPU       = 500  // millicores of each submitted task
+	taskMemory    = 1024 // MiB of one whose memory is not stated
 )
 
 var client = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -47,7 +51,7 @@
 	if w.d != nil && len(args) == 1 {
 		return w.startOne(args[0])
 	}
-	o := deployer.Options{EntryHosts: defaultEntries, Workers: defaultWorkers, Launch: w.launch}
+	o := deployer.Options{EntryHosts: defaultEntries, Workers: defaultWorkers, Target: lenientTarget, Launch: w.launch}
 	for _, arg := range args {
 		name, value, _ := strings.Cut(arg, "=")
 		n, err := strconv.Atoi(value)
--- a/internal/standin/delayer/delayer_test.go
+++ b/internal/standin/delayer/delayer_test.go
@@ -51,6 +51,16 @@
 		return err
 	}
 
+	// try dials and asks; on a link that drops, either may be what is reset.
+	try := func(r *delayer.Relay, text string) error {
+		c, err := net.Dial("tcp", r.Address)
+		if err != nil {
+			return err
+		}
+		defer c.Close()
+		return ask(c, text)
+	}
+
 	It("delays, limits and counts", func() {
 		link := delayer.NewLink(20*time.Millisecond, 10000)
 		c := dial(relay(link))
@@ -70,7 +80,7 @@
 		Expect(ask(c, "a")).To(Succeed())
 		link.Cut(delayer.Drop)
 		Expect(ask(c, "b")).NotTo(Succeed())
-		Expect(ask(dial(r), "c")).NotTo(Succeed())
+		Expect(try(r, "c")).NotTo(Succeed())
 		link.Heal()
 		Expect(ask(dial(r), "d")).To(Succeed())
 	})
--- a/internal/standin/deployer/deployer.go
+++ b/internal/standin/deployer/deployer.go
@@ -49,10 +49,14 @@
 	regionRate  = 30e6 / 8 // bytes a second
 )
 
+// defaultTarget bounds the service's latency.
+const defaultTarget = 60 * time.Millisecond
+
 // Options of a deployment.
 type Options struct {
-	EntryHosts int // in each failure domain
-	Workers    int // in each failure domain
+	EntryHosts int           // in each failure domain
+	Workers    int           // in each failure domain
+	Target     time.Duration // of the service's latency, 0 is defaultTarget
 	Launch     func(context.Context, parser.Settings) (Daemon, error)
 }
 
@@ -87,6 +91,9 @@
 
 // New starts a deployment.
 func New(ctx context.Context, o Options) (*Deployment, error) {
+	if o.Target == 0 {
+		o.Target = defaultTarget
+	}
 	d := &Deployment{
 		options: o,
 		Domains: []*Domain{
