--- a/internal/control/reducer/decision_test.go
+++ b/internal/control/reducer/decision_test.go
@@ -101,6 +101,12 @@
 		throttles := taken[ThrottleTask](d)
 		Expect(throttles).NotTo(BeEmpty())
 		Expect(taken[StartTask](d)).To(BeEmpty(), "the grants in force are still the old ones")
+		for i := range running {
+			running[i].Granted.CPU = 100
+		}
+		d.wait(6 * time.Second)
+		d.inventory(runner.Synced{Running: running})
+		Expect(d.durable()).To(BeEmpty(), "a low grant may be older than a growth on its way")
 		for i := range running {
 			for _, t := range throttles {
 				if t.Throttle.Task == running[i].Task {
