--- a/internal/operator/rehearser/rehearser.go
+++ b/internal/operator/rehearser/rehearser.go
@@ -15,11 +15,12 @@
 //	silence WORKER|all             open connections go silent for good
 //	spoil WORKER cut|lose N        next answers end half way, or are lost
 //	leave NAME                     planned stop of an entry host; a worker leaves
-//	submit JOB DOMAIN TASKS WORK   until it is acknowledged
+//	submit JOB DOMAIN TASKS WORK [MEMORY]
+//	                               until it is acknowledged; memory in MiB
 //	cancel JOB DOMAIN              until it is acknowledged
 //	call PLACE OUTCOME ID [charge] one request, again while it is denied: answered,
 //	                               denied or unclear
-//	load RATE, load stop           callers in every domain
+//	load RATE [WORK], load stop    callers in every domain; service time
 //	drain ID D WORKER...           confirmed; D is for how long
 //	race ID1 ID2 D WORKER...       two operators drain at once; one must be refused
 //	expect CONDITION...            wait for it, see conditions.go
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -39,6 +39,8 @@
 
 // Load is the callers of all failure domains.
 type Load struct {
+	Work time.Duration // service time asked for; the worker's own if 0
+
 	d    *deployer.Deployment
 	rate float64 // requests a second in each domain
 
@@ -46,6 +48,7 @@
 	random  *rand.Rand
 	latency *hdrhistogram.Histogram // microseconds
 	denied  []string                // ids said not to have run
+	unclear map[string]bool         // ids of which some attempt may have run
 	counts  Report
 	serial  int
 }
@@ -66,7 +69,12 @@
 
 // New returns callers that are still silent.
 func New(d *deployer.Deployment, random *rand.Rand, rate float64) *Load {
-	return &Load{d: d, rate: rate, random: random, latency: hdrhistogram.New(1, highestMicros, 3), counts: Report{Codes: make(map[string]int)}}
+	return &Load{
+		d: d, rate: rate, random: random,
+		latency: hdrhistogram.New(1, highestMicros, 3),
+		unclear: make(map[string]bool),
+		counts:  Report{Codes: make(map[string]int)},
+	}
 }
 
 // Run sends requests until ctx ends, and returns when all have ended.
@@ -108,6 +116,7 @@
 		Tenant: "owners",
 		Class:  "menu",
 		Size:   1 + l.random.IntN(maxAnswer),
+		Work:   l.Work,
 	}
 	if l.random.IntN(4) == 0 {
 		q.Tenant = "tourism"
@@ -152,9 +161,12 @@
 		_ = l.latency.RecordValue(min(took.Microseconds(), highestMicros))
 	case Denied:
 		l.counts.Failed++
-		l.denied = append(l.denied, q.ID)
+		if !l.unclear[q.ID] { // or else only the repetition has not run
+			l.denied = append(l.denied, q.ID)
+		}
 	case Unclear:
 		l.counts.Failed++
+		l.unclear[q.ID] = true
 	}
 }
 
