--- a/internal/operator/commander/client.go
+++ b/internal/operator/commander/client.go
@@ -21,7 +21,7 @@
 	Message string   `json:"message"`
 	Field   string   `json:"field"`
 	Verdict string   `json:"verdict"`
-	Retry   float64  `json:"retry"`
+	Retry   string   `json:"retry"`
 	Details []string `json:"details"`
 }
 
@@ -34,8 +34,8 @@
 	for _, line := range r.Details {
 		out += "\n  " + line
 	}
-	if r.Retry > 0 {
-		out += fmt.Sprintf("\n  come back in %gs", r.Retry)
+	if r.Retry != "" {
+		out += "\n  come back in " + r.Retry
 	}
 	return out
 }
--- a/internal/operator/commander/standin.go
+++ b/internal/operator/commander/standin.go
@@ -12,6 +12,8 @@
 	"github.com/spf13/cobra"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/standin/balancer"
+	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
 	"dotterelcart.dev/dotterelcart/internal/standin/hoster"
 	"dotterelcart.dev/dotterelcart/internal/standin/keeper"
 	"dotterelcart.dev/dotterelcart/internal/standin/registrar"
@@ -23,7 +25,7 @@
 		Short: "Run a stand-in for a part of the platform, for trials and tests only",
 		Long:  "Run a stand-in for a part of the platform, for trials and tests only. The\nprotocols are in docs/PLATFORM.md. The first line on stdout is the address.",
 	}
-	cmd.AddCommand(newStore(), newHosts(), newWorkers())
+	cmd.AddCommand(newStore(), newHosts(), newWorkers(), newBalancer(), newLinks())
 	return cmd
 }
 
@@ -102,6 +104,54 @@
 	return cmd
 }
 
+func newBalancer() *cobra.Command {
+	var (
+		listen  string
+		entries []string
+		check   time.Duration
+	)
+	cmd := &cobra.Command{
+		Use:     "balancer",
+		Short:   "The platform's balancer over entry hosts that are ready",
+		Example: "  dotterelcart standin balancer --listen 127.0.0.1:7400 --entry 127.0.0.1:7000 --entry 127.0.0.1:7010",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			targets := make([]balancer.Target, len(entries))
+			for i, address := range entries {
+				targets[i] = balancer.Target{Address: address, Check: "http://" + address + "/ready"}
+			}
+			b, err := balancer.New(listen, targets, check)
+			if err != nil {
+				return failed(err)
+			}
+			return standBy(cmd, b.Address, b.Close)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address, ip:port")
+	cmd.Flags().StringSliceVar(&entries, "entry", nil, "callers' address of an entry host, ip:port; may be repeated")
+	cmd.Flags().DurationVar(&check, "check", 200*time.Millisecond, "time between checks of readiness")
+	return cmd
+}
+
+func newLinks() *cobra.Command {
+	var listen string
+	cmd := &cobra.Command{
+		Use:     "links",
+		Short:   "Delayed and limited links between failure domains, set up over HTTP",
+		Example: "  dotterelcart standin links --listen 127.0.0.1:7500",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			hub, err := delayer.NewHub(listen)
+			if err != nil {
+				return failed(err)
+			}
+			return standBy(cmd, hub.Address, hub.Close)
+		},
+	}
+	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "address of the hub, ip:port")
+	return cmd
+}
+
 // workersPerRack is the number of workers that share a rack.
 const workersPerRack = 8
 
--- a/internal/operator/responder/configuration.go
+++ b/internal/operator/responder/configuration.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 )
@@ -23,7 +25,7 @@
 func (r *Responder) showConfiguration(w http.ResponseWriter, _ *http.Request) {
 	configuration := r.options.Configuration.Current()
 	if configuration.Revision == 0 {
-		writeError(w, unavailable("not-ready", "no configuration is known yet"))
+		classifier.Answer(w, unavailable("not-ready", "no configuration is known yet"))
 		return
 	}
 	writeJSON(w, http.StatusOK, configuration)
@@ -35,11 +37,11 @@
 func (r *Responder) setConfiguration(w http.ResponseWriter, request *http.Request) {
 	var wanted describer.Configuration
 	if err := readJSON(w, request, r.options.MaxBody, &wanted); err != nil {
-		writeError(w, err)
+		classifier.Answer(w, err)
 		return
 	}
 	if err := checkConfiguration(wanted); err != nil {
-		writeError(w, err)
+		classifier.Answer(w, err)
 		return
 	}
 	accepted, err := r.propose(request.Context(), wanted.Revision, func(c describer.Configuration) (describer.Configuration, error) {
@@ -47,7 +49,7 @@
 		return wanted, checkShardsKept(c.Shards, wanted.Shards)
 	})
 	if err != nil {
-		writeError(w, err)
+		classifier.Answer(w, err)
 		return
 	}
 	writeJSON(w, http.StatusOK, accepted)
--- a/internal/operator/responder/encoding.go
+++ b/internal/operator/responder/encoding.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,41 +11,12 @@
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 )
 
-// failure is the body of every answer that is not a success.
-type failure struct {
-	Code    string   `json:"code"`
-	Message string   `json:"message"`
-	Field   string   `json:"field,omitempty"`
-	Verdict string   `json:"verdict"`
-	Retry   float64  `json:"retry,omitempty"`   // seconds until a repeat makes sense
-	Details []string `json:"details,omitempty"` // one line each
-}
-
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body) // the caller has gone away if this fails
 }
 
-func writeError(w http.ResponseWriter, err error) {
-	var e *classifier.Error
-	if !errors.As(err, &e) {
-		e = &classifier.Error{Code: "internal", Message: err.Error(), Status: http.StatusInternalServerError}
-	}
-	status := e.Status
-	if status == 0 {
-		status = http.StatusServiceUnavailable
-	}
-	w.Header().Set("Dotterel-Verdict", e.Verdict.String())
-	if e.RetryAfter > 0 {
-		w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
-	}
-	writeJSON(w, status, failure{
-		Code: e.Code, Message: e.Message, Field: e.Field, Verdict: e.Verdict.String(),
-		Retry: e.RetryAfter.Seconds(), Details: e.Details,
-	})
-}
-
 // readJSON decodes a body of at most limit bytes; unknown fields and trailing
 // data are errors with verdict NotRun.
 func readJSON(w http.ResponseWriter, request *http.Request, limit int64, into any) error {
--- a/internal/operator/responder/jobs.go
+++ b/internal/operator/responder/jobs.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 	"net/http"
 
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/control/reducer"
 	"dotterelcart.dev/dotterelcart/internal/peer/messenger"
@@ -18,16 +20,16 @@
 func (r *Responder) submitJob(w http.ResponseWriter, request *http.Request) {
 	var job describer.Job
 	if err := readJSON(w, request, r.options.MaxBody, &job); err != nil {
-		writeError(w, err)
+		classifier.Answer(w, err)
 		return
 	}
 	if job.ID == "" {
-		writeError(w, invalid("id", "is missing; it makes the submission idempotent"))
+		classifier.Answer(w, invalid("id", "is missing; it makes the submission idempotent"))
 		return
 	}
 	status, err := r.submit(request.Context(), job)
 	if err != nil {
-		writeError(w, err)
+		classifier.Answer(w, err)
 		return
 	}
 	writeJSON(w, http.StatusAccepted, status)
@@ -47,7 +49,7 @@
 	name := jobName{Job: request.PathValue("id")}
 	status, err := r.onJob(request.Context(), method, name, here)
 	if err != nil {
-		writeError(w, err)
+		classifier.Answer(w, err)
 		return
 	}
 	writeJSON(w, http.StatusOK, status)
--- a/internal/traffic/dialer/carrier.go
+++ b/internal/traffic/dialer/carrier.go
@@ -16,7 +16,7 @@
 
 // VerdictHeader carries a verdict in answers. A backend server that sets it to
 // "not-run" on an error status refuses the request explicitly.
-const VerdictHeader = "Dotterel-Verdict"
+const VerdictHeader = classifier.Header
 
 // carrier is one connection with the transport that speaks HTTP over it.
 type carrier struct {
