control/reducer: a hand-over says how long its leases last; growth and rising load are weighed

Ruled out: the lapse timer itself (it fires in the spec that waits). Change: the owner's last record names its epoch and the longest lease that it granted; only the owner of the very next epoch trusts it. Before: the spec 'tells the successor how long the leases last' failed with no release; with the epoch check taken out, 'is not taken as one of an owner before the last' failed with 06:00:00 for 06:01:30. Also placer.Default's Bounds and MayGrow are asked, as their author wanted: without them load that rises past the bound is not answered, and greater grants are not weighed against services.

--- a/internal/control/describer/record.go
+++ b/internal/control/describer/record.go
@@ -21,6 +21,7 @@
 	WorkerSetAside RecordKind = "suspect"  // Worker, Reason
 	WorkerTrusted  RecordKind = "trust"    // Worker
 	DrainRestored  RecordKind = "restored" // Worker, Key (drain id)
+	ShardReleased  RecordKind = "handover" // Token.Epoch, Wait: the last record of an owner that gave the shard up
 	KeyClaimed     RecordKind = "key"      // Key, Owner: a non-idempotent request is about to be sent
 )
 
@@ -40,4 +41,5 @@
 	Reason     string          `json:"reason,omitempty"`
 	Key        string          `json:"key,omitempty"`
 	Owner      string          `json:"owner,omitempty"`
+	Wait       time.Duration   `json:"wait,omitempty"` // until every task lease has lapsed
 }
--- a/internal/control/reducer/book.go
+++ b/internal/control/reducer/book.go
@@ -58,6 +58,8 @@
 		h.refresh(h.worker(r.Worker))
 	case describer.DrainRestored:
 		h.book.restored[r.Worker] = r.Key
+	case describer.ShardReleased:
+		h.released = r
 	case describer.KeyClaimed:
 		if _, ok := h.book.keys[r.Key]; !ok {
 			h.book.keys[r.Key] = key{owner: r.Owner, time: r.Time}
--- a/internal/control/reducer/grant.go
+++ b/internal/control/reducer/grant.go
@@ -46,7 +46,7 @@
 		return true
 	case to > t.granted.CPU && h.isQueueEmpty():
 		to = min(to, maxGrowth*t.job.Declared.CPU)
-		return h.grow(t, to)
+		return h.mayGrow(t, w, to) && h.grow(t, to)
 	}
 	return false
 }
--- a/internal/control/reducer/ownership.go
+++ b/internal/control/reducer/ownership.go
@@ -203,6 +203,22 @@
 	return false
 }
 
+// closeLedger writes the owner's last record. A successor need not wait for
+// this daemon to notice an outage; the leases that it granted are all there is.
+func (h *shard) closeLedger() {
+	if h.closing {
+		return
+	}
+	h.closing = true
+	wait := time.Duration(0)
+	for _, w := range h.order {
+		if len(w.runs) > 0 {
+			wait = max(wait, w.extent.Sub(h.state.now))
+		}
+	}
+	h.append(describer.Record{Kind: describer.ShardReleased, Token: describer.Token{Epoch: h.epoch}, Wait: wait})
+}
+
 // handOver emits Release once every decision has been sent to the ledger.
 func (h *shard) handOver() {
 	if h.handing || !h.journal.isSent() {
@@ -251,6 +267,7 @@
 	h.tries = 0
 	h.arrangeWorkers()
 	h.budget = h.newBudget(s.now)
+	h.released = describer.Record{}
 	if h.restore(e.Snapshot) != nil {
 		// A shard whose past can't be read must not decide anything.
 		h.phase = releasing
@@ -260,6 +277,9 @@
 		h.apply(r)
 	}
 	h.journal.sinceSnapshot = len(e.Records)
+	for _, w := range h.order {
+		w.extent = h.formerExtent()
+	}
 	for _, w := range slices.Clone(h.order) { // sync may forget one
 		h.refresh(w)
 		h.sync(w)
--- a/internal/control/reducer/policy.go
+++ b/internal/control/reducer/policy.go
@@ -93,12 +93,38 @@
 		State:    &w.escalation,
 		Budget:   h.budget,
 		Options:  h.state.policies.Escalate,
+		Bounds:   h.bounds(w),
 	})
 	for _, a := range actions {
 		h.act(w, a)
 	}
 }
 
+// limiter is a placement policy that also limits what runs already.
+type limiter interface {
+	// Bounds returns the latency that batch tasks may bring each service to.
+	Bounds(w *accountant.Worker) map[string]time.Duration
+	// MayGrow weighs a greater grant like a placement.
+	MayGrow(w *accountant.Worker, g accountant.Grant, to describer.Resources, now time.Time) bool
+}
+
+func (h *shard) bounds(w *worker) map[string]time.Duration {
+	if l, ok := h.state.placer.(limiter); ok {
+		return l.Bounds(w.account)
+	}
+	return nil
+}
+
+func (h *shard) mayGrow(t *task, w *worker, cpu int64) bool {
+	l, ok := h.state.placer.(limiter)
+	if !ok {
+		return true
+	}
+	to := t.granted
+	to.CPU = cpu
+	return l.MayGrow(w.account, w.account.Grants[t.id()], to, h.state.now)
+}
+
 func (h *shard) act(w *worker, a escalator.Action) {
 	if a.Kind == escalator.KeepOff {
 		w.account.KeepOff = a.Until
--- a/internal/control/reducer/shard.go
+++ b/internal/control/reducer/shard.go
@@ -45,12 +45,14 @@
 	heldAt  time.Time     // since when a live peer says that it owns the shard, or the latest claim
 	freeAt  time.Time     // since when no live peer says that it owns the shard
 	tenure  time.Duration // before it may be handed over to a better placed daemon
+	closing bool          // the last record is written; no lease is granted or renewed any more
 	handing bool          // Release was emitted
 
 	epoch    int64
 	book     *book
 	claimed  time.Time
-	sequence int64 // of tokens
+	released describer.Record // the former owner's last one, if it gave the shard up
+	sequence int64            // of tokens
 	workers  map[string]*worker
 	order    []*worker // sorted by name
 	fleet    *accountant.Fleet
@@ -69,6 +71,9 @@
 		return
 	}
 	h.place()
+	if h.phase == releasing {
+		h.closeLedger()
+	}
 	h.flush()
 	if h.phase == releasing {
 		h.handOver()
@@ -101,6 +106,7 @@
 	h.teams = nil
 	h.rooms = nil
 	h.journal = journal{}
+	h.closing = false
 	h.handing = false
 	h.tries = 0
 	h.tryAt = h.state.now.Add(claimRetry)
--- a/internal/control/reducer/shard_test.go
+++ b/internal/control/reducer/shard_test.go
@@ -82,6 +82,38 @@
 	})
 })
 
+var _ = Describe("a hand-over", func() {
+	It("tells the successor how long the leases last at a worker that it can't reach", func() {
+		d := newDesk("w1")
+		d.do(Submitted{Request: 1, Job: testJob("menu", 1)})
+		records := d.durable()
+		d.do(StopRequested{})
+		last := d.durable()
+		Expect(kinds(last)).To(Equal([]describer.RecordKind{describer.ShardReleased}))
+		Expect(taken[Release](d)).To(HaveLen(1))
+
+		s := successor(append(records, last...), "w1")
+		for range 30 + 5 + 3 { // lease, margin, and the interval between looks
+			s.wait(time.Second)
+			for range taken[SyncWorker](s) {
+				s.do(WorkerFailed{Shard: "bne-1", Epoch: 2, Worker: "w1"})
+			}
+		}
+		Expect(kinds(s.durable())).To(ContainElement(describer.TaskReleased))
+	})
+
+	It("is not taken as one of an owner before the last", func() {
+		d := newDesk("w1")
+		d.do(StopRequested{})
+		last := d.durable()
+		s := &desk{State: New(testOptions(), Policies{Place: placer.FirstFit{}})}
+		s.do(Tick{Now: start})
+		s.do(Configured{Configuration: testConfiguration()})
+		s.do(ShardClaimed{Shard: "bne-1", Epoch: 3, Records: last})
+		Expect(s.order[0].formerExtent()).To(Equal(start.Add(time.Minute + 30*time.Second)))
+	})
+})
+
 var _ = Describe("a drain", func() {
 	It("moves work off with a checkpoint and ends in a restore", func() {
 		d := newDesk("w1", "w2")
--- a/internal/control/reducer/sync.go
+++ b/internal/control/reducer/sync.go
@@ -67,7 +67,7 @@
 // renewals lists the runs to keep. A worker that doesn't answer gets none, so
 // that its leases are sure to lapse; nor does a run that is to end for good.
 func (h *shard) renewals(w *worker) []runner.Run {
-	if w.failures >= silentAfter || len(w.runs) == 0 || !w.heard || !h.mayRenew() {
+	if w.failures >= silentAfter || len(w.runs) == 0 || !w.heard || h.closing || !h.mayRenew() {
 		return nil
 	}
 	runs := make([]runner.Run, 0, len(w.runs))
--- a/internal/control/reducer/worker.go
+++ b/internal/control/reducer/worker.go
@@ -110,6 +110,16 @@
 	h.order = slices.DeleteFunc(h.order, func(o *worker) bool { return o == w })
 }
 
+// formerExtent is when the leases that former owners granted have lapsed. One
+// that was cut off may have gone on renewing for the outage limit; one that
+// gave the shard up to this owner said how long its leases last.
+func (h *shard) formerExtent() time.Time {
+	if h.released.Token.Epoch == h.epoch-1 && h.released.Kind == describer.ShardReleased {
+		return h.claimed.Add(h.released.Wait)
+	}
+	return h.claimed.Add(h.state.options.OutageLimit + h.state.options.TaskLease)
+}
+
 // worker returns the worker of that name. One that is known from the ledger
 // only is closed and has no capacity.
 func (h *shard) worker(name string) *worker {
@@ -122,7 +132,7 @@
 		Closed: true,
 	}
 	w := &worker{name: name, account: account}
-	w.extent = h.claimed.Add(h.state.options.OutageLimit + h.state.options.TaskLease)
+	w.extent = h.formerExtent()
 	h.workers[name] = w
 	h.fleet.Workers[name] = account
 	at, _ := slices.BinarySearchFunc(h.order, name, func(o *worker, n string) int { return compareText(o.name, n) })
