--- /dev/null
+++ b/internal/platform/runner/size_bench_test.go
@@ -0,0 +1,44 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+// BenchmarkSync reports the bytes of one inventory, request and answer, by the
+// number of runs on the worker.
+func BenchmarkSync(b *testing.B) {
+	for _, runs := range []int{0, 9, 18, 35, 70} {
+		b.Run(fmt.Sprintf("runs=%d", runs), func(b *testing.B) {
+			request, answer := inventory(runs)
+			var bytes int
+			for b.Loop() {
+				bytes = size(b, request) + size(b, answer)
+			}
+			b.ReportMetric(float64(bytes), "bytes/sync")
+		})
+	}
+}
+
+func inventory(runs int) (Sync, Synced) {
+	request := Sync{Shard: "seq-bne-r12", Epoch: 7}
+	answer := Synced{Capacity: describer.Resources{CPU: 64_000, Memory: 250 << 10}}
+	granted := describer.Resources{CPU: 1500, Memory: 4096}
+	for i := range runs {
+		run := Run{Task: describer.TaskID{Job: "precinct-20300101-0042", Index: i}, Token: describer.Token{Epoch: 7, Sequence: 120_000}}
+		request.Renew = append(request.Renew, run)
+		answer.Running = append(answer.Running, Running{Run: run, Granted: granted, Used: granted, Progress: 0.375})
+	}
+	return request, answer
+}
+
+func size(b *testing.B, v any) int {
+	data, err := json.Marshal(v)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return len(data)
+}
