--- /dev/null
+++ b/internal/operator/commander/commander_test.go
@@ -0,0 +1,121 @@
+package commander
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
+)
+
+func TestCommander(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "commander")
+}
+
+// run executes a command line without standard input.
+func run(args ...string) (code int, stdout, stderr string) {
+	var out, errs bytes.Buffer
+	code = Run(context.Background(), args, strings.NewReader(""), &out, &errs)
+	return code, out.String(), errs.String()
+}
+
+// daemon answers every request in the same way and notes the paths.
+func daemon(handler http.HandlerFunc) (address string, paths *[]string) {
+	paths = new([]string)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		*paths = append(*paths, r.Method+" "+r.URL.Path)
+		handler(w, r)
+	}))
+	DeferCleanup(server.Close)
+	return server.Listener.Addr().String(), paths
+}
+
+var _ = Describe("the command line", func() {
+	It("ends with 2 on wrong usage and says why on stderr", func() {
+		for _, args := range [][]string{
+			{"nonsense"},
+			{"plan"},
+			{"intent", "cancel"},
+			{"intent", "latency-target", "desk", "soon"},
+			{"job", "submit", "no-such-file"},
+			{"serve", "no-such-file"},
+		} {
+			code, stdout, stderr := run(args...)
+			Expect(code).To(Equal(ExitUsage), strings.Join(args, " "))
+			Expect(stdout).To(BeEmpty())
+			Expect(stderr).To(HavePrefix("dotterelcart: "))
+		}
+	})
+
+	It("lists every fault of a settings file, and starts nothing", func() {
+		file := filepath.Join(GinkgoT().TempDir(), "entry.hujson")
+		Expect(os.WriteFile(file, []byte(`{"name": "a", "domian": "b", "traffic": {"budget": 7}}`), 0o600)).To(Succeed())
+		for _, verb := range []string{"check", "serve"} {
+			code, _, stderr := run(verb, file)
+			Expect(code).To(Equal(ExitUsage))
+			Expect(stderr).To(ContainSubstring(file + ":1:15: domian: unknown key"))
+			Expect(stderr).To(ContainSubstring("traffic.budget: must be a share"))
+		}
+	})
+
+	It("ends with 3 when no daemon answers", func() {
+		server := httptest.NewServer(nil)
+		address := server.Listener.Addr().String()
+		server.Close()
+		code, _, _ := run("status", "--daemon", address)
+		Expect(code).To(Equal(ExitUnreachable))
+	})
+
+	It("ends with 3 when an answer is cut short", func() {
+		address, _ := daemon(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"id":`) })
+		code, _, stderr := run("plan", "p1", "--daemon", address)
+		Expect(code).To(Equal(ExitUnreachable))
+		Expect(stderr).To(ContainSubstring("cut short"))
+	})
+
+	It("ends with 1 on a refusal, with its verdict and what has changed", func() {
+		address, paths := daemon(func(w http.ResponseWriter, _ *http.Request) {
+			classifier.Answer(w, &classifier.Error{
+				Verdict: classifier.NotRun, Status: http.StatusConflict, Code: "stale",
+				Message: "the plan no longer holds", Details: []string{"drain other of w1 is draining"},
+			})
+		})
+		code, stdout, stderr := run("confirm", "p1", "--daemon", address)
+		Expect(code).To(Equal(ExitFailed))
+		Expect(stdout).To(BeEmpty())
+		Expect(stderr).To(ContainSubstring("the plan no longer holds (not-run)\n  drain other of w1 is draining"))
+		Expect(*paths).To(Equal([]string{"POST /v1/plans/p1/confirm"}))
+	})
+
+	It("prints the daemon's answer as JSON on demand", func() {
+		address, _ := daemon(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, `{"revision":4}`) })
+		code, stdout, _ := run("configuration", "--daemon", address, "--format", "json")
+		Expect(code).To(Equal(ExitOK))
+		Expect(stdout).To(ContainSubstring(`"revision": 4`))
+		code, _, stderr := run("configuration", "--daemon", address, "--format", "yaml")
+		Expect(code).To(Equal(ExitUsage))
+		Expect(stderr).To(ContainSubstring("--format must be text or json"))
+	})
+
+	It("has an example for every command that does something", func() {
+		for _, cmd := range newRoot().Commands() {
+			if cmd.HasSubCommands() {
+				for _, sub := range cmd.Commands() {
+					Expect(sub.Example).NotTo(BeEmpty(), sub.CommandPath())
+				}
+				continue
+			}
+			Expect(cmd.Example).NotTo(BeEmpty(), cmd.CommandPath())
+		}
+	})
+})
