control/learner: one model without evidence, not one for each question

Cause: Slowdown made a new model with its covariance for every worker and class without reports; a choice among 204 workers asks 408 times. Specs of learner and placer pass unchanged.

--- a/internal/control/learner/learner.go
+++ b/internal/control/learner/learner.go
@@ -106,12 +106,15 @@
 	return m.estimate(l.Options, map[string]float64{class: 1})
 }
 
+// noEvidence is the model of a service without reports. It is only read.
+var noEvidence = newModel(1)
+
 // Slowdown returns the expected relative slow-down, 0.1 being 10 %, of a
 // service by classes that hold the given shares of processors.
 func (l *Learner) Slowdown(service string, shares map[string]float64, load float64) (mean, upper float64) {
 	m := l.Models[Key{service, Band(load)}]
 	if m == nil {
-		m = newModel(1)
+		m = noEvidence
 	}
 	mean, upper = m.estimate(l.Options, shares)
 	return math.Expm1(max(mean, 0)), math.Expm1(max(upper, 0))
