--- a/internal/control/reducer/ledgers_test.go
+++ b/internal/control/reducer/ledgers_test.go
@@ -194,7 +194,7 @@
 }
 
 // audit checks a run that begins against what is durable and what runs.
-func (w *world) audit(m *machine, s runner.Start) {
+func (w *world) audit(m *fakeWorker, s runner.Start) {
 	run := runner.Run{Task: s.Task, Token: s.Token}
 	at, ok := w.store.started[run]
 	if !ok {
@@ -209,7 +209,7 @@
 	if s.Checkpoint != w.store.resumes[run] {
 		w.t.Fatalf("%s resumes from %q, not from %q", s.Task, s.Checkpoint, w.store.resumes[run])
 	}
-	for _, other := range w.machines {
+	for _, other := range w.workers {
 		other.advance()
 		if r := other.runs[s.Task]; r != nil {
 			w.t.Fatalf("%s runs on %s as %v and on %s as %v", s.Task, other.name, r.Token, m.name, s.Token)
--- a/internal/control/reducer/property_test.go
+++ b/internal/control/reducer/property_test.go
@@ -30,8 +30,8 @@
 	return w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
 }
 
-func (w *world) anyMachine(t *rapid.T) *machine {
-	return w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(t, "worker")]
+func (w *world) anyWorker(t *rapid.T) *fakeWorker {
+	return w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker")]
 }
 
 // step does one thing at random, most often something ordinary.
@@ -62,14 +62,14 @@
 		n.cutStore = true
 		w.after(length, func() { n.cutStore = false })
 	case 8:
-		n, m := w.node(t), w.anyMachine(t)
+		n, m := w.node(t), w.anyWorker(t)
 		n.cut[m.name] = true
 		w.after(length, func() { n.cut[m.name] = false })
 	case 9:
 		w.store.up = false
 		w.after(length, func() { w.store.up = true })
 	case 10:
-		m := w.anyMachine(t)
+		m := w.anyWorker(t)
 		if !m.dead {
 			m.advance()
 			m.dead = true
@@ -78,11 +78,11 @@
 			w.after(max(length, 15*time.Second), func() { m.dead = false })
 		}
 	case 11:
-		m := w.anyMachine(t)
+		m := w.anyWorker(t)
 		m.bad = true
 		w.after(length, func() { m.bad = false })
 	case 12:
-		w.drain(fmt.Sprintf("drain-%d", i), w.anyMachine(t).name, length)
+		w.drain(fmt.Sprintf("drain-%d", i), w.anyWorker(t).name, length)
 	case 13:
 		old := w.store.config
 		old.Revision -= int64(rapid.IntRange(0, 3).Draw(t, "older"))
@@ -93,13 +93,13 @@
 		n.blind = true
 		w.after(length, func() { n.blind = false })
 	case 15:
-		n, m := w.node(t), w.anyMachine(t)
+		n, m := w.node(t), w.anyWorker(t)
 		n.mute[m.name] = true
 		w.after(length, func() { n.mute[m.name] = false })
 	case 16:
-		w.split(w.node(t), w.anyMachine(t), 3*length)
+		w.split(w.node(t), w.anyWorker(t), 3*length)
 	case 17:
-		m := w.anyMachine(t)
+		m := w.anyWorker(t)
 		m.unlisted = true
 		w.after(length, func() { m.unlisted = false })
 	case 18:
@@ -116,7 +116,7 @@
 }
 
 // split leaves a worker on the side of one daemon, and the store on the other.
-func (w *world) split(alone *node, m *machine, length time.Duration) {
+func (w *world) split(alone *node, m *fakeWorker, length time.Duration) {
 	for _, n := range w.nodes {
 		if n != alone {
 			n.cut[m.name] = true
@@ -170,7 +170,7 @@
 	w.calm = true
 	w.pass(2 * time.Minute)
 	w.store.up = true
-	for _, m := range w.machines {
+	for _, m := range w.workers {
 		m.dead, m.bad, m.unlisted = false, false, false
 	}
 	for _, n := range w.nodes {
--- a/internal/control/reducer/split_test.go
+++ b/internal/control/reducer/split_test.go
@@ -46,13 +46,13 @@
 }
 
 // calmWorld has one task that runs for hours, on a worker of one owner.
-func calmWorld(t *testing.T) (w *world, owner *node, m *machine) {
+func calmWorld(t *testing.T) (w *world, owner *node, m *fakeWorker) {
 	w = newWorld(t, 1)
 	w.calm, w.long = true, true
 	w.pass(40 * time.Second)
 	w.submit("job", 1)
 	w.pass(5 * time.Second)
-	for _, one := range w.machines {
+	for _, one := range w.workers {
 		if len(one.runs) > 0 {
 			m = one
 		}
@@ -71,7 +71,7 @@
 // running returns how many workers run the job.
 func (w *world) running() int {
 	n := 0
-	for _, m := range w.machines {
+	for _, m := range w.workers {
 		m.advance()
 		n += len(m.runs)
 	}
--- a/internal/standin/hoster/machine.go
+++ b/internal/standin/hoster/agent.go
@@ -12,9 +12,9 @@
 	"dotterelcart.dev/dotterelcart/internal/standin/listener"
 )
 
-// Machine is the worker interface without its transport: runs, leases, grants
+// Agent is the worker interface without its transport: runs, leases, grants
 // and fences. Its methods may be called from any goroutine.
-type Machine struct {
+type Agent struct {
 	options Options
 	audit   *auditor.Auditor
 
@@ -44,9 +44,9 @@
 	Worker string `json:"worker"`
 }
 
-// NewMachine returns an idle Machine.
-func NewMachine(o Options, a *auditor.Auditor) *Machine {
-	m := &Machine{
+// NewAgent returns an idle Agent.
+func NewAgent(o Options, a *auditor.Auditor) *Agent {
+	m := &Agent{
 		options:  o,
 		audit:    a,
 		fences:   make(map[describer.TaskID]describer.Token),
@@ -61,7 +61,7 @@
 
 // Start begins a run. It reports whether one began, which a repetition does
 // not do.
-func (m *Machine) Start(s runner.Start) (bool, error) {
+func (m *Agent) Start(s runner.Start) (bool, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
@@ -104,7 +104,7 @@
 }
 
 // Stop ends a run and fences its token.
-func (m *Machine) Stop(s runner.Stop) (runner.Stopped, error) {
+func (m *Agent) Stop(s runner.Stop) (runner.Stopped, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
@@ -130,7 +130,7 @@
 }
 
 // Throttle sets a run's processor grant.
-func (m *Machine) Throttle(t runner.Throttle) error {
+func (m *Agent) Throttle(t runner.Throttle) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
@@ -153,7 +153,7 @@
 }
 
 // Sync renews leases, forgets acknowledged ends and returns the inventory.
-func (m *Machine) Sync(s runner.Sync) (runner.Synced, error) {
+func (m *Agent) Sync(s runner.Sync) (runner.Synced, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
@@ -173,7 +173,7 @@
 	return m.inventory(now), nil
 }
 
-func (m *Machine) inventory(now time.Time) runner.Synced {
+func (m *Agent) inventory(now time.Time) runner.Synced {
 	out := runner.Synced{Clock: now, Capacity: m.options.Host.Capacity, Latency: m.meter.take(now)}
 	for _, r := range m.runs {
 		out.Running = append(out.Running, r.report(now, m.options.Lag))
@@ -186,7 +186,7 @@
 
 // Grants returns the sum of the grants and the processor share of each class,
 // 0 to 1.
-func (m *Machine) Grants() (describer.Resources, map[string]float64) {
+func (m *Agent) Grants() (describer.Resources, map[string]float64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	shares := make(map[string]float64)
@@ -197,7 +197,7 @@
 }
 
 // Running returns the number of runs in progress.
-func (m *Machine) Running() int {
+func (m *Agent) Running() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return len(m.runs)
@@ -205,7 +205,7 @@
 
 // Pause freezes all runs, or lets them go on. A lease that ended meanwhile
 // has lapsed.
-func (m *Machine) Pause(on bool) {
+func (m *Agent) Pause(on bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
@@ -220,14 +220,14 @@
 }
 
 // Fail lets every later run fail at once, or ends that.
-func (m *Machine) Fail(on bool) {
+func (m *Agent) Fail(on bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.failing = on
 }
 
-// Kill ends all runs with their worker. The Machine is of no use afterwards.
-func (m *Machine) Kill() {
+// Kill ends all runs with their worker. The Agent is of no use afterwards.
+func (m *Agent) Kill() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
@@ -245,7 +245,7 @@
 	m.finished = nil
 }
 
-func (m *Machine) wake() {
+func (m *Agent) wake() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.advance()
@@ -253,7 +253,7 @@
 }
 
 // advance brings all runs to the present and ends those that are over.
-func (m *Machine) advance() {
+func (m *Agent) advance() {
 	if m.dead {
 		return
 	}
@@ -278,7 +278,7 @@
 	}
 }
 
-func (m *Machine) complete(r *run) {
+func (m *Agent) complete(r *run) {
 	f := runner.Finished{Run: r.id(), OK: !r.payload.Fail}
 	if !f.OK {
 		f.Reason = "task failed"
@@ -292,14 +292,14 @@
 	m.finished[f.Run] = f
 }
 
-func (m *Machine) lapse(r *run) {
+func (m *Agent) lapse(r *run) {
 	f := runner.Finished{Run: r.id(), Lapsed: true, Reason: "lease lapsed", Checkpoint: r.checkpoint()}
 	m.end(r, auditor.Lapsed, f.Checkpoint)
 	m.finished[f.Run] = f
 }
 
 // end takes a run out and remembers the answer for repeated stops.
-func (m *Machine) end(r *run, e auditor.Ending, checkpoint string) runner.Stopped {
+func (m *Agent) end(r *run, e auditor.Ending, checkpoint string) runner.Stopped {
 	delete(m.runs, r.start.Task)
 	m.audit.Ended(r.start.Task, m.options.Host.Name, e)
 	out := runner.Stopped{Ran: true, Checkpoint: checkpoint}
@@ -308,7 +308,7 @@
 }
 
 // schedule sets the timer to the next end of a run.
-func (m *Machine) schedule() {
+func (m *Agent) schedule() {
 	if m.dead {
 		return
 	}
@@ -324,7 +324,7 @@
 	m.timer.Reset(time.Until(next))
 }
 
-func (m *Machine) fence(epoch int64) error {
+func (m *Agent) fence(epoch int64) error {
 	if epoch < m.epoch {
 		return fenced("epoch is too old")
 	}
@@ -332,7 +332,7 @@
 	return nil
 }
 
-func (m *Machine) granted() describer.Resources {
+func (m *Agent) granted() describer.Resources {
 	var sum describer.Resources
 	for _, r := range m.runs {
 		sum = sum.Add(r.start.Granted)
@@ -340,7 +340,7 @@
 	return sum
 }
 
-func (m *Machine) checkCapacity() {
+func (m *Agent) checkCapacity() {
 	if sum := m.granted(); !sum.Fits(m.options.Host.Capacity) {
 		m.audit.Overfilled(m.options.Host.Name, sum, m.options.Host.Capacity)
 	}
--- a/internal/standin/hoster/backend.go
+++ b/internal/standin/hoster/backend.go
@@ -107,7 +107,7 @@
 	b.worker.executed(key, isIdempotent(r))
 	took := b.serviceTime(r)
 	time.Sleep(took)
-	b.worker.machine.Load().meter.add(b.service(), began, time.Since(began))
+	b.worker.agent.Load().meter.add(b.service(), began, time.Since(began))
 	w.Header().Set(HeaderRequest, id)
 	w.Header().Set(HeaderWorker, b.worker.options.Host.Name)
 	b.answer(w, Answer(id, body, r.Header.Get(HeaderSize)))
@@ -155,7 +155,7 @@
 	if d, err := time.ParseDuration(r.Header.Get(HeaderWork)); err == nil {
 		base = d
 	}
-	_, shares := b.worker.machine.Load().Grants()
+	_, shares := b.worker.agent.Load().Grants()
 	slow := 1.0
 	for class, share := range shares {
 		slow += b.worker.options.Interference[class] * share
--- a/internal/standin/hoster/hoster.go
+++ b/internal/standin/hoster/hoster.go
@@ -4,7 +4,7 @@
 // # Model
 //
 // A [Worker] has two ports. On Control it answers the worker interface of
-// package runner, carried out by its [Machine]: runs under leases and fences,
+// package runner, carried out by its [Agent]: runs under leases and fences,
 // whose grants are added up. On Address its backend server answers requests,
 // at most one for each slot, slower while batch tasks run beside it. What
 // happens is reported to an [auditor.Auditor] that all workers share; the
@@ -50,7 +50,7 @@
 
 	options Options
 	audit   *auditor.Auditor
-	machine atomic.Pointer[Machine]
+	agent   atomic.Pointer[Agent]
 	backend *backend
 
 	mu      sync.Mutex
@@ -98,7 +98,7 @@
 	if err != nil {
 		return err
 	}
-	w.machine.Store(NewMachine(w.options, w.audit))
+	w.agent.Store(NewAgent(w.options, w.audit))
 	control, err := listener.New(orLoopback(h.Control), w.routes())
 	if err != nil {
 		inner.Close()
@@ -132,7 +132,7 @@
 	if w.control == nil {
 		return
 	}
-	w.machine.Load().Kill()
+	w.agent.Load().Kill()
 	w.resume()
 	_ = w.control.Close()
 	_ = w.server.Close()
@@ -158,7 +158,7 @@
 	defer w.mu.Unlock()
 	if w.paused == nil {
 		w.paused = make(chan struct{})
-		w.machine.Load().Pause(true)
+		w.agent.Load().Pause(true)
 	}
 }
 
@@ -173,7 +173,7 @@
 	if w.paused != nil {
 		close(w.paused)
 		w.paused = nil
-		w.machine.Load().Pause(false)
+		w.agent.Load().Pause(false)
 	}
 }
 
@@ -184,7 +184,7 @@
 func (w *Worker) CutAnswers(n int) { w.backend.cut.Store(int64(n)) }
 
 // Fail lets every later run fail at once, or ends that.
-func (w *Worker) Fail(on bool) { w.machine.Load().Fail(on) }
+func (w *Worker) Fail(on bool) { w.agent.Load().Fail(on) }
 
 // LoseAnswers lets the next n calls of the worker interface take effect
 // without an answer.
@@ -202,7 +202,7 @@
 }
 
 // Running returns the number of runs in progress.
-func (w *Worker) Running() int { return w.machine.Load().Running() }
+func (w *Worker) Running() int { return w.agent.Load().Running() }
 
 func (w *Worker) executed(id string, idempotent bool) {
 	w.Counts.Requests.Add(1)
@@ -239,7 +239,7 @@
 }
 
 func (w *Worker) routes() http.Handler {
-	m := w.machine.Load()
+	m := w.agent.Load()
 	start := func(in runner.Start) (struct{}, error) {
 		began, err := m.Start(in)
 		if began {
--- a/internal/standin/hoster/hoster_test.go
+++ b/internal/standin/hoster/hoster_test.go
@@ -35,18 +35,18 @@
 
 func failure(_ bool, err error) error { return err }
 
-// virtual runs body on a Machine in virtual time.
-func virtual(t *testing.T, body func(g Gomega, m *hoster.Machine, a *auditor.Auditor)) {
+// virtual runs body on a Agent in virtual time.
+func virtual(t *testing.T, body func(g Gomega, m *hoster.Agent, a *auditor.Auditor)) {
 	synctest.Test(t, func(t *testing.T) {
 		a := auditor.New()
-		m := hoster.NewMachine(options(), a)
+		m := hoster.NewAgent(options(), a)
 		defer m.Kill()
 		body(NewWithT(t), m, a)
 	})
 }
 
 func TestCompletesOnce(t *testing.T) {
-	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
+	virtual(t, func(g Gomega, m *hoster.Agent, a *auditor.Auditor) {
 		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
 		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
 		time.Sleep(5 * time.Second)
@@ -62,7 +62,7 @@
 }
 
 func TestLapsesWithCheckpointUnlessRenewed(t *testing.T) {
-	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
+	virtual(t, func(g Gomega, m *hoster.Agent, a *auditor.Auditor) {
 		s := start(1, 1)
 		s.RunTime = time.Minute
 		g.Expect(failure(m.Start(s))).To(Succeed())
@@ -80,7 +80,7 @@
 }
 
 func TestFencesOldEpochsAndTokens(t *testing.T) {
-	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
+	virtual(t, func(g Gomega, m *hoster.Agent, a *auditor.Auditor) {
 		_, err := m.Sync(runner.Sync{Epoch: 2})
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = m.Start(start(1, 9))
@@ -95,7 +95,7 @@
 }
 
 func TestResumesFromCheckpointAtTheThrottledSpeed(t *testing.T) {
-	virtual(t, func(g Gomega, m *hoster.Machine, _ *auditor.Auditor) {
+	virtual(t, func(g Gomega, m *hoster.Agent, _ *auditor.Auditor) {
 		s := start(1, 1)
 		g.Expect(failure(m.Start(s))).To(Succeed())
 		time.Sleep(time.Second)
@@ -115,7 +115,7 @@
 }
 
 func TestPausedRunLapses(t *testing.T) {
-	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
+	virtual(t, func(g Gomega, m *hoster.Agent, a *auditor.Auditor) {
 		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
 		m.Pause(true)
 		time.Sleep(9 * time.Second)
@@ -128,8 +128,8 @@
 }
 
 func TestCountsViolations(t *testing.T) {
-	virtual(t, func(g Gomega, m *hoster.Machine, a *auditor.Auditor) {
-		other := hoster.NewMachine(options(), a)
+	virtual(t, func(g Gomega, m *hoster.Agent, a *auditor.Auditor) {
+		other := hoster.NewAgent(options(), a)
 		defer other.Kill()
 		g.Expect(failure(m.Start(start(1, 1)))).To(Succeed())
 		g.Expect(failure(other.Start(start(1, 1)))).To(Succeed())
