operator/commander: configuration and job files with units, every fault listed

Files gave times as numbers of nanoseconds and stopped at the first fault. They are read like settings now: "250ms", line and column for each fault.

--- a/internal/operator/commander/commander_test.go
+++ b/internal/operator/commander/commander_test.go
@@ -10,10 +10,12 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 )
 
@@ -119,3 +121,42 @@
 		}
 	})
 })
+
+var _ = Describe("files", func() {
+	write := func(text string) string {
+		file := filepath.Join(GinkgoT().TempDir(), "file.hujson")
+		Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+		return file
+	}
+
+	It("of the examples are read", func() {
+		c, err := readFleet("../../../examples/fleet.hujson")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Services[0].Target).To(Equal(250 * time.Millisecond))
+		Expect(c.Shards[0].Racks).To(Equal([]string{"seq-bne-r1"}))
+		job, err := readJob(nil, "../../../examples/wave.hujson")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(job.RunTime).To(Equal(time.Second))
+		Expect(string(job.Payload)).To(Equal(`{"work":"500ms"}`))
+	})
+
+	It("list every fault with its place", func() {
+		file := write("{\n\"id\": 7,\n\"deadline\": \"noon\",\n\"runtime\": 1,\n\"taks\": 2}")
+		_, err := readJob(nil, file)
+		Expect(err).To(MatchError(SatisfyAll(
+			ContainSubstring(file+":2:7: id: must be text"),
+			ContainSubstring(file+":3:13: deadline: must be a time such as"),
+			ContainSubstring(file+":4:12: runtime: must be a time with a unit"),
+			ContainSubstring(file+":5:1: taks: unknown key"),
+		)))
+	})
+
+	It("may come on standard input, and need an id", func() {
+		job, err := readJob(strings.NewReader(`{"id": "a", "urgent": true, "deadline": "2030-01-31T11:30:00Z"}`), "-")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(job.Priority).To(Equal(describer.Urgent))
+		Expect(job.Deadline).To(Equal(time.Date(2030, 1, 31, 11, 30, 0, 0, time.UTC)))
+		_, err = readJob(strings.NewReader(`{}`), "-")
+		Expect(err).To(MatchError(ContainSubstring("id: is missing")))
+	})
+})
--- a/internal/operator/commander/configuration.go
+++ b/internal/operator/commander/configuration.go
@@ -1,15 +1,11 @@
 package commander
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 
 	"github.com/spf13/cobra"
-	"github.com/tailscale/hujson"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
@@ -34,7 +30,7 @@
 				}
 				return output(cmd, shown, printConfiguration)
 			}
-			wanted, err := readConfiguration(file)
+			wanted, err := readFleet(file)
 			if err != nil {
 				return err
 			}
@@ -50,18 +46,6 @@
 	return cmd
 }
 
-func readConfiguration(file string) (json.RawMessage, error) {
-	source, err := os.ReadFile(file)
-	if err != nil {
-		return nil, misused(err)
-	}
-	standard, err := hujson.Standardize(source)
-	if err != nil {
-		return nil, misused(errors.New(file + ": " + err.Error()))
-	}
-	return standard, nil
-}
-
 func printConfiguration(w io.Writer, c describer.Configuration) {
 	fmt.Fprintf(w, "revision %d\n", c.Revision)
 	for _, s := range c.Services {
--- a/internal/operator/commander/intent.go
+++ b/internal/operator/commander/intent.go
@@ -1,12 +1,9 @@
 package commander
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -58,8 +55,8 @@
 func newRunIntent(daemon *string) *cobra.Command {
 	return &cobra.Command{
 		Use:     "run JOBFILE",
-		Short:   "Run a job to its end; the file holds the job as JSON",
-		Example: "  dotterelcart intent run precinct.json",
+		Short:   "Run a job to its end; the file holds the job, see examples/wave.hujson",
+		Example: "  dotterelcart intent run precinct.hujson",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			job, err := readJob(cmd.InOrStdin(), args[0])
@@ -189,26 +186,3 @@
 	}
 	fmt.Fprintln(w, "confirmed")
 }
-
-// readJob reads a job from a file, or from in when the name is "-".
-func readJob(in io.Reader, name string) (describer.Job, error) {
-	source := in
-	if name != "-" {
-		file, err := os.Open(name)
-		if err != nil {
-			return describer.Job{}, misused(err)
-		}
-		defer file.Close()
-		source = file
-	}
-	decoder := json.NewDecoder(source)
-	decoder.DisallowUnknownFields()
-	var job describer.Job
-	if err := decoder.Decode(&job); err != nil {
-		return job, misused(fmt.Errorf("%s: %w", name, err))
-	}
-	if job.ID == "" {
-		return job, misused(errors.New(name + ": the job has no id"))
-	}
-	return job, nil
-}
--- a/internal/operator/commander/job.go
+++ b/internal/operator/commander/job.go
@@ -32,9 +32,9 @@
 func newSubmit(daemon *string) *cobra.Command {
 	return &cobra.Command{
 		Use:   "submit JOBFILE",
-		Short: "Submit the job in a JSON file, or on standard input with -; repeating it is harmless",
+		Short: "Submit the job in a file (JSON with comments), or on standard input with -; repeating it is harmless",
 		Example: `  echo '{"id":"wave-1","team":"councils","class":"render","tasks":4,
-    "declared":{"cpu":500,"memory":256,"accelerators":0},"runtime":1000000000,
+    "declared":{"cpu":500,"memory":256,"accelerators":0},"runtime":"1s",
     "payload":{"work":"500ms"}}' | dotterelcart job submit -`,
 		Args: cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/internal/operator/parser/decoder.go
+++ b/internal/operator/parser/decoder.go
@@ -58,15 +58,26 @@
 	d.Faults = append(d.Faults, Fault{line, column, path, fmt.Sprintf(format, args...)})
 }
 
-var durationType = reflect.TypeFor[Duration]()
+var (
+	durationType = reflect.TypeFor[Duration]()
+	timeType     = reflect.TypeFor[time.Time]()
+	rawType      = reflect.TypeFor[json.RawMessage]()
+)
 
 func (d *Document) value(v *hujson.Value, path string, into reflect.Value) {
 	if path != "" {
 		d.places[path] = v.StartOffset
 	}
-	if into.Type() == durationType {
+	switch into.Type() {
+	case durationType:
 		d.duration(v, path, into)
 		return
+	case timeType:
+		d.time(v, path, into)
+		return
+	case rawType:
+		into.SetBytes(standard(v))
+		return
 	}
 	switch into.Kind() {
 	case reflect.Struct:
@@ -140,6 +151,21 @@
 	into.SetInt(int64(parsed))
 }
 
+func (d *Document) time(v *hujson.Value, path string, into reflect.Value) {
+	literal, ok := v.Value.(hujson.Literal)
+	if !ok || json.Unmarshal(literal, into.Addr().Interface()) != nil {
+		d.faultAt(v.StartOffset, path, "must be a time such as \"2030-01-31T11:30:00+10:00\"")
+	}
+}
+
+// standard returns the value as plain JSON.
+func standard(v *hujson.Value) []byte {
+	c := v.Clone()
+	c.Standardize()
+	c.Minimize()
+	return c.Pack()
+}
+
 func syntaxFault(err error) Fault {
 	text := strings.TrimPrefix(err.Error(), "hujson: ")
 	f := Fault{Line: 1, Column: 1, Message: text}
@@ -186,6 +212,8 @@
 		return "true or false"
 	case reflect.Int, reflect.Int64:
 		return "a whole number"
+	case reflect.Struct:
+		return "an object"
 	case reflect.Float64:
 		return "a number"
 	}
