--- a/internal/operator/responder/encoding.go
+++ b/internal/operator/responder/encoding.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
@@ -40,11 +41,41 @@
 	}
 	var wrongType *json.UnmarshalTypeError
 	if errors.As(err, &wrongType) {
-		return invalid(wrongType.Field, "must be "+wrongType.Type.String()+", is "+wrongType.Value)
+		return invalid(fieldOr(wrongType.Field), "has the wrong type, is "+wrongType.Value)
+	}
+	if name, ok := strings.CutPrefix(err.Error(), "json: unknown field "); ok {
+		return invalid(strings.Trim(name, `"`), "unknown field")
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+		return invalid("body", "body ends before its JSON value does")
 	}
 	return invalid("body", err.Error())
 }
 
+func fieldOr(name string) string {
+	if name == "" {
+		return "body"
+	}
+	return name
+}
+
+// refuseOthers answers wrong methods on the given paths and requests for
+// unknown paths, which would otherwise get a text without a verdict.
+func refuseOthers(mux *http.ServeMux, paths ...string) {
+	for _, path := range paths {
+		mux.HandleFunc(path, func(w http.ResponseWriter, request *http.Request) {
+			e := invalid("method", "method "+request.Method+" is not allowed here")
+			e.Status, e.Code = http.StatusMethodNotAllowed, "method"
+			classifier.Answer(w, e)
+		})
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, request *http.Request) {
+		e := invalid("path", "nothing is served at "+request.URL.Path)
+		e.Status, e.Code = http.StatusNotFound, "path"
+		classifier.Answer(w, e)
+	})
+}
+
 func invalid(field, message string) *classifier.Error {
 	return &classifier.Error{
 		Verdict: classifier.NotRun, Status: http.StatusBadRequest, Code: "invalid", Message: message, Field: field,
--- a/internal/operator/responder/responder.go
+++ b/internal/operator/responder/responder.go
@@ -78,6 +78,7 @@
 	mux.HandleFunc("POST /v1/jobs", r.submitJob)
 	mux.HandleFunc("GET /v1/jobs/{id}", r.inquireJob)
 	mux.HandleFunc("DELETE /v1/jobs/{id}", r.cancelJob)
+	refuseOthers(mux, "/v1/jobs", "/v1/jobs/{id}")
 }
 
 // RegisterOperators adds the operators' routes to mux.
@@ -88,4 +89,5 @@
 	mux.HandleFunc("GET /v1/configuration", r.showConfiguration)
 	mux.HandleFunc("PUT /v1/configuration", r.setConfiguration)
 	mux.HandleFunc("GET /v1/status", r.showStatus)
+	refuseOthers(mux, "/v1/intents", "/v1/plans/{id}", "/v1/plans/{id}/confirm", "/v1/configuration", "/v1/status")
 }
