--- a/internal/operator/commander/intent.go
+++ b/internal/operator/commander/intent.go
@@ -133,39 +133,29 @@
 }
 
 func newPlan() *cobra.Command {
-	var daemon string
-	cmd := &cobra.Command{
-		Use:     "plan ID",
-		Short:   "Show a plan",
-		Example: "  dotterelcart plan 6f0c0e6e-8d8c-4f6d-9a55-0d6a3a1f1b2c --format json",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			var shown plan
-			if err := ask(cmd.Context(), http.MethodGet, "http://"+daemon+"/v1/plans/"+args[0], nil, &shown); err != nil {
-				return err
-			}
-			return output(cmd, shown, printPlan)
-		},
-	}
-	addDaemon(cmd, &daemon)
-	addFormat(cmd)
-	return cmd
+	return newOnPlan("plan", "Show a plan", http.MethodGet, "")
 }
 
 func newConfirm() *cobra.Command {
+	return newOnPlan("confirm", "Confirm a plan; refused with the difference if it no longer holds", http.MethodPost, "/confirm")
+}
+
+// newOnPlan returns a command that sends a request about one plan; action
+// follows the plan's id in the path.
+func newOnPlan(verb, short, method, action string) *cobra.Command {
 	var daemon string
 	cmd := &cobra.Command{
-		Use:     "confirm ID",
-		Short:   "Confirm a plan; refused with the difference if it no longer holds",
-		Example: "  dotterelcart confirm 6f0c0e6e-8d8c-4f6d-9a55-0d6a3a1f1b2c",
+		Use:     verb + " ID",
+		Short:   short,
+		Example: "  dotterelcart " + verb + " 6f0c0e6e-8d8c-4f6d-9a55-0d6a3a1f1b2c --format json",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			var confirmed plan
-			url := "http://" + daemon + "/v1/plans/" + args[0] + "/confirm"
-			if err := ask(cmd.Context(), http.MethodPost, url, nil, &confirmed); err != nil {
+			var answer plan
+			url := "http://" + daemon + "/v1/plans/" + args[0] + action
+			if err := ask(cmd.Context(), method, url, nil, &answer); err != nil {
 				return err
 			}
-			return output(cmd, confirmed, printPlan)
+			return output(cmd, answer, printPlan)
 		},
 	}
 	addDaemon(cmd, &daemon)
