--- a/internal/operator/rehearser/rehearser.go
+++ b/internal/operator/rehearser/rehearser.go
@@ -22,6 +22,8 @@
 //	                               denied or unclear
 //	load RATE [WORK], load stop    callers in every domain; service time
 //	drain ID D WORKER...           confirmed; D is for how long
+//	plan ID D WORKER...            the same without confirmation
+//	confirm ID                     the plan of this intent
 //	race ID1 ID2 D WORKER...       two operators drain at once; one must be refused
 //	expect CONDITION...            wait for it, see conditions.go
 //	invariant                      nothing that must hold was violated so far
@@ -65,6 +67,7 @@
 	d      *deployer.Deployment
 	watch  *watcher
 	calls  *caller.Load
+	plans  map[string]string // plan's id by the intent's
 
 	mu       sync.Mutex
 	stop     context.CancelFunc // of the load
@@ -93,6 +96,8 @@
 			"call":      positive(call),
 			"load":      positive(load),
 			"drain":     positive(drain),
+			"plan":      positive(planDrain),
+			"confirm":   positive(confirm),
 			"race":      positive(race),
 			"expect":    positive(expect),
 			"invariant": positive(invariant),
@@ -106,7 +111,7 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	w := &world{ctx: ctx, binary: binary, dir: e.WorkDir}
+	w := &world{ctx: ctx, binary: binary, dir: e.WorkDir, plans: make(map[string]string)}
 	e.Values[worldKey{}] = w
 	e.Defer(func() {
 		cancel()
