--- a/internal/control/placer/default.go
+++ b/internal/control/placer/default.go
@@ -41,7 +41,7 @@
 		l.Target = 0.9
 	}
 	if l.Comfort == 0 {
-		l.Comfort = 0.5
+		l.Comfort = 0.47
 	}
 	if l.Trial == 0 {
 		l.Trial = 0.1
