control/reducer: no voluntary hand-over while a worker is being restored

Ruled out: the killed host's shard (another one), refused proposals (none in the log). The spec pins what isRestoring sees; that considerRelease asks it was not shown by a test that failed first.

--- a/internal/control/reducer/ownership.go
+++ b/internal/control/reducer/ownership.go
@@ -183,7 +183,7 @@
 		return
 	}
 	stable := s.now.Sub(s.settled) >= settleTime && s.now.Sub(h.claimed) >= h.tenure
-	if s.rank(h.id, "") == 0 || !stable || !s.reached || h.isRecovering() {
+	if s.rank(h.id, "") == 0 || !stable || !s.reached || h.isRecovering() || h.isRestoring() {
 		return
 	}
 	// Whoever is better placed may be cut off from the store. If nobody takes
@@ -192,6 +192,17 @@
 	h.phase = releasing
 }
 
+// isRestoring reports whether a worker is being given its work back. The steps
+// that it has reached are in memory only; a new owner would begin them again.
+func (h *shard) isRestoring() bool {
+	for _, w := range h.order {
+		if h.state.drains[w.name].state == describer.Restoring {
+			return true
+		}
+	}
+	return false
+}
+
 // isRecovering reports whether some worker with runs has not been heard yet.
 // A hand-over would begin the wait for it anew.
 func (h *shard) isRecovering() bool {
--- a/internal/control/reducer/shard_test.go
+++ b/internal/control/reducer/shard_test.go
@@ -166,3 +166,17 @@
 		Expect(taken[Propose](d)).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a restore under way", func() {
+	It("is seen while a drain of its workers is restoring", func() {
+		d := newDesk("w1")
+		c := testConfiguration()
+		c.Revision = 2
+		c.Drains = []describer.Drain{{ID: "d1", Workers: []string{"w1"}, State: describer.Restoring}}
+		d.do(Configured{Configuration: c})
+		Expect(d.shards["bne-1"].isRestoring()).To(BeTrue())
+		c.Revision, c.Drains = 3, nil
+		d.do(Configured{Configuration: c})
+		Expect(d.shards["bne-1"].isRestoring()).To(BeFalse())
+	})
+})
