--- a/cmd/dotterelcart/main.go
+++ b/cmd/dotterelcart/main.go
@@ -7,8 +7,9 @@
 	"os"
 
 	"dotterelcart.dev/dotterelcart/internal/operator/commander"
+	"dotterelcart.dev/dotterelcart/platform"
 )
 
 func main() {
-	os.Exit(commander.Run(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+	os.Exit(commander.Run(context.Background(), os.Args[1:], os.Stdin, os.Stdout, os.Stderr, platform.NewCommand()))
 }
--- /dev/null
+++ b/internal/control/fitter/fitter.go
@@ -0,0 +1,82 @@
+// Package fitter chooses a worker for a task.
+//
+// # Load pattern
+//
+// Serving tasks, short tasks and fillers share workers. Tasks that count
+// against the capacity go where the most room is left, so that no worker is
+// crowded while others idle; fillers go where the most processor time is
+// unused. Data on a rack, and tasks that talk to each other, draw a task to
+// its rack as far as there is room.
+package fitter
+
+import "dotterelcart.dev/dotterelcart/internal/control/describer"
+
+// Room is what one worker has left.
+type Room struct {
+	Free     describer.Resources
+	Capacity describer.Resources
+	Unused   int64   // CPU that fillers may still ask for, millicores
+	Tail     float64 // worst tail of a serving task, as a share of its target
+	Rack     string
+	Closed   bool // takes no tasks
+}
+
+// Need is what one task asks for.
+type Need struct {
+	Counted describer.Resources // against the worker's free room
+	Filler  int64               // CPU out of the unused, millicores
+	Rack    string              // preferred; empty is any
+}
+
+// crowded is the share of its target at which a tail keeps new fillers away.
+const crowded = 0.8
+
+// Fits reports whether the task can go there.
+func (n *Need) Fits(r *Room) bool {
+	if r.Closed || !n.Counted.Fits(r.Free) {
+		return false
+	}
+	return n.Filler == 0 || n.Filler <= r.Unused && r.Tail < crowded
+}
+
+// Choose returns the index of the best room for which allowed holds, or -1.
+func Choose(rooms []Room, n Need, allowed func(i int) bool) int {
+	best, bestScore := -1, 0.0
+	for i := range rooms {
+		r := &rooms[i]
+		if !n.Fits(r) || !allowed(i) {
+			continue
+		}
+		if score := n.score(r); best < 0 || score > bestScore {
+			best, bestScore = i, score
+		}
+	}
+	return best
+}
+
+// rackBonus outweighs every difference of room.
+const rackBonus = 10
+
+func (n *Need) score(r *Room) float64 {
+	score := share(r.Free.CPU-n.Counted.CPU, r.Capacity.CPU)
+	if n.Filler > 0 {
+		score = share(r.Unused-n.Filler, r.Capacity.CPU) - r.Tail
+	}
+	if n.Rack != "" && n.Rack == r.Rack {
+		score += rackBonus
+	}
+	return score
+}
+
+func share(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Take books the task in the room.
+func (r *Room) Take(n *Need) {
+	r.Free = r.Free.Sub(n.Counted)
+	r.Unused -= n.Filler + n.Counted.CPU
+}
--- /dev/null
+++ b/internal/control/ranker/ranker.go
@@ -0,0 +1,62 @@
+// Package ranker orders waiting work.
+//
+// # Load pattern
+//
+// More work waits than there is room. Work of a more urgent priority goes
+// first. Within a priority, work that can still meet its objective goes before
+// work that is late, and that before work whose delay no longer makes a
+// difference: otherwise a burst makes everything a little late. Among equals
+// the earlier objective goes first, so nothing starves that can be served.
+package ranker
+
+import (
+	"cmp"
+	"time"
+)
+
+// Standing says what a piece of work can still achieve.
+type Standing uint8
+
+// Standings, best first.
+const (
+	OnTime Standing = iota // can meet its objective
+	Late                   // still earns something
+	Overdue
+)
+
+func (s Standing) String() string {
+	return [...]string{"on-time", "late", "overdue"}[s]
+}
+
+// Work is a piece of waiting work.
+type Work struct {
+	Priority  int // 0 goes first
+	Objective time.Time
+	Grace     time.Time     // until when an end still earns something
+	Remaining time.Duration // shortest time to its end
+	Accepted  time.Time
+	ID        string // settles ties
+}
+
+// Standing is what the work can still achieve when it starts now.
+func (w *Work) Standing(now time.Time) Standing {
+	end := now.Add(w.Remaining)
+	switch {
+	case !end.After(w.Objective):
+		return OnTime
+	case !end.After(w.Grace):
+		return Late
+	}
+	return Overdue
+}
+
+// Compare orders two pieces of work; a negative result puts a first.
+func Compare(now time.Time, a, b *Work) int {
+	return cmp.Or(
+		cmp.Compare(a.Priority, b.Priority),
+		cmp.Compare(a.Standing(now), b.Standing(now)),
+		a.Objective.Compare(b.Objective),
+		a.Accepted.Compare(b.Accepted),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
--- /dev/null
+++ b/internal/job/dispatcher/commit.go
@@ -0,0 +1,60 @@
+package dispatcher
+
+import "slices"
+
+// commit sends what has changed, one batch at a time.
+func (s *Shard) commit() {
+	if s.pending || len(s.dirty) == 0 || s.now.Sub(s.committed) < commitInterval {
+		return
+	}
+	n := min(len(s.dirty), commitChanges)
+	changes := make([]Change, 0, n)
+	s.sent = s.sent[:0]
+	for _, j := range s.dirty[:n] {
+		j.dirty = false
+		j.sent = j.version
+		change := Change{ID: j.spec.ID, Queue: j.spec.Queue, State: j.shown()}
+		if j.final != "" {
+			change.State = j.final
+		} else {
+			change.Progress = j.progress()
+		}
+		changes = append(changes, change)
+		s.sent = append(s.sent, j)
+	}
+	s.dirty = slices.Delete(s.dirty, 0, n)
+	s.batch++
+	s.pending = true
+	s.committed = s.now
+	s.emit(Commit{Batch: s.batch, Changes: changes, Workers: s.usedWorkers()})
+}
+
+// committedBatch takes in that a batch is durable, and lets the ends that
+// caused it be acknowledged.
+func (s *Shard) committedBatch(batch int64) {
+	if batch != s.batch || !s.pending {
+		return
+	}
+	s.pending = false
+	s.contact = s.now
+	for _, j := range s.sent {
+		j.durable = j.sent
+		if j.final != "" && !j.dirty {
+			delete(s.jobs, j.spec.ID)
+		}
+	}
+	for _, w := range s.workers {
+		w.acknowledge()
+	}
+}
+
+// usedWorkers names the workers that may have runs of this shard.
+func (s *Shard) usedWorkers() []string {
+	used := sortedKeys(s.workers)
+	for _, id := range sortedKeys(s.inherited) {
+		if s.workers[id] == nil {
+			used = append(used, id)
+		}
+	}
+	return used
+}
--- /dev/null
+++ b/internal/job/dispatcher/event.go
@@ -0,0 +1,187 @@
+package dispatcher
+
+import (
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+// Event is anything that changes the state of a shard.
+type Event interface{ event() }
+
+// Tick lets time pass.
+type Tick struct{}
+
+// Configured delivers a version of the operators' configuration.
+type Configured struct{ Catalog *specifier.Catalog }
+
+// WorkersListed delivers the registered workers of the shard.
+type WorkersListed struct{ Workers []specifier.Worker }
+
+// JobLoaded delivers a job of an earlier ownership with its progress.
+type JobLoaded struct {
+	Job      specifier.Job
+	Progress recorder.Progress
+	Begun    bool // a task has started
+}
+
+// JobArrived delivers a newly accepted job. Known jobs are ignored.
+type JobArrived struct{ Job specifier.Job }
+
+// JobCancelled delivers an accepted cancellation.
+type JobCancelled struct{ ID string }
+
+// Held is a worker's answer to HoldWorker.
+type Held struct {
+	Worker    string
+	Sent      time.Time // when the call began
+	Inventory specifier.Inventory
+}
+
+// Fault is why a call to a worker did not have its effect.
+type Fault uint8
+
+// Faults.
+const (
+	NoFault   Fault = iota
+	Unknown         // no answer: the order may have been carried out, or may be yet
+	Fenced          // a higher token was seen there
+	Stale           // the run is not higher than one that ended there
+	Late            // the lease had ended
+	NoRoom          // the worker has no room
+	NoTicket        // the ticket is not valid
+	Invalid         // the worker could not read the order
+	Unhealthy       // refused by an unhealthy worker; nothing was done
+	Reborn          // another life answers at the address
+	Unsent          // nothing reached the worker
+)
+
+func (f Fault) String() string {
+	return [...]string{
+		"none", "unknown", "fenced", "stale", "late", "no-room", "no-ticket", "invalid", "unhealthy", "reborn", "unsent",
+	}[f]
+}
+
+// HoldFailed is the outcome of a HoldWorker without an inventory.
+type HoldFailed struct {
+	Worker string
+	Born   int64
+	Fault  Fault
+}
+
+// StartAnswered is the outcome of a StartRun.
+type StartAnswered struct {
+	Worker string
+	Born   int64
+	Task   specifier.TaskID
+	Run    int64
+	Fault  Fault
+}
+
+// StopAnswered is the outcome of a StopRun.
+type StopAnswered struct {
+	Worker string
+	Born   int64
+	Task   specifier.TaskID
+	Run    int64
+	Fault  Fault
+}
+
+// Committed says that a Commit is durable.
+type Committed struct{ Batch int64 }
+
+// StoreReached says whether the ownership was confirmed by the store lately.
+type StoreReached struct{ OK bool }
+
+func (Tick) event()          {}
+func (Configured) event()    {}
+func (WorkersListed) event() {}
+func (JobLoaded) event()     {}
+func (JobArrived) event()    {}
+func (JobCancelled) event()  {}
+func (Held) event()          {}
+func (HoldFailed) event()    {}
+func (StartAnswered) event() {}
+func (StopAnswered) event()  {}
+func (Committed) event()     {}
+func (StoreReached) event()  {}
+
+// Effect is something to be done outside the state.
+type Effect interface{ effect() }
+
+// StartRun asks a worker to start a run. The answer is StartAnswered.
+type StartRun struct {
+	Worker     specifier.Worker
+	Task       specifier.TaskID
+	Run        int64
+	Payload    string
+	Checkpoint string
+	Until      time.Duration // by the worker's clock: its lease
+}
+
+// StopRun asks a worker to stop a run. The answer is StopAnswered.
+type StopRun struct {
+	Worker specifier.Worker
+	Task   specifier.TaskID
+	Run    int64
+}
+
+// PaceRun asks a worker to let a run work at a share of full speed. There is
+// no answer; the next inventory shows the pace.
+type PaceRun struct {
+	Worker  specifier.Worker
+	Task    specifier.TaskID
+	Run     int64
+	Percent int
+}
+
+// HoldWorker renews the lease on everything that runs on a worker, and lists
+// it. The answer is Held or HoldFailed.
+type HoldWorker struct {
+	Worker   specifier.Worker
+	Observed int64         // ends up to this number are durable
+	Until    time.Duration // by the worker's clock: the lease; 0 before the first answer
+	Wait     time.Duration // for an end
+}
+
+// Commit makes changes durable. The answer is Committed.
+type Commit struct {
+	Batch   int64
+	Changes []Change
+	Workers []string // that may have runs of this shard
+}
+
+// Change is the durable part of one job.
+type Change struct {
+	ID       string
+	Queue    string
+	State    specifier.State
+	Progress recorder.Progress // unless State is final
+}
+
+// Publish replaces the shard's load summary.
+type Publish struct{ Load recorder.Load }
+
+// Log is one line about a decision.
+type Log struct {
+	Message string
+	Job     string
+	Task    string
+	Worker  string
+	Reason  string
+	Run     int64
+	Age     time.Duration // of the input that decided
+}
+
+// Resign says that a worker has seen a higher token: the shard has another owner.
+type Resign struct{ Worker string }
+
+func (StartRun) effect()   {}
+func (StopRun) effect()    {}
+func (PaceRun) effect()    {}
+func (HoldWorker) effect() {}
+func (Commit) effect()     {}
+func (Publish) effect()    {}
+func (Log) effect()        {}
+func (Resign) effect()     {}
--- /dev/null
+++ b/internal/job/dispatcher/place.go
@@ -0,0 +1,217 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/fitter"
+	"dotterelcart.dev/dotterelcart/internal/control/ranker"
+)
+
+// servingShare is the part of its reservation that a serving task is expected to use.
+const servingShare = 0.6
+
+// placement is one round of choosing workers.
+type placement struct {
+	s       *Shard
+	workers []*worker
+	rooms   []fitter.Room
+}
+
+// place starts waiting tasks, in their order, where there is room.
+func (s *Shard) place() {
+	s.steps = slices.DeleteFunc(s.steps, func(st *step) bool {
+		st.listed = st.waiting > 0 && st.job.final == ""
+		return !st.listed
+	})
+	if len(s.steps) == 0 || !s.mayAct() || !s.listed {
+		return
+	}
+	s.rank()
+	p := s.newPlacement()
+	if len(p.workers) == 0 {
+		return
+	}
+	for _, st := range s.steps {
+		if st.job.inherited && !s.isSettled() {
+			continue
+		}
+		if st.spec.Gang {
+			p.placeGang(st)
+			continue
+		}
+		p.placeStep(st)
+	}
+}
+
+// rank orders the waiting steps.
+func (s *Shard) rank() {
+	type ranked struct {
+		step *step
+		work ranker.Work
+	}
+	list := make([]ranked, len(s.steps))
+	for i, st := range s.steps {
+		list[i] = ranked{st, st.work()}
+	}
+	slices.SortFunc(list, func(a, b ranked) int { return ranker.Compare(s.now, &a.work, &b.work) })
+	for i := range list {
+		s.steps[i] = list[i].step
+	}
+}
+
+func (st *step) work() ranker.Work {
+	j := st.job
+	w := ranker.Work{
+		Priority: j.queue.Priority, Objective: j.objective, Grace: j.grace,
+		Remaining: st.spec.Estimate, Accepted: j.spec.Accepted, ID: j.spec.ID,
+	}
+	if !st.due.IsZero() {
+		shift := st.due.Sub(j.spec.Accepted)
+		w.Objective = w.Objective.Add(shift)
+		w.Grace = w.Grace.Add(shift)
+	}
+	if st.spec.Lasting {
+		// A lasting task earns for as long as it runs, however late it begins.
+		w.Grace = w.Grace.Add(24 * time.Hour)
+	}
+	return w
+}
+
+func (s *Shard) newPlacement() *placement {
+	p := &placement{s: s}
+	for _, id := range sortedKeys(s.workers) {
+		w := s.workers[id]
+		if !w.isUsable(s.now) {
+			continue
+		}
+		p.workers = append(p.workers, w)
+		p.rooms = append(p.rooms, w.room())
+	}
+	return p
+}
+
+// room is what the worker has left.
+func (w *worker) room() fitter.Room {
+	expected := w.used.counted.CPU - w.used.lasting + int64(servingShare*float64(w.used.lasting))
+	return fitter.Room{
+		Free:     w.reg.Capacity.Sub(w.used.counted),
+		Capacity: w.reg.Capacity,
+		Unused:   w.reg.Capacity.CPU - expected - w.used.filler,
+		Tail:     w.tail,
+		Rack:     w.rack,
+	}
+}
+
+func (st *step) fitterNeed() fitter.Need {
+	return fitter.Need{Counted: st.needs.counted, Filler: st.needs.filler, Rack: st.spec.Rack}
+}
+
+// placeStep starts as many waiting tasks of a step as there is room for.
+func (p *placement) placeStep(st *step) {
+	need := st.fitterNeed()
+	for _, t := range st.tasks {
+		if st.waiting == 0 {
+			return
+		}
+		if t.done || t.worker != nil || p.s.now.Before(t.later) {
+			continue
+		}
+		i := p.choose(st, t, need)
+		if i < 0 {
+			return
+		}
+		if st.spec.Tight && need.Rack == "" {
+			need.Rack = p.workers[i].rack
+		}
+		p.rooms[i].Take(&need)
+		p.s.start(t, p.workers[i], t.nextRun(p.s.options.Epoch))
+	}
+}
+
+// choose finds a worker for a task, preferably not the one where it failed last.
+func (p *placement) choose(st *step, t *task, need fitter.Need) int {
+	allowed := func(i int) bool {
+		w := p.workers[i]
+		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil {
+			return false
+		}
+		return st.spec.Spread == 0 || w.perStep[st] < st.spec.Spread
+	}
+	if t.last == "" {
+		return fitter.Choose(p.rooms, need, allowed)
+	}
+	i := fitter.Choose(p.rooms, need, func(i int) bool { return p.workers[i].reg.ID != t.last && allowed(i) })
+	if i < 0 && len(p.workers) == 1 {
+		return fitter.Choose(p.rooms, need, allowed)
+	}
+	return i
+}
+
+// placeGang starts all tasks of a step together, or none.
+func (p *placement) placeGang(st *step) {
+	if st.waiting < len(st.tasks) {
+		return
+	}
+	rooms := slices.Clone(p.rooms)
+	need := st.fitterNeed()
+	chosen := make([]int, 0, len(st.tasks))
+	count := make(map[int]int)
+	for _, t := range st.tasks {
+		i := fitter.Choose(rooms, need, func(i int) bool {
+			w := p.workers[i]
+			free := st.spec.Spread == 0 || w.perStep[st]+count[i] < st.spec.Spread
+			return free && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil
+		})
+		if i < 0 {
+			return
+		}
+		if st.spec.Tight && need.Rack == "" {
+			need.Rack = p.workers[i].rack
+		}
+		rooms[i].Take(&need)
+		count[i]++
+		chosen = append(chosen, i)
+	}
+	p.rooms = rooms
+	var number int64
+	for _, t := range st.tasks {
+		number = max(number, t.nextRun(p.s.options.Epoch))
+	}
+	for k, t := range st.tasks {
+		p.s.start(t, p.workers[chosen[k]], number)
+	}
+}
+
+// nextRun is the number of the task's next run, higher than any before it.
+func (t *task) nextRun(epoch int64) int64 { return max(t.number, epoch*runsOfEpoch) + 1 }
+
+// start orders a run on a worker.
+func (s *Shard) start(t *task, w *worker, number int64) {
+	t.number = number
+	t.step.waiting--
+	w.add(&run{task: t, id: t.id(), worker: w, number: number, phase: starting, ordered: s.now, needs: t.step.needs})
+	order := StartRun{
+		Worker: w.reg, Task: t.id(), Run: number, Payload: t.step.job.spec.Payload, Until: s.until(w),
+	}
+	if t.step.spec.Checkpoint {
+		order.Checkpoint = t.checkpoint
+	}
+	s.emit(order)
+	s.emit(Log{
+		Message: "start ordered", Task: order.Task.String(), Job: order.Task.Job, Worker: w.reg.ID, Run: number,
+		Age: s.now.Sub(w.answered),
+	})
+}
+
+// hasRoomElsewhere reports whether another worker could take the run's task.
+func (s *Shard) hasRoomElsewhere(from *worker, r *run) bool {
+	need := r.task.step.fitterNeed()
+	for _, w := range s.workers {
+		room := w.room()
+		if w != from && w.isUsable(s.now) && w.reg.HasLabel(r.task.step.spec.Label) && need.Fits(&room) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/job/manager/manager.go
@@ -0,0 +1,279 @@
+// Package manager runs the shards that a daemon owns, and knows who owns the
+// others.
+//
+// # Model
+//
+// The workers of one service in one failure domain are a shard. A shard
+// without an owner is claimed by a daemon of its domain, or after a while by
+// any other. The owner loads the shard's jobs, follows new ones, and feeds a
+// [dispatcher.Shard], whose effects it carries out:
+//
+//	m := manager.New(options, store, workers, directory)
+//	m.SetCatalog(catalog)
+//	view := m.View()           // owners and loads, for admission
+//	m.Arrived(shard, job)      // a job that was accepted here
+//	m.Shutdown(ctx)            // hands the shards over
+//
+// Each owned shard has one goroutine for its control state; calls to workers
+// and to the store run in goroutines of their own and report back as events.
+package manager
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/leaser"
+)
+
+// Times of the manager.
+const (
+	reviewInterval  = 100 * time.Millisecond
+	listInterval    = 700 * time.Millisecond // between reads of the registered workers
+	callTimeout     = 1500 * time.Millisecond
+	watchTime       = 2 * time.Second // that a watch waits
+	outageLimit     = 8 * time.Second // without the store, an owner stops after it
+	workerLease     = 6 * time.Second
+	holdWait        = 1500 * time.Millisecond
+	loadTime        = 10 * time.Second // for a claim and the load of its jobs
+	releaseTime     = 2 * time.Second
+	renewRetry      = 200 * time.Millisecond
+	tickInterval    = 50 * time.Millisecond
+	inboxSize       = 4096
+	afarClaimDelay  = 1500 * time.Millisecond // for shards of other failure domains
+	ownedClaimDelay = 500 * time.Millisecond  // for each shard that is owned already
+	claimSpread     = 200 * time.Millisecond
+)
+
+// Store is the part of the store that the manager uses.
+type Store interface {
+	storer.Committer
+	Get(ctx context.Context, key string) (storer.Item, error)
+	List(ctx context.Context, prefix string) ([]storer.Item, int64, error)
+	Watch(ctx context.Context, prefix string, revision int64, wait time.Duration) ([]storer.Item, int64, error)
+	leaser.Store
+}
+
+// Workers calls workers. Token fences the calls of former owners.
+type Workers interface {
+	Start(ctx context.Context, token int64, order dispatcher.StartRun) dispatcher.Fault
+	Stop(ctx context.Context, token int64, order dispatcher.StopRun) dispatcher.Fault
+	Pace(ctx context.Context, token int64, order dispatcher.PaceRun) dispatcher.Fault
+	Hold(ctx context.Context, token int64, order dispatcher.HoldWorker) (specifier.Inventory, dispatcher.Fault)
+}
+
+// Directory lists the registered workers.
+type Directory interface {
+	Workers(ctx context.Context) ([]specifier.Worker, error)
+}
+
+// Options are what a Manager needs to know.
+type Options struct {
+	Daemon string
+	Domain string        // its failure domain
+	TTL    time.Duration // of the ownership's lease in the store
+
+	StopTime   time.Duration // a worker's bound on a stop
+	MaxLease   time.Duration // that a worker grants
+	ClockError time.Duration // by which the time of day may be off
+
+	Scope tally.Scope
+	Log   zerolog.Logger
+}
+
+// Manager runs the owned shards.
+type Manager struct {
+	Done chan struct{} // closed when every part has ended
+
+	options   Options
+	log       zerolog.Logger
+	store     Store
+	workers   Workers
+	directory Directory
+	lease     *leaser.Lease
+	cancel    context.CancelFunc
+	tasks     sync.WaitGroup
+	catalog   atomic.Pointer[specifier.Catalog]
+	contact   atomic.Int64 // when the store last answered, Unix nanoseconds
+	leaving   atomic.Bool
+
+	mu         sync.Mutex
+	view       View
+	registered []specifier.Worker
+	listed     bool
+	owned      map[string]*owned
+	claiming   map[string]bool
+	ownerless  map[string]time.Time
+}
+
+// New starts a manager that knows no catalog.
+func New(o Options, store Store, workers Workers, directory Directory) *Manager {
+	ctx, cancel := context.WithCancel(context.Background())
+	m := &Manager{
+		Done:      make(chan struct{}),
+		options:   o,
+		log:       o.Log.With().Str("part", "manager").Logger(),
+		store:     store,
+		workers:   workers,
+		directory: directory,
+		cancel:    cancel,
+		view:      View{Shards: make(map[string]ShardView)},
+		owned:     make(map[string]*owned),
+		claiming:  make(map[string]bool),
+		ownerless: make(map[string]time.Time),
+	}
+	m.catalog.Store(&specifier.Catalog{})
+	m.lease = leaser.New(leaser.Options{
+		TTL: o.TTL, Renewed: m.renewed, Ended: func(int64) { m.leaseEnded(ctx) }, Log: o.Log,
+	}, store)
+	m.tasks.Go(func() { m.followView(ctx) })
+	m.tasks.Go(func() { m.listWorkers(ctx) })
+	m.tasks.Go(func() { m.reviewOwnership(ctx) })
+	go func() {
+		defer close(m.Done)
+		m.tasks.Wait()
+		<-m.lease.Done
+	}()
+	return m
+}
+
+// SetCatalog puts a version of the configuration in force. A version that is
+// not greater changes nothing.
+func (m *Manager) SetCatalog(c *specifier.Catalog) {
+	for {
+		present := m.catalog.Load()
+		if c.Version <= present.Version {
+			return
+		}
+		if m.catalog.CompareAndSwap(present, c) {
+			break
+		}
+	}
+	m.log.Info().Int64("version", c.Version).Int("queues", len(c.Queues)).Msg("configuration in force")
+	m.post(dispatcher.Configured{Catalog: c})
+}
+
+// Catalog is the configuration in force.
+func (m *Manager) Catalog() *specifier.Catalog { return m.catalog.Load() }
+
+// Contact is when the store last answered.
+func (m *Manager) Contact() time.Time { return time.Unix(0, m.contact.Load()) }
+
+func (m *Manager) reached() { m.contact.Store(time.Now().UnixNano()) }
+
+// post hands an event to every owned shard.
+func (m *Manager) post(event dispatcher.Event) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.owned {
+		o.post(event)
+	}
+}
+
+// shard returns an owned shard, or nil.
+func (m *Manager) shard(name string) *owned {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.owned[name]
+}
+
+// Arrived hands a job that was accepted here to its shard, if it is owned here.
+func (m *Manager) Arrived(shard string, job specifier.Job) {
+	if o := m.shard(shard); o != nil {
+		o.post(dispatcher.JobArrived{Job: job})
+	}
+}
+
+// Cancelled hands an accepted cancellation to the job's shard, if it is owned here.
+func (m *Manager) Cancelled(shard, id string) {
+	if o := m.shard(shard); o != nil {
+		o.post(dispatcher.JobCancelled{ID: id})
+	}
+}
+
+// JobState is the state of a job in a shard that is owned here.
+func (m *Manager) JobState(shard, id string) (specifier.State, bool) {
+	o := m.shard(shard)
+	if o == nil {
+		return "", false
+	}
+	return o.jobState(id)
+}
+
+// listWorkers reads the registered workers until ctx ends.
+func (m *Manager) listWorkers(ctx context.Context) {
+	failing := false
+	for ctx.Err() == nil {
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		list, err := m.directory.Workers(limited)
+		cancel()
+		switch {
+		case err != nil && !failing:
+			failing = true
+			m.log.Warn().Err(err).Msg("registered workers unreadable")
+		case err == nil:
+			if failing {
+				m.log.Info().Msg("registered workers readable again")
+			}
+			failing = false
+			m.reached()
+			m.takeWorkers(list)
+		}
+		pause(ctx, listInterval)
+	}
+}
+
+func (m *Manager) takeWorkers(list []specifier.Worker) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.registered = list
+	m.listed = true
+	for _, o := range m.owned {
+		o.post(dispatcher.WorkersListed{Workers: o.workersOf(list)})
+	}
+}
+
+// Shutdown hands the shards over and ends the manager.
+func (m *Manager) Shutdown(ctx context.Context) {
+	m.leaving.Store(true)
+	m.mu.Lock()
+	shards := make([]*owned, 0, len(m.owned))
+	for _, o := range m.owned {
+		shards = append(shards, o)
+	}
+	m.mu.Unlock()
+	var releases sync.WaitGroup
+	for _, o := range shards {
+		releases.Go(func() { o.release(ctx) })
+	}
+	releases.Wait()
+	if err := m.lease.Revoke(ctx); err != nil {
+		m.log.Info().Err(err).Msg("lease not revoked, it will lapse")
+	}
+	m.Close()
+}
+
+// Close ends the manager at once, as a crash would.
+func (m *Manager) Close() {
+	m.cancel()
+	m.lease.Close()
+	<-m.Done
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/job/manager/owned.go
@@ -0,0 +1,290 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/fencer"
+)
+
+// owned is a shard that this daemon owns.
+type owned struct {
+	m      *Manager
+	target target
+	fence  *fencer.Fence
+	log    zerolog.Logger
+	inbox  chan dispatcher.Event
+	first  []dispatcher.Event // before any other
+	after  int64              // revision that the jobs were read at
+	stop   chan struct{}      // closed when the shard is to end
+	done   chan struct{}      // closed when run has ended
+	ending sync.Once
+	calls  sync.WaitGroup
+	last   recorder.Load // as published
+
+	mu    sync.Mutex // guards state
+	state *dispatcher.Shard
+}
+
+func newOwned(m *Manager, t target, fence *fencer.Fence, after int64) *owned {
+	o := &owned{
+		m: m, target: t, fence: fence, after: after,
+		log:   m.options.Log.With().Str("part", "shard").Str("shard", t.name).Logger(),
+		inbox: make(chan dispatcher.Event, inboxSize),
+		stop:  make(chan struct{}),
+		done:  make(chan struct{}),
+	}
+	o.state = dispatcher.New(dispatcher.Options{
+		Name: t.name, Service: t.service, Domain: t.domain,
+		Epoch: fence.Epoch, Workers: fence.Workers,
+		Lease:       min(workerLease, m.options.MaxLease),
+		OutageLimit: outageLimit,
+		StopTime:    m.options.StopTime,
+		HoldWait:    holdWait,
+		ClockError:  m.options.ClockError,
+	}, time.Now())
+	return o
+}
+
+// post hands an event to the shard; it is dropped once the shard has ended.
+func (o *owned) post(event dispatcher.Event) {
+	select {
+	case o.inbox <- event:
+	case <-o.stop:
+	}
+}
+
+func (o *owned) jobState(id string) (specifier.State, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.State(id)
+}
+
+// run feeds the state until the shard is lost or ctx ends.
+func (o *owned) run(ctx context.Context) {
+	defer close(o.done)
+	defer o.ending.Do(func() { close(o.stop) })
+	ctx, cancel := context.WithCancel(ctx)
+	defer o.calls.Wait()
+	defer cancel()
+	o.calls.Go(func() { o.followJobs(ctx) })
+	o.reduce(ctx, o.first...)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case event := <-o.inbox:
+			o.reduce(ctx, o.drain(event)...)
+		case <-ticker.C:
+			o.reduce(ctx, dispatcher.Tick{})
+		case <-o.stop:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drain returns the event with those that wait behind it.
+func (o *owned) drain(event dispatcher.Event) []dispatcher.Event {
+	events := []dispatcher.Event{event}
+	for {
+		select {
+		case event := <-o.inbox:
+			events = append(events, event)
+		default:
+			return events
+		}
+	}
+}
+
+func (o *owned) reduce(ctx context.Context, events ...dispatcher.Event) {
+	o.mu.Lock()
+	effects := o.state.Reduce(time.Now(), events...)
+	o.mu.Unlock()
+	for _, effect := range effects {
+		o.carryOut(ctx, effect)
+	}
+}
+
+// lose ends a shard that has another owner.
+func (o *owned) lose(reason string) {
+	o.ending.Do(func() {
+		close(o.stop)
+		o.m.drop(o, reason)
+	})
+}
+
+// release ends the shard and lets another daemon claim it at once.
+func (o *owned) release(ctx context.Context) {
+	o.lose("planned stop")
+	<-o.done
+	o.m.removeOwner(ctx, o.fence)
+}
+
+// followJobs posts new jobs and cancellations until ctx ends.
+func (o *owned) followJobs(ctx context.Context) {
+	f := follower{m: o.m, prefix: recorder.ShardPrefix(o.target.name), after: o.after}
+	f.run(ctx, func(items []storer.Item, _ bool) {
+		for _, item := range items {
+			if item.Deleted {
+				continue
+			}
+			event, err := o.decode(item)
+			if err != nil {
+				o.log.Error().Err(err).Str("key", item.Key).Msg("record unreadable, left alone")
+				continue
+			}
+			o.post(event)
+		}
+	})
+}
+
+// decode reads a record below the shard's prefix.
+func (o *owned) decode(item storer.Item) (dispatcher.Event, error) {
+	id, isCancel, ok := recorder.ParseShard(o.target.name, item.Key)
+	if !ok {
+		return nil, fmt.Errorf("manager: unexpected key %q", item.Key)
+	}
+	if isCancel {
+		return dispatcher.JobCancelled{ID: id}, nil
+	}
+	var job specifier.Job
+	err := recorder.Decode(item.Value, &job)
+	return dispatcher.JobArrived{Job: job}, err
+}
+
+// carryOut does one effect. Calls run on their own.
+func (o *owned) carryOut(ctx context.Context, effect dispatcher.Effect) {
+	switch e := effect.(type) {
+	case dispatcher.Log:
+		o.write(e)
+	case dispatcher.Resign:
+		o.lose("worker " + e.Worker + " has seen a later owner")
+	case dispatcher.Publish:
+		o.publish(ctx, e.Load)
+	case dispatcher.Commit:
+		o.calls.Go(func() { o.commit(ctx, e) })
+	default:
+		o.calls.Go(func() { o.call(ctx, effect) })
+	}
+}
+
+// call carries out an order to a worker.
+func (o *owned) call(ctx context.Context, effect dispatcher.Effect) {
+	token := o.fence.Token
+	switch e := effect.(type) {
+	case dispatcher.StartRun:
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		fault := o.m.workers.Start(limited, token, e)
+		o.post(dispatcher.StartAnswered{Worker: e.Worker.ID, Born: e.Worker.Born, Task: e.Task, Run: e.Run, Fault: fault})
+	case dispatcher.StopRun:
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		fault := o.m.workers.Stop(limited, token, e)
+		o.post(dispatcher.StopAnswered{Worker: e.Worker.ID, Born: e.Worker.Born, Task: e.Task, Run: e.Run, Fault: fault})
+	case dispatcher.PaceRun:
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if fault := o.m.workers.Pace(limited, token, e); fault != dispatcher.NoFault {
+			o.log.Info().Stringer("fault", fault).Stringer("task", e.Task).Msg("pace not set")
+		}
+	case dispatcher.HoldWorker:
+		limited, cancel := context.WithTimeout(ctx, callTimeout+e.Wait)
+		defer cancel()
+		sent := time.Now()
+		inventory, fault := o.m.workers.Hold(limited, token, e)
+		if fault == dispatcher.NoFault {
+			o.post(dispatcher.Held{Worker: e.Worker.ID, Sent: sent, Inventory: inventory})
+			return
+		}
+		o.post(dispatcher.HoldFailed{Worker: e.Worker.ID, Born: e.Worker.Born, Fault: fault})
+	}
+}
+
+// commit makes changes durable; it goes on until that is certain.
+func (o *owned) commit(ctx context.Context, e dispatcher.Commit) {
+	var puts []storer.Write
+	var removes []string
+	shard := o.target.name
+	for _, change := range e.Changes {
+		entry := recorder.Entry{Shard: shard, Queue: change.Queue, State: change.State}
+		if change.State.IsFinal() {
+			entry.Ended = time.Now()
+			removes = append(removes,
+				recorder.JobKey(shard, change.ID), recorder.CancelKey(shard, change.ID), recorder.ProgressKey(shard, change.ID))
+		} else {
+			puts = append(puts, storer.Write{Key: recorder.ProgressKey(shard, change.ID), Value: recorder.Encode(change.Progress)})
+		}
+		puts = append(puts, storer.Write{Key: recorder.JobIndex(change.ID), Value: recorder.Encode(entry)})
+	}
+	err := o.fence.Write(ctx, e.Workers, puts, removes)
+	switch {
+	case err == nil:
+		o.m.reached()
+		o.post(dispatcher.Committed{Batch: e.Batch})
+	case errors.Is(err, fencer.ErrFenced):
+		o.lose("another owner has written")
+	case ctx.Err() == nil:
+		o.lose("a write failed: " + err.Error())
+	}
+}
+
+// publish replaces the load summary in the store, if it says something new.
+func (o *owned) publish(ctx context.Context, load recorder.Load) {
+	made := load.Made
+	load.Made = o.last.Made
+	if string(recorder.Encode(load)) == string(recorder.Encode(o.last)) {
+		return
+	}
+	load.Made = made
+	o.last = load
+	o.calls.Go(func() {
+		o.m.takeLoad(o.target.name, load)
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		_, err := o.m.store.Commit(limited, storer.Transaction{
+			Put: []storer.Write{{Key: recorder.LoadKey(o.target.name), Value: recorder.Encode(load)}},
+		})
+		if err != nil {
+			o.log.Debug().Err(err).Msg("load not published")
+		}
+	})
+}
+
+// takeLoad takes in the load of a shard that is owned here.
+func (m *Manager) takeLoad(shard string, load recorder.Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.view.Shards[shard]
+	s.Load, s.Received = load, time.Now()
+	m.view.Shards[shard] = s
+}
+
+func (o *owned) write(e dispatcher.Log) {
+	line := o.log.Info()
+	for _, f := range [...]struct{ key, value string }{
+		{"job", e.Job}, {"task", e.Task}, {"worker", e.Worker}, {"reason", e.Reason},
+	} {
+		if f.value != "" {
+			line = line.Str(f.key, f.value)
+		}
+	}
+	if e.Run != 0 {
+		line = line.Int64("run", e.Run)
+	}
+	if e.Age != 0 {
+		line = line.Dur("age", e.Age)
+	}
+	line.Msg(e.Message)
+}
--- /dev/null
+++ b/internal/job/manager/ownership.go
@@ -0,0 +1,252 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/fencer"
+)
+
+// ShardName is the name of the shard that a worker belongs to.
+func ShardName(service, domain string) string { return service + "@" + domain }
+
+// reviewOwnership claims shards without an owner until ctx ends.
+func (m *Manager) reviewOwnership(ctx context.Context) {
+	for pause(ctx, reviewInterval) {
+		if m.leaving.Load() || m.Catalog().Version == 0 {
+			continue
+		}
+		for _, s := range m.claimable(time.Now()) {
+			m.tasks.Go(func() { m.claim(ctx, s) })
+		}
+	}
+}
+
+// target is a shard that may be claimed.
+type target struct{ name, service, domain string }
+
+// claimable lists the shards that this daemon should claim now.
+func (m *Manager) claimable(now time.Time) []target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.listed || m.view.Read.IsZero() {
+		return nil
+	}
+	var out []target
+	seen := make(map[string]bool)
+	for i := range m.registered {
+		w := &m.registered[i]
+		name := ShardName(w.Service, w.Domain)
+		if seen[name] {
+			continue
+		}
+		seen[name] = true
+		if m.view.Shards[name].Owner != "" || m.owned[name] != nil {
+			delete(m.ownerless, name)
+			continue
+		}
+		if m.claiming[name] {
+			continue
+		}
+		since, ok := m.ownerless[name]
+		if !ok {
+			m.ownerless[name] = now
+			since = now
+		}
+		if now.Sub(since) >= m.claimDelay(name, w.Domain) {
+			m.claiming[name] = true
+			out = append(out, target{name, w.Service, w.Domain})
+		}
+	}
+	return out
+}
+
+// claimDelay spreads the claims of several daemons: those of the shard's own
+// failure domain, and those that own few shards, go first.
+func (m *Manager) claimDelay(shard, domain string) time.Duration {
+	delay := time.Duration(len(m.owned)) * ownedClaimDelay
+	if domain != m.options.Domain {
+		delay += afarClaimDelay
+	}
+	return delay + time.Duration(xxhash.Sum64String(shard+m.options.Daemon)%uint64(claimSpread))
+}
+
+// claim becomes the owner of a shard and starts it.
+func (m *Manager) claim(ctx context.Context, t target) {
+	defer func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.claiming, t.name)
+		delete(m.ownerless, t.name)
+	}()
+	limited, cancel := context.WithTimeout(ctx, loadTime)
+	defer cancel()
+	fence := fencer.New(t.name, m.options.Daemon, m.store)
+	owner, err := m.ownerWrite(limited, t.name)
+	if err == nil {
+		err = fence.Claim(limited, owner)
+	}
+	if err != nil {
+		m.log.Info().Err(err).Str("shard", t.name).Msg("shard not claimed")
+		return
+	}
+	m.log.Info().Str("shard", t.name).Int64("epoch", fence.Epoch).Int64("token", fence.Token).Msg("shard claimed")
+	for limited.Err() == nil {
+		o, err := m.load(limited, t, fence)
+		if err == nil {
+			m.adopt(ctx, o)
+			return
+		}
+		m.log.Warn().Err(err).Str("shard", t.name).Msg("shard's jobs not loaded")
+		pause(limited, renewRetry)
+	}
+	m.log.Warn().Str("shard", t.name).Msg("shard given up: its jobs were not loaded in time")
+	m.removeOwner(ctx, fence)
+}
+
+func (m *Manager) ownerWrite(ctx context.Context, shard string) (storer.Write, error) {
+	lease, err := m.lease.Acquire(ctx)
+	return storer.Write{
+		Key:   recorder.OwnerKey(shard),
+		Value: recorder.Encode(recorder.Owner{Daemon: m.options.Daemon}),
+		Lease: lease,
+	}, err
+}
+
+// load reads the jobs of a shard that was claimed.
+func (m *Manager) load(ctx context.Context, t target, fence *fencer.Fence) (*owned, error) {
+	items, revision, err := m.store.List(ctx, recorder.ShardPrefix(t.name))
+	if err != nil {
+		return nil, err
+	}
+	saved, _, err := m.store.List(ctx, recorder.ProgressPrefix(t.name))
+	if err != nil {
+		return nil, err
+	}
+	progress := make(map[string]recorder.Progress, len(saved))
+	for _, item := range saved {
+		var p recorder.Progress
+		if err := recorder.Decode(item.Value, &p); err != nil {
+			return nil, err
+		}
+		progress[item.Key] = p
+	}
+	o := newOwned(m, t, fence, revision)
+	o.first = append(o.first, dispatcher.Configured{Catalog: m.Catalog()})
+	for _, item := range items {
+		event, err := o.decode(item)
+		if err != nil {
+			return nil, err
+		}
+		if arrived, ok := event.(dispatcher.JobArrived); ok {
+			p, begun := progress[recorder.ProgressKey(t.name, arrived.Job.ID)]
+			event = dispatcher.JobLoaded{Job: arrived.Job, Progress: p, Begun: begun}
+		}
+		o.first = append(o.first, event)
+	}
+	// Cancellations come after the jobs they end.
+	slices.SortStableFunc(o.first, func(a, b dispatcher.Event) int { return rank(a) - rank(b) })
+	return o, nil
+}
+
+func rank(event dispatcher.Event) int {
+	switch event.(type) {
+	case dispatcher.Configured:
+		return 0
+	case dispatcher.JobCancelled:
+		return 2
+	}
+	return 1
+}
+
+// adopt starts an owned shard.
+func (m *Manager) adopt(ctx context.Context, o *owned) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o.first = append(o.first, dispatcher.WorkersListed{Workers: o.workersOf(m.registered)})
+	m.owned[o.target.name] = o
+	m.tasks.Go(func() { o.run(ctx) })
+}
+
+// drop forgets a shard that is owned no longer.
+func (m *Manager) drop(o *owned, reason string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owned[o.target.name] != o {
+		return
+	}
+	delete(m.owned, o.target.name)
+	m.log.Warn().Str("shard", o.target.name).Str("reason", reason).Msg("shard lost")
+}
+
+// renewed takes in that the store has renewed the lease.
+func (m *Manager) renewed() {
+	m.reached()
+	m.post(dispatcher.StoreReached{OK: true})
+}
+
+// leaseEnded writes the owner's records anew. A shard that another daemon has
+// claimed in the meantime is lost.
+func (m *Manager) leaseEnded(ctx context.Context) {
+	if m.leaving.Load() {
+		return
+	}
+	m.log.Warn().Msg("lease lost, ownership is confirmed anew")
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.owned {
+		m.tasks.Go(func() { m.renewOwner(ctx, o) })
+	}
+}
+
+func (m *Manager) renewOwner(ctx context.Context, o *owned) {
+	for ctx.Err() == nil && m.shard(o.target.name) == o {
+		limited, cancel := context.WithTimeout(ctx, loadTime)
+		owner, err := m.ownerWrite(limited, o.target.name)
+		if err == nil {
+			err = o.fence.Renew(limited, owner)
+		}
+		cancel()
+		switch {
+		case err == nil:
+			m.log.Info().Str("shard", o.target.name).Msg("ownership confirmed")
+			o.post(dispatcher.StoreReached{OK: true})
+			return
+		case errors.Is(err, fencer.ErrFenced):
+			o.lose("another owner has claimed it")
+			return
+		}
+		m.log.Warn().Err(err).Str("shard", o.target.name).Msg("ownership not confirmed")
+		pause(ctx, renewRetry)
+	}
+}
+
+// removeOwner takes the owner's record away, so that another may claim at once.
+func (m *Manager) removeOwner(ctx context.Context, fence *fencer.Fence) {
+	limited, cancel := context.WithTimeout(ctx, releaseTime)
+	defer cancel()
+	if err := fence.Write(limited, fence.Workers, nil, []string{recorder.OwnerKey(fence.Shard)}); err != nil {
+		m.log.Warn().Err(err).Str("shard", fence.Shard).Msg("shard not released, its lease will lapse")
+		return
+	}
+	m.log.Info().Str("shard", fence.Shard).Msg("shard released")
+}
+
+// workersOf returns the workers of the shard.
+func (o *owned) workersOf(list []specifier.Worker) []specifier.Worker {
+	var out []specifier.Worker
+	for _, w := range list {
+		if w.Service == o.target.service && w.Domain == o.target.domain {
+			out = append(out, w)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/job/manager/view.go
@@ -0,0 +1,127 @@
+package manager
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+)
+
+// View is what a daemon knows of all shards.
+type View struct {
+	Read   time.Time // when it was last read or confirmed; zero before the first time
+	Shards map[string]ShardView
+}
+
+// ShardView is what a daemon knows of one shard.
+type ShardView struct {
+	Owner    string // daemon; empty without an owner
+	Load     recorder.Load
+	Received time.Time // when the load came
+}
+
+// viewPause is the time between two reads of the view's changes.
+const viewPause = 250 * time.Millisecond
+
+// View returns a copy of what is known.
+func (m *Manager) View() View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return View{Read: m.view.Read, Shards: maps.Clone(m.view.Shards)}
+}
+
+// followView keeps the view until ctx ends.
+func (m *Manager) followView(ctx context.Context) {
+	f := follower{m: m, prefix: recorder.ViewPrefix, pause: viewPause}
+	f.run(ctx, func(items []storer.Item, whole bool) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		if whole {
+			m.view.Shards = make(map[string]ShardView)
+		}
+		m.view.Read = time.Now()
+		for _, item := range items {
+			m.takeView(item)
+		}
+	})
+}
+
+func (m *Manager) takeView(item storer.Item) {
+	name, isOwner, isLoad := recorder.ParseView(item.Key)
+	s := m.view.Shards[name]
+	switch {
+	case isOwner && item.Deleted:
+		s.Owner = ""
+	case isOwner:
+		var owner recorder.Owner
+		if err := recorder.Decode(item.Value, &owner); err != nil {
+			m.log.Warn().Err(err).Str("shard", name).Msg("owner's record unreadable")
+			return
+		}
+		s.Owner = owner.Daemon
+	case isLoad && !item.Deleted:
+		if err := recorder.Decode(item.Value, &s.Load); err != nil {
+			m.log.Warn().Err(err).Str("shard", name).Msg("load summary unreadable")
+			return
+		}
+		s.Received = time.Now()
+	}
+	m.view.Shards[name] = s
+}
+
+// follower reads a prefix and then its changes, until its context ends.
+type follower struct {
+	m      *Manager
+	prefix string
+	pause  time.Duration // after each read that had changes
+	after  int64         // revision read up to; 0 lists first
+}
+
+// run hands what was read to take: everything below the prefix after a list,
+// otherwise the changes.
+func (f *follower) run(ctx context.Context, take func(items []storer.Item, whole bool)) {
+	failing := false
+	for ctx.Err() == nil {
+		items, whole, err := f.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			if !failing {
+				f.m.log.Warn().Err(err).Str("prefix", f.prefix).Msg("store not followed")
+			}
+			failing = true
+			pause(ctx, renewRetry)
+			continue
+		}
+		if failing {
+			f.m.log.Info().Str("prefix", f.prefix).Msg("store followed again")
+		}
+		failing = false
+		f.m.reached()
+		take(items, whole)
+		if len(items) > 0 && f.pause > 0 {
+			pause(ctx, f.pause)
+		}
+	}
+}
+
+func (f *follower) read(ctx context.Context) (items []storer.Item, whole bool, err error) {
+	limited, cancel := context.WithTimeout(ctx, watchTime+callTimeout)
+	defer cancel()
+	if f.after == 0 {
+		items, f.after, err = f.m.store.List(limited, f.prefix)
+		return items, true, err
+	}
+	items, next, err := f.m.store.Watch(limited, f.prefix, f.after, watchTime)
+	switch {
+	case errors.Is(err, storer.ErrCompacted):
+		f.after = 0
+	case err == nil:
+		f.after = max(f.after, next)
+	}
+	return items, false, err
+}
--- /dev/null
+++ b/internal/job/recorder/recorder.go
@@ -0,0 +1,171 @@
+// Package recorder says how jobs and the ownership of shards are kept in the
+// platform's store.
+//
+// # Model
+//
+// A job is accepted by one conditional write that creates its index entry,
+// under its id alone, and its record below its shard. The index entry makes a
+// submission idempotent through every entry host; the record is what the
+// shard's owner watches. An owner writes progress and final states with
+// [Change] values, several in one [storer.Transaction] that also replaces the
+// shard's [Fence]. Each such write expects the revision of the fence that the
+// last one left behind, so a former owner cannot write, and of two writes with
+// a lost answer at most one takes effect.
+//
+//	JobIndex(id)          Entry     which shard has the job, its state
+//	shard/NAME/job/ID     Job       while the job has not ended
+//	shard/NAME/cancel/ID            a cancellation that the owner has yet to act on
+//	progress/NAME/ID      Progress  what has completed so far
+//	fence/NAME            Fence     epoch and last write of the owner
+//	view/owner/NAME       Owner     leased: who owns the shard now
+//	view/load/NAME        Load      the owner's summary, seconds old
+package recorder
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+// Prefixes of keys that are watched.
+const (
+	ViewPrefix  = "view/"
+	ownerPrefix = ViewPrefix + "owner/"
+	loadPrefix  = ViewPrefix + "load/"
+)
+
+// JobIndex is the key of a job's index entry.
+func JobIndex(id string) string { return "index/" + id }
+
+// ShardPrefix is what an owner watches for new jobs and cancellations.
+func ShardPrefix(shard string) string { return "shard/" + shard + "/" }
+
+// JobKey is the key of a job's record.
+func JobKey(shard, id string) string { return ShardPrefix(shard) + "job/" + id }
+
+// CancelKey is the key of a cancellation.
+func CancelKey(shard, id string) string { return ShardPrefix(shard) + "cancel/" + id }
+
+// ProgressPrefix is the prefix of the shard's progress records.
+func ProgressPrefix(shard string) string { return "progress/" + shard + "/" }
+
+// ProgressKey is the key of a job's progress record.
+func ProgressKey(shard, id string) string { return ProgressPrefix(shard) + id }
+
+// FenceKey is the key of a shard's fence.
+func FenceKey(shard string) string { return "fence/" + shard }
+
+// OwnerKey is the key of the leased record of a shard's owner.
+func OwnerKey(shard string) string { return ownerPrefix + shard }
+
+// LoadKey is the key of a shard's load summary.
+func LoadKey(shard string) string { return loadPrefix + shard }
+
+// ParseView splits a key below ViewPrefix into the shard and whether it is
+// the owner's record or the load.
+func ParseView(key string) (shard string, isOwner, isLoad bool) {
+	if shard, ok := strings.CutPrefix(key, ownerPrefix); ok {
+		return shard, true, false
+	}
+	shard, ok := strings.CutPrefix(key, loadPrefix)
+	return shard, false, ok
+}
+
+// ParseShard splits a key below ShardPrefix into the job and whether the key
+// is a cancellation.
+func ParseShard(shard, key string) (id string, isCancel, ok bool) {
+	rest, ok := strings.CutPrefix(key, ShardPrefix(shard))
+	if !ok {
+		return "", false, false
+	}
+	if id, ok := strings.CutPrefix(rest, "job/"); ok {
+		return id, false, true
+	}
+	id, ok = strings.CutPrefix(rest, "cancel/")
+	return id, true, ok
+}
+
+// Entry is a job's index entry.
+type Entry struct {
+	Shard string          `json:"shard"`
+	Queue string          `json:"queue"`
+	State specifier.State `json:"state"`
+	Ended time.Time       `json:"ended,omitzero"`
+}
+
+// Progress is what of a job has to survive its shard's owner.
+type Progress struct {
+	Tasks []Task `json:"tasks"`
+}
+
+// Task is the progress of one task. Tasks that never ended are left out.
+type Task struct {
+	Occurrence int     `json:"occurrence,omitempty"`
+	Step       int     `json:"step,omitempty"`
+	Index      int     `json:"index,omitempty"`
+	Done       bool    `json:"done,omitempty"`
+	Failed     []int64 `json:"failed,omitempty"`     // runs that failed
+	Checkpoint string  `json:"checkpoint,omitempty"` // to resume from
+}
+
+// Fence orders the writes of a shard's owners.
+type Fence struct {
+	Owner   string   `json:"owner"`
+	Epoch   int64    `json:"epoch"`             // number of claims before this one
+	Write   string   `json:"write"`             // identifies the write; a random id
+	Workers []string `json:"workers,omitempty"` // that may have runs of this shard
+}
+
+// Owner says who owns a shard.
+type Owner struct {
+	Daemon string `json:"daemon"`
+}
+
+// Load is an owner's summary of its shard for other entry hosts.
+type Load struct {
+	Service  string              `json:"service"`
+	Domain   string              `json:"domain"`
+	Made     time.Time           `json:"made"`
+	Workers  int                 `json:"workers"`
+	Capacity describer.Resources `json:"capacity"`
+	Free     describer.Resources `json:"free"`
+	Largest  describer.Resources `json:"largest"` // room of the worker with the most free CPU
+	Turning  int64               `json:"turning"` // CPU of counted tasks that will end, millicores
+	Unused   int64               `json:"unused"`  // CPU for fillers that is not taken, millicores
+	Fillers  int64               `json:"fillers"` // CPU that running fillers asked for, millicores
+	Queues   []QueueLoad         `json:"queues,omitempty"`
+	Backlog  []Backlog           `json:"backlog,omitempty"`
+	Labels   []string            `json:"labels,omitempty"`
+}
+
+// QueueLoad counts a queue's jobs in a shard.
+type QueueLoad struct {
+	Queue   string `json:"queue"`
+	Pending int    `json:"pending"` // accepted, no task started
+}
+
+// Backlog is the work that waits in a shard at one priority.
+type Backlog struct {
+	Priority int   `json:"priority"`
+	Counted  int64 `json:"counted"` // millicore-seconds that need room
+	Filler   int64 `json:"filler"`  // millicore-seconds of fillers
+}
+
+// Encode is the stored form of a record.
+func Encode(record any) []byte {
+	data, err := json.Marshal(record)
+	if err != nil {
+		panic(err) // records are plain data
+	}
+	return data
+}
+
+// Decode reads the stored form into record.
+func Decode(data []byte, record any) error {
+	return eris.Wrap(json.Unmarshal(data, record), "recorder: decode")
+}
--- a/internal/operator/commander/commander.go
+++ b/internal/operator/commander/commander.go
@@ -27,9 +27,11 @@
 	ExitUnreachable = 3
 )
 
-// Run executes the command line and returns its exit code.
-func Run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer) int {
+// Run executes the command line and returns its exit code. More are commands
+// of other packages, such as those that run on one platform.
+func Run(ctx context.Context, args []string, stdin io.Reader, stdout, stderr io.Writer, more ...*cobra.Command) int {
 	root := newRoot()
+	root.AddCommand(more...)
 	root.SetArgs(args)
 	root.SetIn(stdin)
 	root.SetOut(stdout)
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -23,6 +23,9 @@
 	ErrNotFound = errors.New("storer: key not found")
 	ErrConflict = errors.New("storer: revision differs")
 	ErrNoLease  = errors.New("storer: lease unknown or expired")
+
+	// ErrCompacted says that a watch asked for history that is gone: list again.
+	ErrCompacted = errors.New("storer: history no longer available")
 )
 
 // Item is a key with its value.
--- /dev/null
+++ b/internal/state/fencer/fencer.go
@@ -0,0 +1,182 @@
+// Package fencer orders the writes of a shard's owners.
+//
+// # Model
+//
+// A shard has a fence: a key that every write of its owner replaces, together
+// with what is written. Each write expects the revision that the one before
+// left behind. A claim is such a write too, so the first write of a new owner
+// ends those of the former one. A write is offered until its outcome is known:
+// after a lost answer the same transaction is offered again, which cannot take
+// effect twice, and a conflict is settled by reading the fence back.
+//
+//	f := fencer.New("menus/seq-bne", "bne-1", store)
+//	if err := f.Claim(ctx, ownerWrite); err != nil { ... } // ErrOwned, ErrFenced
+//	err := f.Write(ctx, workers, puts, removes)            // ErrFenced: another owner
+package fencer
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+)
+
+// Errors of a Fence, found with errors.Is.
+var (
+	ErrFenced = errors.New("fencer: the shard has another owner")
+	ErrOwned  = errors.New("fencer: the owner's record exists")
+)
+
+// Delays between offers of one write.
+const (
+	firstRetry = 50 * time.Millisecond
+	maxRetry   = time.Second
+)
+
+// Store is the part of the store that a fence uses.
+type Store interface {
+	storer.Committer
+	Get(ctx context.Context, key string) (storer.Item, error)
+}
+
+// Fence is the fence of one shard as one daemon sees it.
+type Fence struct {
+	Shard  string
+	Daemon string
+	Token  int64 // revision of the claim; rises over all owners of all shards
+	Epoch  int64 // claims before this one
+
+	// Workers are those that may have runs; the claim fills it with those of
+	// the former owner.
+	Workers []string
+
+	store    Store
+	mu       sync.Mutex // held during a write
+	revision int64
+}
+
+// New returns a fence that is not claimed.
+func New(shard, daemon string, store Store) *Fence {
+	return &Fence{Shard: shard, Daemon: daemon, store: store}
+}
+
+// Claim makes the daemon the owner, unless the owner's record exists.
+func (f *Fence) Claim(ctx context.Context, owner storer.Write) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	item, err := f.store.Get(ctx, recorder.FenceKey(f.Shard))
+	var former recorder.Fence
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		former.Epoch = -1
+	case err != nil:
+		return err
+	default:
+		if err := recorder.Decode(item.Value, &former); err != nil {
+			return err
+		}
+	}
+	f.revision = item.Revision
+	f.Epoch = former.Epoch + 1
+	f.Workers = former.Workers
+	tx := storer.Transaction{
+		If:  []storer.Condition{{Key: owner.Key}},
+		Put: []storer.Write{owner},
+	}
+	if err := f.offer(ctx, tx); err != nil {
+		return err
+	}
+	f.Token = f.revision
+	return nil
+}
+
+// Renew writes the owner's record anew after its lease was lost.
+func (f *Fence) Renew(ctx context.Context, owner storer.Write) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.offer(ctx, storer.Transaction{
+		If:  []storer.Condition{{Key: owner.Key}},
+		Put: []storer.Write{owner},
+	})
+}
+
+// Write makes puts and removes durable. It returns when the outcome is known,
+// or when ctx ends.
+func (f *Fence) Write(ctx context.Context, workers []string, puts []storer.Write, removes []string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.Workers = workers
+	return f.offer(ctx, storer.Transaction{Put: puts, Remove: removes})
+}
+
+// offer repeats a write until its outcome is known.
+func (f *Fence) offer(ctx context.Context, tx storer.Transaction) error {
+	write := uuid.NewString()
+	key := recorder.FenceKey(f.Shard)
+	fence := recorder.Fence{Owner: f.Daemon, Epoch: f.Epoch, Write: write, Workers: f.Workers}
+	tx.If = append([]storer.Condition{{Key: key, Revision: f.revision}}, tx.If...)
+	tx.Put = append([]storer.Write{{Key: key, Value: recorder.Encode(fence)}}, tx.Put...)
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = firstRetry
+	delays.MaxInterval = maxRetry
+	for {
+		revision, err := f.store.Commit(ctx, tx)
+		if err == nil {
+			f.revision = revision
+			return nil
+		}
+		if errors.Is(err, storer.ErrNoLease) {
+			return err
+		}
+		if errors.Is(err, storer.ErrConflict) {
+			err = f.settle(ctx, key, write)
+			if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrOwned) {
+				return err
+			}
+		}
+		if !pause(ctx, delays.NextBackOff()) {
+			return err
+		}
+	}
+}
+
+// settle reads the fence back after a conflict: the write may be an earlier
+// offer's, or the fence may be unchanged and the other condition have failed.
+func (f *Fence) settle(ctx context.Context, key, write string) error {
+	item, err := f.store.Get(ctx, key)
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return err
+	}
+	if err != nil {
+		item = storer.Item{}
+	}
+	if item.Revision == f.revision {
+		return ErrOwned
+	}
+	var present recorder.Fence
+	if err := recorder.Decode(item.Value, &present); err != nil {
+		return err
+	}
+	if present.Write == write {
+		f.revision = item.Revision
+		return nil
+	}
+	return ErrFenced
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
