job/dispatcher: pace ordered is kept; harm is learnt by pair of images; one shard for a small service

Change: the pace is what was ordered; the learner estimates each pair; a filler is placed where it is not expected to harm, serving tasks of one image are drawn together, and the pace of the most harmful falls first. A service of up to 160 workers is one shard, so that room anywhere counts.

--- a/internal/control/fitter/fitter.go
+++ b/internal/control/fitter/fitter.go
@@ -16,7 +16,7 @@
 	Free     describer.Resources
 	Capacity describer.Resources
 	Unused   int64   // CPU that fillers may still ask for, millicores
-	Tail     float64 // worst tail of a serving task, as a share of its target
+	Kin      float64 // share of the serving tasks there that are of the task's image
 	Rack     string
 	Closed   bool // takes no tasks
 }
@@ -28,15 +28,12 @@
 	Rack    string              // preferred; empty is any
 }
 
-// crowded is the share of its target at which a tail keeps new fillers away.
-const crowded = 0.8
-
 // Fits reports whether the task can go there.
 func (n *Need) Fits(r *Room) bool {
 	if r.Closed || !n.Counted.Fits(r.Free) {
 		return false
 	}
-	return n.Filler == 0 || n.Filler <= r.Unused && r.Tail < crowded
+	return n.Filler <= r.Unused
 }
 
 // Choose returns the index of the best room for which allowed holds, or -1.
@@ -54,14 +51,19 @@
 	return best
 }
 
+// kinBonus draws serving tasks of one image together, so that other workers
+// have none that a filler of a certain image would disturb.
+const kinBonus = 0.5
+
 // rackBonus outweighs every difference of room.
 const rackBonus = 10
 
 func (n *Need) score(r *Room) float64 {
 	score := share(r.Free.CPU-n.Counted.CPU, r.Capacity.CPU)
 	if n.Filler > 0 {
-		score = share(r.Unused-n.Filler, r.Capacity.CPU) - r.Tail
+		score = share(r.Unused-n.Filler, r.Capacity.CPU)
 	}
+	score += kinBonus * r.Kin
 	if n.Rack != "" && n.Rack == r.Rack {
 		score += rackBonus
 	}
--- a/internal/control/pacer/pacer.go
+++ b/internal/control/pacer/pacer.go
@@ -2,44 +2,115 @@
 //
 // # Load pattern
 //
-// Fillers take the processor time that serving tasks leave unused. How much
-// they disturb a serving task differs by image and changes within seconds,
-// and shows only in the tail latency of the last half second. The pace falls
-// by half while a tail is near its target and recovers by steps when the tail
-// is clearly below, so a burst of the serving task's own load costs fillers a
-// second or two rather than the serving task its target.
+// Fillers take the processor time that serving tasks leave unused. A few pairs
+// of images disturb each other by orders of magnitude, most hardly at all, and
+// it shows only in the tail latency of the last half second. So the pace of
+// those that are believed to do the harm falls first, by what the belief says
+// is needed, and the others keep working. A tail that stays over its target
+// although the believed culprits rest stops every filler on the worker.
 package pacer
 
-// Shares of the target, and steps of the pace in percent.
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Shares of the target, paces in percent, and times.
 const (
-	high     = 0.85 // of the target: fillers slow down
-	low      = 0.65 // of the target: fillers may speed up
-	step     = 25
-	smallest = 7 // below it, a filler rests
-	full     = 100
+	high    = 0.9 // tail at which paces fall
+	aim     = 0.7 // tail that paces fall or rise towards
+	low     = 0.6 // tail below which paces may rise
+	caution = 0.5 // part of the room up to aim that one rise may use
+	resting = 8   // a lower pace is none at all
+	rise    = 34  // most that a pace rises at once
+	full    = 100
+	mild    = 0.05 // expected growth of the log tail at full pace that is not worth a cut
 )
 
-// Input is what the pace of one filler depends on.
-type Input struct {
-	Tail    float64 // worst tail on the worker, as a share of its target; 0 without serving tasks
-	Percent int     // present pace
+// overLimit is how long a tail may be over its target before every filler rests.
+const overLimit = 1500 * time.Millisecond
+
+// Filler is one filler on a worker.
+type Filler struct {
+	Pace int     // percent
+	Harm float64 // expected growth of the logarithm of the worst tail, at full pace
 }
 
-// Decide returns the pace to set, 0 to 100.
-func Decide(in Input) int {
+// Decide sets the paces on one worker. tail is the worst tail of its serving
+// tasks as a share of the target, 0 without such tasks; over is for how long
+// one has been over its target.
+func Decide(tail float64, over time.Duration, fillers []Filler) {
 	switch {
-	case in.Tail >= 1:
-		return rest(in.Percent / 4)
-	case in.Tail > high:
-		return rest(in.Percent / 2)
-	case in.Tail < low:
-		return min(in.Percent+step, full)
+	case over >= overLimit:
+		for i := range fillers {
+			fillers[i].Pace = 0
+		}
+	case tail > high:
+		slow(math.Log(tail/aim), fillers)
+	case tail < low:
+		room := math.Inf(1)
+		if tail > 0 {
+			room = math.Log(aim/tail) * caution
+		}
+		hasten(room, fillers)
+	}
+}
+
+// order lists the fillers' indexes, most harmful first.
+func order(fillers []Filler) []int {
+	out := make([]int, len(fillers))
+	for i := range out {
+		out[i] = i
+	}
+	slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(fillers[b].Harm, fillers[a].Harm) })
+	return out
+}
+
+// slow takes excess away from the log tail, from the most harmful on.
+func slow(excess float64, fillers []Filler) {
+	for _, i := range order(fillers) {
+		f := &fillers[i]
+		if f.Harm < mild || excess <= 0 {
+			return
+		}
+		share := f.Harm * float64(f.Pace) / full
+		if share <= excess {
+			f.Pace = 0
+		} else {
+			f.Pace = rested(int(float64(f.Pace) * (1 - excess/share)))
+		}
+		excess -= share
+	}
+}
+
+// hasten raises paces as far as the room allows, the least harmful first.
+func hasten(room float64, fillers []Filler) {
+	sorted := order(fillers)
+	slices.Reverse(sorted)
+	for _, i := range sorted {
+		f := &fillers[i]
+		if f.Pace >= full {
+			continue
+		}
+		step := min(full-f.Pace, rise)
+		if f.Harm >= mild {
+			step = int(min(float64(step), room/f.Harm*full))
+		}
+		if f.Pace+step < resting {
+			continue
+		}
+		f.Pace += step
+		room -= max(f.Harm, 0) * float64(step) / full
+		if room <= 0 {
+			return
+		}
 	}
-	return in.Percent
 }
 
-func rest(percent int) int {
-	if percent < smallest {
+func rested(percent int) int {
+	if percent < resting {
 		return 0
 	}
 	return percent
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -34,6 +34,7 @@
 import (
 	"time"
 
+	"dotterelcart.dev/dotterelcart/internal/control/learner"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -77,6 +78,7 @@
 	jobs    map[string]*job
 	steps   []*step // with waiting tasks, in no order
 	workers map[string]*worker
+	harm    *learner.Learner // how fillers disturb serving tasks, by image
 
 	inherited map[string]time.Time // workers that may have runs of an earlier ownership: when these have lapsed
 	listed    bool                 // the registered workers are known
@@ -101,6 +103,7 @@
 		catalog:   &specifier.Catalog{},
 		jobs:      make(map[string]*job),
 		workers:   make(map[string]*worker),
+		harm:      newHarm(),
 		inherited: make(map[string]time.Time),
 		reached:   true,
 		contact:   now,
@@ -166,6 +169,8 @@
 		s.startAnswered(e)
 	case StopAnswered:
 		s.stopAnswered(e)
+	case PaceAnswered:
+		s.paceAnswered(e)
 	case Committed:
 		s.committedBatch(e.Batch)
 	case StoreReached:
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -88,6 +88,14 @@
 	Fault  Fault
 }
 
+// PaceAnswered is the outcome of a PaceRun.
+type PaceAnswered struct {
+	Worker string
+	Task   specifier.TaskID
+	Run    int64
+	Fault  Fault
+}
+
 // Committed says that a Commit is durable.
 type Committed struct{ Batch int64 }
 
@@ -104,6 +112,7 @@
 func (HoldFailed) event()    {}
 func (StartAnswered) event() {}
 func (StopAnswered) event()  {}
+func (PaceAnswered) event()  {}
 func (Committed) event()     {}
 func (StoreReached) event()  {}
 
@@ -127,8 +136,8 @@
 	Run    int64
 }
 
-// PaceRun asks a worker to let a run work at a share of full speed. There is
-// no answer; the next inventory shows the pace.
+// PaceRun asks a worker to let a run work at a share of full speed. The answer
+// is PaceAnswered.
 type PaceRun struct {
 	Worker  specifier.Worker
 	Task    specifier.TaskID
--- /dev/null
+++ b/internal/job/dispatcher/harm.go
@@ -0,0 +1,154 @@
+package dispatcher
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/learner"
+	"dotterelcart.dev/dotterelcart/internal/control/pacer"
+	"dotterelcart.dev/dotterelcart/internal/platform/runner"
+)
+
+// Beliefs about how fillers disturb serving tasks, by pair of images.
+const (
+	harmPrior     = 1.0 // log slow-down by an unknown filler image on all of a worker
+	harmDeviation = 3.0
+	harmNoise     = 0.5
+	harmHalfLife  = 60 * time.Second
+	harmImages    = 32
+	sampleLoad    = 0.625 // load is not reported: the middle of one band
+	sampleCount   = 100
+	targetReserve = 0.85 // expected share of the target that a new filler may lead to
+	stuckLimit    = time.Second
+)
+
+func newHarm() *learner.Learner {
+	return learner.New(learner.Options{
+		Prior: harmPrior, Deviation: harmDeviation, Noise: harmNoise, Caution: 1,
+		HalfLife: harmHalfLife, Classes: harmImages,
+	})
+}
+
+// observe feeds the tails that a worker lists to the beliefs.
+func (s *Shard) observe(w *worker) {
+	shares := make(map[string]float64)
+	for _, r := range w.runs {
+		if r.isFiller() && r.phase == active {
+			shares[r.task.step.spec.Image] += r.figure / float64(w.reg.Capacity.CPU)
+		}
+	}
+	w.tail = 0
+	for _, id := range sortedTasks(w.runs) {
+		r := w.runs[id]
+		if !r.isServing() || r.phase != active || r.percent < full || r.figure <= 0 {
+			continue
+		}
+		spec := r.task.step.spec
+		latency := time.Duration(r.figure * float64(time.Millisecond))
+		w.tail = max(w.tail, float64(latency)/float64(spec.Target))
+		s.harm.Observe(learner.Sample{
+			Worker:  w.reg.ID,
+			Latency: runner.Latency{Service: spec.Image, P99: latency, Load: sampleLoad, Count: sampleCount, To: s.now},
+			Shares:  shares,
+		})
+	}
+	switch {
+	case w.tail < 1:
+		w.over = time.Time{}
+	case w.over.IsZero():
+		w.over = s.now
+	}
+}
+
+const full = 100 // percent
+
+func (r *run) isFiller() bool  { return r.task != nil && r.task.step.spec.Filler }
+func (r *run) isServing() bool { return r.task != nil && r.task.step.spec.Target > 0 }
+
+// harmTo is the expected growth of the log tail of the worker's most affected
+// serving image by a filler image that holds cpu, at full pace.
+func (s *Shard) harmTo(w *worker, image string, cpu int64) float64 {
+	worst := 0.0
+	share := float64(cpu) / float64(max(w.reg.Capacity.CPU, 1))
+	for serving := range w.serving {
+		mean, _ := s.harm.Estimate(serving, image, sampleLoad)
+		worst = max(worst, mean*share)
+	}
+	return worst
+}
+
+// wouldHarm reports whether one more filler is expected to bring a serving
+// task of the worker near its target.
+func (s *Shard) wouldHarm(w *worker, image string, cpu int64) bool {
+	if len(w.serving) == 0 {
+		return false
+	}
+	tail := max(w.tail, quietTail)
+	return math.Log(tail)+s.harmTo(w, image, cpu) > math.Log(targetReserve)
+}
+
+// quietTail is the share of its target that a serving task's tail has anyway.
+const quietTail = 0.45
+
+// pace sets the pace of the fillers beside tasks with a target.
+func (s *Shard) pace(w *worker) {
+	s.observe(w)
+	if s.now.Sub(w.paced) < paceInterval {
+		return
+	}
+	var runs []*run
+	var fillers []pacer.Filler
+	for _, id := range sortedTasks(w.runs) {
+		r := w.runs[id]
+		if !r.isFiller() || r.phase != active {
+			continue
+		}
+		runs = append(runs, r)
+		fillers = append(fillers, pacer.Filler{
+			Pace: max(r.pace, 0), Harm: s.harmTo(w, r.task.step.spec.Image, r.task.step.spec.Needs.CPU),
+		})
+	}
+	over := time.Duration(0)
+	if !w.over.IsZero() {
+		over = s.now.Sub(w.over)
+	}
+	pacer.Decide(w.tail, over, fillers)
+	for i, r := range runs {
+		if fillers[i].Pace != r.pace {
+			s.setPace(r, fillers[i].Pace)
+		}
+		if r.pace == 0 && s.now.Sub(r.slowed) > stuckLimit && s.hasRoomElsewhere(w, r) {
+			s.stopRun(r, "disturbs a serving task")
+		}
+	}
+}
+
+func (s *Shard) setPace(r *run, percent int) {
+	if r.pace != 0 && percent == 0 {
+		r.slowed = s.now
+	}
+	r.pace = percent
+	r.worker.paced = s.now
+	s.emit(PaceRun{Worker: r.worker.reg, Task: r.id, Run: r.number, Percent: percent})
+	s.emit(Log{
+		Message: "pace ordered", Task: r.id.String(), Job: r.id.Job, Worker: r.worker.reg.ID, Run: r.number,
+		Reason: "tail " + percentText(r.worker.tail) + " of the target, pace " + percentText(float64(percent)/full),
+	})
+}
+
+// paceAnswered forgets a pace that was not set, so that it is ordered again.
+func (s *Shard) paceAnswered(e PaceAnswered) {
+	w := s.workers[e.Worker]
+	if w == nil || e.Fault == NoFault {
+		return
+	}
+	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
+		r.pace = unknownPace
+	}
+}
+
+// unknownPace is the pace of a run before one was ordered by this owner.
+const unknownPace = -1
+
+func percentText(share float64) string { return strconv.Itoa(int(share*full)) + " %" }
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"dotterelcart.dev/dotterelcart/internal/control/pacer"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -37,8 +36,8 @@
 	w.synced = true
 	w.answered = s.now
 	w.clock = e.Inventory.Clock
-	ended := s.takeEnds(w, e.Inventory.Ended)
-	s.takeActive(w, e, ended)
+	s.takeEnds(w, e.Inventory.Ended)
+	s.takeActive(w, e)
 	if _, was := s.inherited[w.reg.ID]; was {
 		delete(s.inherited, w.reg.ID)
 		s.changed = true
@@ -52,18 +51,15 @@
 	s.hold(w)
 }
 
-// takeEnds takes in the ends that are new, and names their tasks.
-func (s *Shard) takeEnds(w *worker, ends []specifier.End) map[specifier.TaskID]bool {
-	ended := make(map[specifier.TaskID]bool, len(ends))
+// takeEnds takes in the ends that are new.
+func (s *Shard) takeEnds(w *worker, ends []specifier.End) {
 	for _, end := range ends {
-		ended[end.Task] = true
 		if end.Number <= w.seen {
 			continue
 		}
 		w.seen = end.Number
 		s.takeEnd(w, end)
 	}
-	return ended
 }
 
 func (s *Shard) takeEnd(w *worker, end specifier.End) {
@@ -142,7 +138,7 @@
 }
 
 // takeActive compares the runs that a worker lists with those it should have.
-func (s *Shard) takeActive(w *worker, e Held, ended map[specifier.TaskID]bool) {
+func (s *Shard) takeActive(w *worker, e Held) {
 	listed := make(map[specifier.TaskID]int64, len(e.Inventory.Active))
 	for _, a := range e.Inventory.Active {
 		listed[a.Task] = a.Number
@@ -193,7 +189,7 @@
 // has no use for it.
 func (s *Shard) adopt(w *worker, a specifier.Run) {
 	t := s.find(a.Task)
-	r := &run{id: a.Task, worker: w, number: a.Number, phase: active, settled: s.now, begun: s.now, percent: a.Percent, figure: a.Figure}
+	r := &run{id: a.Task, worker: w, number: a.Number, phase: active, settled: s.now, begun: s.now, percent: a.Percent, figure: a.Figure, pace: unknownPace}
 	if t != nil {
 		r.needs = t.step.needs
 		t.number = max(t.number, a.Number)
@@ -348,27 +344,3 @@
 // checkpointNotice is how long before a worker leaves its tasks are stopped
 // for a last checkpoint.
 const checkpointNotice = 2500 * time.Millisecond
-
-// pace sets the pace of the fillers beside tasks with a target.
-func (s *Shard) pace(w *worker) {
-	w.tail = 0
-	for _, r := range w.runs {
-		if r.task != nil && r.task.step.spec.Target > 0 && r.phase == active {
-			target := float64(r.task.step.spec.Target) / float64(time.Millisecond)
-			w.tail = max(w.tail, r.figure/target)
-		}
-	}
-	if s.now.Sub(w.paced) < paceInterval {
-		return
-	}
-	for _, id := range sortedTasks(w.runs) {
-		r := w.runs[id]
-		if r.phase != active || r.task == nil || !r.task.step.spec.Filler {
-			continue
-		}
-		if percent := pacer.Decide(pacer.Input{Tail: w.tail, Percent: r.percent}); percent != r.percent {
-			w.paced = s.now
-			s.emit(PaceRun{Worker: w.reg, Task: id, Run: r.number, Percent: percent})
-		}
-	}
-}
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -91,6 +91,18 @@
 	return p
 }
 
+// servingOf is how much of its serving tasks are of the image, 0 to 1.
+func (w *worker) servingOf(image string) float64 {
+	total := 0
+	for _, n := range w.serving {
+		total += n
+	}
+	if total == 0 || image == "" {
+		return 0
+	}
+	return float64(w.serving[image]) / float64(total)
+}
+
 // room is what the worker has left.
 func (w *worker) room() fitter.Room {
 	expected := w.used.counted.CPU - w.used.lasting + int64(servingShare*float64(w.used.lasting))
@@ -98,7 +110,6 @@
 		Free:     w.reg.Capacity.Sub(w.used.counted),
 		Capacity: w.reg.Capacity,
 		Unused:   w.reg.Capacity.CPU - expected - w.used.filler,
-		Tail:     w.tail,
 		Rack:     w.rack,
 	}
 }
@@ -110,6 +121,12 @@
 // placeStep starts as many waiting tasks of a step as there is room for.
 func (p *placement) placeStep(st *step) {
 	need := st.fitterNeed()
+	if st.spec.Target > 0 {
+		for i, w := range p.workers {
+			p.rooms[i].Kin = w.servingOf(st.spec.Image)
+		}
+		defer p.clearKin()
+	}
 	for _, t := range st.tasks {
 		if st.waiting == 0 {
 			return
@@ -129,6 +146,12 @@
 	}
 }
 
+func (p *placement) clearKin() {
+	for i := range p.rooms {
+		p.rooms[i].Kin = 0
+	}
+}
+
 // choose finds a worker for a task, preferably not the one where it failed last.
 func (p *placement) choose(st *step, t *task, need fitter.Need) int {
 	allowed := func(i int) bool {
@@ -136,6 +159,9 @@
 		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil {
 			return false
 		}
+		if st.spec.Filler && p.s.wouldHarm(w, st.spec.Image, st.spec.Needs.CPU) {
+			return false
+		}
 		return st.spec.Spread == 0 || w.perStep[st] < st.spec.Spread
 	}
 	if t.last == "" {
@@ -190,7 +216,7 @@
 func (s *Shard) start(t *task, w *worker, number int64) {
 	t.number = number
 	t.step.waiting--
-	w.add(&run{task: t, id: t.id(), worker: w, number: number, phase: starting, ordered: s.now, needs: t.step.needs})
+	w.add(&run{task: t, id: t.id(), worker: w, number: number, phase: starting, ordered: s.now, needs: t.step.needs, pace: full})
 	order := StartRun{
 		Worker: w.reg, Task: t.id(), Run: number, Payload: t.step.job.spec.Payload, Until: s.until(w),
 	}
@@ -209,7 +235,10 @@
 	need := r.task.step.fitterNeed()
 	for _, w := range s.workers {
 		room := w.room()
-		if w != from && w.isUsable(s.now) && w.reg.HasLabel(r.task.step.spec.Label) && need.Fits(&room) {
+		if w == from || !w.isUsable(s.now) || !w.reg.HasLabel(r.task.step.spec.Label) || !need.Fits(&room) {
+			continue
+		}
+		if spec := r.task.step.spec; !spec.Filler || !s.wouldHarm(w, spec.Image, spec.Needs.CPU) {
 			return true
 		}
 	}
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -30,9 +30,11 @@
 	ends     []pendingEnd
 	observed int64 // ends up to this number are durable
 
-	faults  int       // failed runs in a row
-	avoided time.Time // no starts before this time
-	tail    float64   // worst share of its target that a task reaches; 0 without such tasks
+	faults  int            // failed runs in a row
+	avoided time.Time      // no starts before this time
+	serving map[string]int // runs of each image with a target
+	tail    float64        // worst tail as a share of its target; 0 without such tasks
+	over    time.Time      // since when a tail is over its target; zero if none is
 	paced   time.Time
 }
 
@@ -63,8 +65,10 @@
 	ordered time.Time // when the last order was given
 	settled time.Time // when the last order was answered
 	needs   need
-	percent int     // of full speed, as listed
-	figure  float64 // as listed: see specifier.Run
+	percent int       // as listed: see specifier.Run
+	figure  float64   // as listed: see specifier.Run
+	pace    int       // percent of full speed, as ordered
+	slowed  time.Time // when the pace became 0
 	begun   time.Time
 }
 
@@ -91,7 +95,7 @@
 func (s *Shard) register(reg specifier.Worker) {
 	w := s.workers[reg.ID]
 	if w == nil {
-		w = &worker{reg: reg, runs: make(map[specifier.TaskID]*run), perStep: make(map[*step]int)}
+		w = &worker{reg: reg, runs: make(map[specifier.TaskID]*run), perStep: make(map[*step]int), serving: make(map[string]int)}
 		w.rack = reg.Rack()
 		s.workers[reg.ID] = w
 		s.emit(Log{Message: "worker registered", Worker: reg.ID})
@@ -141,10 +145,9 @@
 	if r.task == nil {
 		return
 	}
-	if n := w.perStep[r.task.step] - 1; n > 0 {
-		w.perStep[r.task.step] = n
-	} else {
-		delete(w.perStep, r.task.step)
+	decrement(w.perStep, r.task.step)
+	if r.isServing() {
+		decrement(w.serving, r.task.step.spec.Image)
 	}
 	if r.task.worker == w {
 		s.release(r.task)
@@ -152,12 +155,22 @@
 	s.changed = true
 }
 
+func decrement[K comparable](counts map[K]int, key K) {
+	counts[key]--
+	if counts[key] <= 0 {
+		delete(counts, key)
+	}
+}
+
 // add books a run.
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
 	w.used = w.used.add(r.needs)
 	if r.task != nil {
 		w.perStep[r.task.step]++
+		if r.isServing() {
+			w.serving[r.task.step.spec.Image]++
+		}
 		r.task.worker = w
 	}
 }
@@ -189,6 +202,9 @@
 	h := HoldWorker{Worker: w.reg, Observed: w.observed, Until: s.until(w)}
 	if w.synced && len(w.ends) == 0 && w.failing == 0 {
 		h.Wait = s.options.HoldWait
+		if w.tail > watchedTail && w.used.filler > 0 {
+			h.Wait = paceInterval
+		}
 	}
 	w.holding = true
 	s.emit(h)
@@ -233,6 +249,9 @@
 	s.emit(Resign{Worker: w.reg.ID})
 }
 
+// watchedTail is the share of its target from which a tail is looked at more often.
+const watchedTail = 0.6
+
 // isUsable reports whether runs may be started on the worker.
 func (w *worker) isUsable(now time.Time) bool {
 	return w.synced && w.failing == 0 && w.missing.IsZero() && !w.reg.Draining && !now.Before(w.avoided)
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -3,9 +3,10 @@
 //
 // # Model
 //
-// The workers of one service in one failure domain are a shard. A shard
-// without an owner is claimed by a daemon of its domain, or after a while by
-// any other. The owner loads the shard's jobs, follows new ones, and feeds a
+// The workers of one service are a shard; those of a large service are divided
+// into a shard for each failure domain, by a layout that is written once. A
+// shard without an owner is claimed by the daemon that reaches the store
+// fastest, or one of its domain, and after a while by any other. The owner loads the shard's jobs, follows new ones, and feeds a
 // [dispatcher.Shard], whose effects it carries out:
 //
 //	m := manager.New(options, store, workers, directory)
@@ -108,6 +109,8 @@
 	view       View
 	registered []specifier.Worker
 	listed     bool
+	grown      time.Time     // when the number of registered workers last rose
+	distance   time.Duration // of the store: the shortest read
 	owned      map[string]*owned
 	claiming   map[string]bool
 	ownerless  map[string]time.Time
@@ -124,7 +127,7 @@
 		workers:   workers,
 		directory: directory,
 		cancel:    cancel,
-		view:      View{Shards: make(map[string]ShardView)},
+		view:      newView(),
 		owned:     make(map[string]*owned),
 		claiming:  make(map[string]bool),
 		ownerless: make(map[string]time.Time),
@@ -212,7 +215,9 @@
 	failing := false
 	for ctx.Err() == nil {
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		sent := time.Now()
 		list, err := m.directory.Workers(limited)
+		took := time.Since(sent)
 		cancel()
 		switch {
 		case err != nil && !failing:
@@ -224,15 +229,21 @@
 			}
 			failing = false
 			m.reached()
-			m.takeWorkers(list)
+			m.takeWorkers(list, took)
 		}
 		pause(ctx, listInterval)
 	}
 }
 
-func (m *Manager) takeWorkers(list []specifier.Worker) {
+func (m *Manager) takeWorkers(list []specifier.Worker, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	if len(list) > len(m.registered) {
+		m.grown = time.Now()
+	}
+	if m.distance == 0 || took < m.distance {
+		m.distance = took
+	}
 	m.registered = list
 	m.listed = true
 	for _, o := range m.owned {
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -196,9 +196,8 @@
 	case dispatcher.PaceRun:
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		if fault := o.m.workers.Pace(limited, token, e); fault != dispatcher.NoFault {
-			o.log.Info().Stringer("fault", fault).Stringer("task", e.Task).Msg("pace not set")
-		}
+		fault := o.m.workers.Pace(limited, token, e)
+		o.post(dispatcher.PaceAnswered{Worker: e.Worker.ID, Task: e.Task, Run: e.Run, Fault: fault})
 	case dispatcher.HoldWorker:
 		limited, cancel := context.WithTimeout(ctx, callTimeout+e.Wait)
 		defer cancel()
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -15,8 +15,26 @@
 	"dotterelcart.dev/dotterelcart/internal/state/fencer"
 )
 
-// ShardName is the name of the shard that a worker belongs to.
-func ShardName(service, domain string) string { return service + "@" + domain }
+// wholeLimit is the most workers of a service that are one shard.
+const wholeLimit = 160
+
+// layoutWait is how long the number of registered workers has to stand still
+// before a service is divided by it.
+const layoutWait = 1500 * time.Millisecond
+
+// target is a shard that may be claimed.
+type target struct{ name, service, domain string } // domain empty: workers of all domains
+
+func targetOf(service, domain string, layout recorder.Layout) target {
+	if !layout.Divided {
+		return target{name: service, service: service}
+	}
+	return target{name: service + "@" + domain, service: service, domain: domain}
+}
+
+func (t target) has(w *specifier.Worker) bool {
+	return w.Service == t.service && (t.domain == "" || w.Domain == t.domain)
+}
 
 // reviewOwnership claims shards without an owner until ctx ends.
 func (m *Manager) reviewOwnership(ctx context.Context) {
@@ -24,59 +42,99 @@
 		if m.leaving.Load() || m.Catalog().Version == 0 {
 			continue
 		}
-		for _, s := range m.claimable(time.Now()) {
-			m.tasks.Go(func() { m.claim(ctx, s) })
+		claims, layouts := m.claimable(time.Now())
+		for service, layout := range layouts {
+			m.divide(ctx, service, layout)
+		}
+		for _, t := range claims {
+			m.tasks.Go(func() { m.claim(ctx, t) })
 		}
 	}
 }
 
-// target is a shard that may be claimed.
-type target struct{ name, service, domain string }
+// divide writes the layout of a service, unless another daemon has.
+func (m *Manager) divide(ctx context.Context, service string, layout recorder.Layout) {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := recorder.LayoutKey(service)
+	_, err := m.store.Commit(limited, storer.Transaction{
+		If:  []storer.Condition{{Key: key}},
+		Put: []storer.Write{{Key: key, Value: recorder.Encode(layout)}},
+	})
+	m.log.Info().Err(err).Str("service", service).Bool("divided", layout.Divided).Msg("layout written")
+	if err == nil {
+		return
+	}
+	pause(ctx, renewRetry) // the view will show whether another daemon has written it
+}
 
-// claimable lists the shards that this daemon should claim now.
-func (m *Manager) claimable(now time.Time) []target {
+// claimable lists the shards that this daemon should claim now, and the
+// layouts of services that have none.
+func (m *Manager) claimable(now time.Time) ([]target, map[string]recorder.Layout) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.listed || m.view.Read.IsZero() {
-		return nil
+		return nil, nil
 	}
-	var out []target
+	var claims []target
+	layouts := make(map[string]recorder.Layout)
+	count := make(map[string]int)
 	seen := make(map[string]bool)
 	for i := range m.registered {
 		w := &m.registered[i]
-		name := ShardName(w.Service, w.Domain)
-		if seen[name] {
-			continue
-		}
-		seen[name] = true
-		if m.view.Shards[name].Owner != "" || m.owned[name] != nil {
-			delete(m.ownerless, name)
-			continue
-		}
-		if m.claiming[name] {
-			continue
-		}
-		since, ok := m.ownerless[name]
+		count[w.Service]++
+		layout, ok := m.view.Layouts[w.Service]
 		if !ok {
-			m.ownerless[name] = now
-			since = now
+			if now.Sub(m.grown) >= layoutWait+m.offset(w.Service) {
+				layouts[w.Service] = recorder.Layout{Divided: count[w.Service] > wholeLimit}
+			}
+			continue
 		}
-		if now.Sub(since) >= m.claimDelay(name, w.Domain) {
-			m.claiming[name] = true
-			out = append(out, target{name, w.Service, w.Domain})
+		t := targetOf(w.Service, w.Domain, layout)
+		if !seen[t.name] && m.isDue(t, now) {
+			m.claiming[t.name] = true
+			claims = append(claims, t)
 		}
+		seen[t.name] = true
 	}
-	return out
+	return claims, layouts
+}
+
+// isDue reports whether a shard should be claimed now.
+func (m *Manager) isDue(t target, now time.Time) bool {
+	if m.view.Shards[t.name].Owner != "" || m.owned[t.name] != nil {
+		delete(m.ownerless, t.name)
+		return false
+	}
+	if m.claiming[t.name] {
+		return false
+	}
+	since, ok := m.ownerless[t.name]
+	if !ok {
+		m.ownerless[t.name] = now
+		since = now
+	}
+	return now.Sub(since) >= m.claimDelay(t)
 }
 
-// claimDelay spreads the claims of several daemons: those of the shard's own
-// failure domain, and those that own few shards, go first.
-func (m *Manager) claimDelay(shard, domain string) time.Duration {
-	delay := time.Duration(len(m.owned)) * ownedClaimDelay
-	if domain != m.options.Domain {
+// claimDelay spreads the claims of several daemons: those that are near the
+// store, those of the shard's own failure domain, and those that own few
+// shards, go first.
+func (m *Manager) claimDelay(t target) time.Duration {
+	delay := time.Duration(len(m.owned))*ownedClaimDelay + distanceDelay*m.distance
+	if t.domain != "" && t.domain != m.options.Domain {
 		delay += afarClaimDelay
 	}
-	return delay + time.Duration(xxhash.Sum64String(shard+m.options.Daemon)%uint64(claimSpread))
+	return delay + m.offset(t.name)
+}
+
+// distanceDelay times the distance of the store is how long a daemon waits
+// for one that is nearer.
+const distanceDelay = 10
+
+// offset differs by daemon.
+func (m *Manager) offset(name string) time.Duration {
+	return time.Duration(xxhash.Sum64String(name+m.options.Daemon) % uint64(claimSpread))
 }
 
 // claim becomes the owner of a shard and starts it.
@@ -243,9 +301,9 @@
 // workersOf returns the workers of the shard.
 func (o *owned) workersOf(list []specifier.Worker) []specifier.Worker {
 	var out []specifier.Worker
-	for _, w := range list {
-		if w.Service == o.target.service && w.Domain == o.target.domain {
-			out = append(out, w)
+	for i := range list {
+		if o.target.has(&list[i]) {
+			out = append(out, list[i])
 		}
 	}
 	return out
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -12,8 +12,9 @@
 
 // View is what a daemon knows of all shards.
 type View struct {
-	Read   time.Time // when it was last read or confirmed; zero before the first time
-	Shards map[string]ShardView
+	Read    time.Time // when it was last read or confirmed; zero before the first time
+	Shards  map[string]ShardView
+	Layouts map[string]recorder.Layout // by service
 }
 
 // ShardView is what a daemon knows of one shard.
@@ -30,7 +31,7 @@
 func (m *Manager) View() View {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return View{Read: m.view.Read, Shards: maps.Clone(m.view.Shards)}
+	return View{Read: m.view.Read, Shards: maps.Clone(m.view.Shards), Layouts: maps.Clone(m.view.Layouts)}
 }
 
 // followView keeps the view until ctx ends.
@@ -40,7 +41,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if whole {
-			m.view.Shards = make(map[string]ShardView)
+			m.view = newView()
 		}
 		m.view.Read = time.Now()
 		for _, item := range items {
@@ -49,25 +50,40 @@
 	})
 }
 
+func newView() View {
+	return View{Shards: make(map[string]ShardView), Layouts: make(map[string]recorder.Layout)}
+}
+
+// takeView takes in one key. A record that can't be read changes nothing.
 func (m *Manager) takeView(item storer.Item) {
-	name, isOwner, isLoad := recorder.ParseView(item.Key)
+	kind, name := recorder.ParseView(item.Key)
 	s := m.view.Shards[name]
-	switch {
-	case isOwner && item.Deleted:
-		s.Owner = ""
-	case isOwner:
+	var err error
+	switch kind {
+	case recorder.OwnerView:
 		var owner recorder.Owner
-		if err := recorder.Decode(item.Value, &owner); err != nil {
-			m.log.Warn().Err(err).Str("shard", name).Msg("owner's record unreadable")
-			return
+		if !item.Deleted {
+			err = recorder.Decode(item.Value, &owner)
 		}
 		s.Owner = owner.Daemon
-	case isLoad && !item.Deleted:
-		if err := recorder.Decode(item.Value, &s.Load); err != nil {
-			m.log.Warn().Err(err).Str("shard", name).Msg("load summary unreadable")
+	case recorder.LoadView:
+		var load recorder.Load
+		if !item.Deleted {
+			err = recorder.Decode(item.Value, &load)
+		}
+		s.Load, s.Received = load, time.Now()
+	case recorder.LayoutView:
+		var layout recorder.Layout
+		if err = recorder.Decode(item.Value, &layout); err == nil {
+			m.view.Layouts[name] = layout
 			return
 		}
-		s.Received = time.Now()
+	default:
+		return
+	}
+	if err != nil {
+		m.log.Warn().Err(err).Str("key", item.Key).Msg("record unreadable")
+		return
 	}
 	m.view.Shards[name] = s
 }
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -19,6 +19,7 @@
 //	fence/NAME            Fence     epoch and last write of the owner
 //	view/owner/NAME       Owner     leased: who owns the shard now
 //	view/load/NAME        Load      the owner's summary, seconds old
+//	view/layout/SERVICE   Layout    into which shards the service's workers are divided
 package recorder
 
 import (
@@ -34,9 +35,10 @@
 
 // Prefixes of keys that are watched.
 const (
-	ViewPrefix  = "view/"
-	ownerPrefix = ViewPrefix + "owner/"
-	loadPrefix  = ViewPrefix + "load/"
+	ViewPrefix   = "view/"
+	ownerPrefix  = ViewPrefix + "owner/"
+	loadPrefix   = ViewPrefix + "load/"
+	layoutPrefix = ViewPrefix + "layout/"
 )
 
 // JobIndex is the key of a job's index entry.
@@ -66,14 +68,36 @@
 // LoadKey is the key of a shard's load summary.
 func LoadKey(shard string) string { return loadPrefix + shard }
 
-// ParseView splits a key below ViewPrefix into the shard and whether it is
-// the owner's record or the load.
-func ParseView(key string) (shard string, isOwner, isLoad bool) {
-	if shard, ok := strings.CutPrefix(key, ownerPrefix); ok {
-		return shard, true, false
+// LayoutKey is the key of a service's layout.
+func LayoutKey(service string) string { return layoutPrefix + service }
+
+// ViewKind is what a key below ViewPrefix holds.
+type ViewKind uint8
+
+// Kinds of keys below ViewPrefix.
+const (
+	OtherView ViewKind = iota
+	OwnerView
+	LoadView
+	LayoutView
+)
+
+func (k ViewKind) String() string {
+	return [...]string{"other", "owner", "load", "layout"}[k]
+}
+
+// ParseView splits a key below ViewPrefix into its kind and the name of its
+// shard, or of its service.
+func ParseView(key string) (ViewKind, string) {
+	for _, kind := range [...]struct {
+		prefix string
+		kind   ViewKind
+	}{{ownerPrefix, OwnerView}, {loadPrefix, LoadView}, {layoutPrefix, LayoutView}} {
+		if name, ok := strings.CutPrefix(key, kind.prefix); ok {
+			return kind.kind, name
+		}
 	}
-	shard, ok := strings.CutPrefix(key, loadPrefix)
-	return shard, false, ok
+	return OtherView, ""
 }
 
 // ParseShard splits a key below ShardPrefix into the job and whether the key
@@ -126,10 +150,16 @@
 	Daemon string `json:"daemon"`
 }
 
+// Layout says how the workers of a service are divided into shards. It is
+// written once.
+type Layout struct {
+	Divided bool `json:"divided"` // a shard for each failure domain, otherwise one for all
+}
+
 // Load is an owner's summary of its shard for other entry hosts.
 type Load struct {
 	Service  string              `json:"service"`
-	Domain   string              `json:"domain"`
+	Domain   string              `json:"domain,omitempty"` // empty: of all failure domains
 	Made     time.Time           `json:"made"`
 	Workers  int                 `json:"workers"`
 	Capacity describer.Resources `json:"capacity"`
