job/dispatcher, control: fillers go where they do least harm and take only what their pace lets them

Change: harm weighs in the choice of worker, a filler at rest moves only where it does clearly less, its share of unused time is that of its pace, serving tasks of one image are drawn together more strongly.

--- a/internal/control/fitter/fitter.go
+++ b/internal/control/fitter/fitter.go
@@ -17,6 +17,7 @@
 	Capacity describer.Resources
 	Unused   int64   // CPU that fillers may still ask for, millicores
 	Kin      float64 // share of the serving tasks there that are of the task's image
+	Harm     float64 // expected growth of the log tail of a serving task there by the task
 	Rack     string
 	Closed   bool // takes no tasks
 }
@@ -53,7 +54,10 @@
 
 // kinBonus draws serving tasks of one image together, so that other workers
 // have none that a filler of a certain image would disturb.
-const kinBonus = 0.5
+const kinBonus = 1.5
+
+// harmMalus draws a filler to workers whose tasks it does not disturb.
+const harmMalus = 3
 
 // rackBonus outweighs every difference of room.
 const rackBonus = 10
@@ -63,7 +67,7 @@
 	if n.Filler > 0 {
 		score = share(r.Unused-n.Filler, r.Capacity.CPU)
 	}
-	score += kinBonus * r.Kin
+	score += kinBonus*r.Kin - harmMalus*r.Harm
 	if n.Rack != "" && n.Rack == r.Rack {
 		score += rackBonus
 	}
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -79,6 +79,7 @@
 	steps   []*step // with waiting tasks, in no order
 	workers map[string]*worker
 	harm    *learner.Learner // how fillers disturb serving tasks, by image
+	beliefs beliefs
 
 	inherited map[string]time.Time // workers that may have runs of an earlier ownership: when these have lapsed
 	listed    bool                 // the registered workers are known
--- a/internal/job/dispatcher/harm.go
+++ b/internal/job/dispatcher/harm.go
@@ -19,8 +19,9 @@
 	harmImages    = 32
 	sampleLoad    = 0.625 // load is not reported: the middle of one band
 	sampleCount   = 100
-	targetReserve = 0.85 // expected share of the target that a new filler may lead to
-	stuckLimit    = time.Second
+	targetReserve = 0.85                    // expected share of the target that a new filler may lead to
+	stuckLimit    = 1500 * time.Millisecond // at rest, before a filler may move
+	clearlyLess   = 0.4                     // of the harm done now
 )
 
 func newHarm() *learner.Learner {
@@ -66,26 +67,46 @@
 func (r *run) isFiller() bool  { return r.task != nil && r.task.step.spec.Filler }
 func (r *run) isServing() bool { return r.task != nil && r.task.step.spec.Target > 0 }
 
+// pair is a serving image and a filler image.
+type pair struct{ serving, filler string }
+
+// beliefs caches the estimates of pairs for a short time.
+type beliefs struct {
+	made  time.Time
+	known map[pair]float64
+}
+
+// beliefTime is how old a cached estimate may be.
+const beliefTime = 300 * time.Millisecond
+
+// harmOf is the expected growth of the log tail of a serving image by a filler
+// image that holds all of a worker.
+func (s *Shard) harmOf(p pair) float64 {
+	if s.beliefs.known == nil || s.now.Sub(s.beliefs.made) > beliefTime {
+		s.beliefs = beliefs{made: s.now, known: make(map[pair]float64)}
+	}
+	mean, ok := s.beliefs.known[p]
+	if !ok {
+		mean, _ = s.harm.Estimate(p.serving, p.filler, sampleLoad)
+		s.beliefs.known[p] = mean
+	}
+	return mean
+}
+
 // harmTo is the expected growth of the log tail of the worker's most affected
 // serving image by a filler image that holds cpu, at full pace.
 func (s *Shard) harmTo(w *worker, image string, cpu int64) float64 {
 	worst := 0.0
-	share := float64(cpu) / float64(max(w.reg.Capacity.CPU, 1))
 	for serving := range w.serving {
-		mean, _ := s.harm.Estimate(serving, image, sampleLoad)
-		worst = max(worst, mean*share)
+		worst = max(worst, s.harmOf(pair{serving, image}))
 	}
-	return worst
+	return worst * float64(cpu) / float64(max(w.reg.Capacity.CPU, 1))
 }
 
-// wouldHarm reports whether one more filler is expected to bring a serving
-// task of the worker near its target.
-func (s *Shard) wouldHarm(w *worker, image string, cpu int64) bool {
-	if len(w.serving) == 0 {
-		return false
-	}
-	tail := max(w.tail, quietTail)
-	return math.Log(tail)+s.harmTo(w, image, cpu) > math.Log(targetReserve)
+// wouldHarm reports whether a filler that adds harm is expected to bring a
+// serving task of the worker near its target.
+func (w *worker) wouldHarm(harm float64) bool {
+	return len(w.serving) > 0 && math.Log(max(w.tail, quietTail))+harm > math.Log(targetReserve)
 }
 
 // quietTail is the share of its target that a serving task's tail has anyway.
@@ -118,12 +139,22 @@
 		if fillers[i].Pace != r.pace {
 			s.setPace(r, fillers[i].Pace)
 		}
-		if r.pace == 0 && s.now.Sub(r.slowed) > stuckLimit && s.hasRoomElsewhere(w, r) {
+		if r.pace == 0 && s.now.Sub(r.slowed) > stuckLimit && s.hasBetterPlace(r, fillers[i].Harm) {
 			s.stopRun(r, "disturbs a serving task")
 		}
 	}
 }
 
+// hasBetterPlace reports whether a filler that rests has room on a worker
+// where it is expected to do clearly less harm.
+func (s *Shard) hasBetterPlace(r *run, harm float64) bool {
+	spec := r.task.step.spec
+	return s.hasRoom(r, func(w *worker) bool {
+		there := s.harmTo(w, spec.Image, spec.Needs.CPU)
+		return there < harm*clearlyLess && !w.wouldHarm(there)
+	})
+}
+
 func (s *Shard) setPace(r *run, percent int) {
 	if r.pace != 0 && percent == 0 {
 		r.slowed = s.now
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -335,7 +335,7 @@
 		}
 		spec := r.task.step.spec
 		leaves := spec.Checkpoint && w.reg.Left > 0 && w.reg.Left < checkpointNotice
-		if (spec.Lasting || leaves) && s.hasRoomElsewhere(w, r) {
+		if (spec.Lasting || leaves) && s.hasRoom(r, anyWorker) {
 			s.stopRun(r, "worker leaves")
 		}
 	}
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -109,11 +109,25 @@
 	return fitter.Room{
 		Free:     w.reg.Capacity.Sub(w.used.counted),
 		Capacity: w.reg.Capacity,
-		Unused:   w.reg.Capacity.CPU - expected - w.used.filler,
+		Unused:   w.reg.Capacity.CPU - expected - w.fillerUse(),
 		Rack:     w.rack,
 	}
 }
 
+// fillerUse is the CPU that fillers may use at their present pace.
+func (w *worker) fillerUse() int64 {
+	if w.used.filler == 0 {
+		return 0
+	}
+	var use int64
+	for _, r := range w.runs {
+		if r.isFiller() {
+			use += r.needs.filler * int64(max(r.pace, 0)) / full
+		}
+	}
+	return use
+}
+
 func (st *step) fitterNeed() fitter.Need {
 	return fitter.Need{Counted: st.needs.counted, Filler: st.needs.filler, Rack: st.spec.Rack}
 }
@@ -121,12 +135,7 @@
 // placeStep starts as many waiting tasks of a step as there is room for.
 func (p *placement) placeStep(st *step) {
 	need := st.fitterNeed()
-	if st.spec.Target > 0 {
-		for i, w := range p.workers {
-			p.rooms[i].Kin = w.servingOf(st.spec.Image)
-		}
-		defer p.clearKin()
-	}
+	p.relate(st)
 	for _, t := range st.tasks {
 		if st.waiting == 0 {
 			return
@@ -146,9 +155,16 @@
 	}
 }
 
-func (p *placement) clearKin() {
-	for i := range p.rooms {
-		p.rooms[i].Kin = 0
+// relate fills in what the workers' tasks mean for those of the step.
+func (p *placement) relate(st *step) {
+	for i, w := range p.workers {
+		p.rooms[i].Kin, p.rooms[i].Harm = 0, 0
+		switch {
+		case st.spec.Filler:
+			p.rooms[i].Harm = p.s.harmTo(w, st.spec.Image, st.spec.Needs.CPU)
+		case st.spec.Target > 0:
+			p.rooms[i].Kin = w.servingOf(st.spec.Image)
+		}
 	}
 }
 
@@ -159,7 +175,7 @@
 		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil {
 			return false
 		}
-		if st.spec.Filler && p.s.wouldHarm(w, st.spec.Image, st.spec.Needs.CPU) {
+		if w.wouldHarm(p.rooms[i].Harm) {
 			return false
 		}
 		return st.spec.Spread == 0 || w.perStep[st] < st.spec.Spread
@@ -230,17 +246,20 @@
 	})
 }
 
-// hasRoomElsewhere reports whether another worker could take the run's task.
-func (s *Shard) hasRoomElsewhere(from *worker, r *run) bool {
-	need := r.task.step.fitterNeed()
+// hasRoom reports whether another worker that is allowed could take the run's task.
+func (s *Shard) hasRoom(r *run, allowed func(*worker) bool) bool {
+	st := r.task.step
+	need := st.fitterNeed()
 	for _, w := range s.workers {
-		room := w.room()
-		if w == from || !w.isUsable(s.now) || !w.reg.HasLabel(r.task.step.spec.Label) || !need.Fits(&room) {
+		if w == r.worker || !w.isUsable(s.now) || !w.reg.HasLabel(st.spec.Label) {
 			continue
 		}
-		if spec := r.task.step.spec; !spec.Filler || !s.wouldHarm(w, spec.Image, spec.Needs.CPU) {
+		room := w.room()
+		if need.Fits(&room) && (st.spec.Spread == 0 || w.perStep[st] < st.spec.Spread) && allowed(w) {
 			return true
 		}
 	}
 	return false
 }
+
+func anyWorker(*worker) bool { return true }
