--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -41,6 +41,7 @@
 		j.durable = j.sent
 		if j.final != "" && !j.dirty {
 			delete(s.jobs, j.spec.ID)
+			s.ended[j.spec.ID] = s.now
 		}
 	}
 	for _, w := range s.workers {
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -76,6 +76,7 @@
 	effects []Effect
 
 	jobs    map[string]*job
+	ended   map[string]time.Time // jobs that ended durably: when
 	steps   []*step // with waiting tasks, in no order
 	workers map[string]*worker
 	harm    *learner.Learner // how fillers disturb serving tasks, by image
@@ -103,6 +104,7 @@
 		now:       now,
 		catalog:   &specifier.Catalog{},
 		jobs:      make(map[string]*job),
+		ended:     make(map[string]time.Time),
 		workers:   make(map[string]*worker),
 		harm:      newHarm(),
 		inherited: make(map[string]time.Time),
@@ -207,10 +209,23 @@
 	if s.now.Sub(s.published) >= publishInterval {
 		s.published = s.now
 		s.emit(Publish{Load: s.summarize()})
+		s.forgetEnded()
 	}
 	s.changed = true
 }
 
+// endedTime is how long the record of an ended job may still be on its way to
+// the owner, through a watch that lags or a list that was read before the end.
+const endedTime = 2 * time.Minute
+
+func (s *Shard) forgetEnded() {
+	for id, at := range s.ended {
+		if s.now.Sub(at) > endedTime {
+			delete(s.ended, id)
+		}
+	}
+}
+
 // expireInherited gives up waiting for workers whose leases have lapsed.
 func (s *Shard) expireInherited() {
 	for id, lapsed := range s.inherited {
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -197,6 +197,8 @@
 		if ended := j.task(a.Task); ended != nil {
 			r.needs = ended.step.needs
 		}
+	} else {
+		r.strange = true
 	}
 	if t == nil || t.done || t.worker != nil {
 		w.add(r)
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -96,7 +96,7 @@
 const lateFactor = 3
 
 func (s *Shard) arrive(spec specifier.Job) {
-	if s.jobs[spec.ID] != nil {
+	if _, ended := s.ended[spec.ID]; ended || s.jobs[spec.ID] != nil {
 		return
 	}
 	j := s.newJob(spec)
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -34,6 +34,7 @@
 	avoided time.Time      // no starts before this time
 	serving map[string]int // runs of each image with a target
 	tail    float64        // worst tail as a share of its target; 0 without such tasks
+	strange int       // runs whose needs are not known
 	over    time.Time      // since when a tail is over its target; zero if none is
 	paced   time.Time
 }
@@ -65,6 +66,7 @@
 	ordered time.Time // when the last order was given
 	settled time.Time // when the last order was answered
 	needs   need
+	strange bool // needs are not known
 	percent int       // as listed: see specifier.Run
 	figure  float64   // as listed: see specifier.Run
 	pace    int       // percent of full speed, as ordered
@@ -142,6 +144,9 @@
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.sub(r.needs)
+	if r.strange {
+		w.strange--
+	}
 	if r.task == nil {
 		return
 	}
@@ -166,6 +171,9 @@
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
 	w.used = w.used.add(r.needs)
+	if r.strange {
+		w.strange++
+	}
 	if r.task != nil {
 		w.perStep[r.task.step]++
 		if r.isServing() {
@@ -199,7 +207,11 @@
 	if w.holding || s.now.Before(w.next) || !s.mayAct() {
 		return
 	}
-	h := HoldWorker{Worker: w.reg, Observed: w.observed, Until: s.until(w)}
+	h := HoldWorker{Worker: w.reg, Observed: w.observed}
+	if w.failing == 0 {
+		// A silent worker is not renewed, so that its leases lapse at a known time.
+		h.Until = s.until(w)
+	}
 	if w.synced && len(w.ends) == 0 && w.failing == 0 {
 		h.Wait = s.options.HoldWait
 		if w.tail > watchedTail && w.used.filler > 0 {
@@ -254,7 +266,7 @@
 
 // isUsable reports whether runs may be started on the worker.
 func (w *worker) isUsable(now time.Time) bool {
-	return w.synced && w.failing == 0 && w.missing.IsZero() && !w.reg.Draining && !now.Before(w.avoided)
+	return w.synced && w.failing == 0 && w.strange == 0 && w.missing.IsZero() && !w.reg.Draining && !now.Before(w.avoided)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -102,13 +102,17 @@
 
 // isDue reports whether a shard should be claimed now.
 func (m *Manager) isDue(t target, now time.Time) bool {
-	if m.view.Shards[t.name].Owner != "" || m.owned[t.name] != nil {
+	owner := m.view.Shards[t.name].Owner
+	if m.owned[t.name] != nil || owner != "" && owner != m.options.Daemon {
 		delete(m.ownerless, t.name)
 		return false
 	}
 	if m.claiming[t.name] {
 		return false
 	}
+	if owner != "" {
+		return true // the record is that of a former life of this daemon
+	}
 	since, ok := m.ownerless[t.name]
 	if !ok {
 		m.ownerless[t.name] = now
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -66,7 +66,8 @@
 	return &Fence{Shard: shard, Daemon: daemon, store: store}
 }
 
-// Claim makes the daemon the owner, unless the owner's record exists.
+// Claim makes the daemon the owner, unless another's record exists. A record
+// of the daemon's own name is that of its former life, which has ended.
 func (f *Fence) Claim(ctx context.Context, owner storer.Write) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -85,8 +86,12 @@
 	f.revision = item.Revision
 	f.Epoch = former.Epoch + 1
 	f.Workers = former.Workers
+	revision, err := f.formerRecord(ctx, owner.Key)
+	if err != nil {
+		return err
+	}
 	tx := storer.Transaction{
-		If:  []storer.Condition{{Key: owner.Key}},
+		If:  []storer.Condition{{Key: owner.Key, Revision: revision}},
 		Put: []storer.Write{owner},
 	}
 	if err := f.offer(ctx, tx); err != nil {
@@ -96,6 +101,26 @@
 	return nil
 }
 
+// formerRecord is the revision of the owner's record if it is that of a former
+// life of this daemon, otherwise 0.
+func (f *Fence) formerRecord(ctx context.Context, key string) (int64, error) {
+	item, err := f.store.Get(ctx, key)
+	if errors.Is(err, storer.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	var owner recorder.Owner
+	if err := recorder.Decode(item.Value, &owner); err != nil {
+		return 0, err
+	}
+	if owner.Daemon != f.Daemon {
+		return 0, ErrOwned
+	}
+	return item.Revision, nil
+}
+
 // Renew writes the owner's record anew after its lease was lost.
 func (f *Fence) Renew(ctx context.Context, owner storer.Write) error {
 	f.mu.Lock()
