--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -4,7 +4,8 @@
 
 // commit sends what has changed, one batch at a time.
 func (s *Shard) commit() {
-	if s.pending || len(s.dirty) == 0 || s.now.Sub(s.committed) < commitInterval {
+	unnamed := s.hasUnnamed()
+	if s.pending || len(s.dirty) == 0 && !unnamed || s.now.Sub(s.committed) < commitInterval {
 		return
 	}
 	n := min(len(s.dirty), commitChanges)
@@ -26,7 +27,18 @@
 	s.batch++
 	s.pending = true
 	s.committed = s.now
-	s.emit(Commit{Batch: s.batch, Changes: changes, Workers: s.usedWorkers()})
+	s.naming = s.usedWorkers()
+	s.emit(Commit{Batch: s.batch, Changes: changes, Workers: s.naming})
+}
+
+// hasUnnamed reports whether a worker is not durably named yet.
+func (s *Shard) hasUnnamed() bool {
+	for _, w := range s.workers {
+		if !w.named {
+			return true
+		}
+	}
+	return false
 }
 
 // committedBatch takes in that a batch is durable, and lets the ends that
@@ -44,12 +56,19 @@
 			s.ended[j.spec.ID] = s.now
 		}
 	}
+	for _, id := range s.naming {
+		if w := s.workers[id]; w != nil && !w.named {
+			w.named = true
+			s.changed = true
+		}
+	}
 	for _, w := range s.workers {
 		w.acknowledge()
 	}
 }
 
-// usedWorkers names the workers that may have runs of this shard.
+// usedWorkers names the workers that may have runs of this shard. Nothing is
+// started on a worker before a successor would find it named.
 func (s *Shard) usedWorkers() []string {
 	used := sortedKeys(s.workers)
 	for _, id := range sortedKeys(s.inherited) {
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -32,6 +32,7 @@
 package dispatcher
 
 import (
+	"maps"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/learner"
@@ -77,7 +78,8 @@
 
 	jobs    map[string]*job
 	ended   map[string]time.Time // jobs that ended durably: when
-	steps   []*step // with waiting tasks, in no order
+	early   map[string]time.Time // cancellations of jobs that have not arrived: when
+	steps   []*step              // with waiting tasks, in no order
 	workers map[string]*worker
 	harm    *learner.Learner // how fillers disturb serving tasks, by image
 	beliefs beliefs
@@ -89,8 +91,9 @@
 	resigned  bool
 
 	batch     int64
-	pending   bool   // a commit is on its way
-	sent      []*job // of the last commit
+	pending   bool     // a commit is on its way
+	sent      []*job   // of the last commit
+	naming    []string // workers that the last commit names
 	committed time.Time
 	published time.Time
 	dirty     []*job
@@ -105,6 +108,7 @@
 		catalog:   &specifier.Catalog{},
 		jobs:      make(map[string]*job),
 		ended:     make(map[string]time.Time),
+		early:     make(map[string]time.Time),
 		workers:   make(map[string]*worker),
 		harm:      newHarm(),
 		inherited: make(map[string]time.Time),
@@ -219,11 +223,9 @@
 const endedTime = 2 * time.Minute
 
 func (s *Shard) forgetEnded() {
-	for id, at := range s.ended {
-		if s.now.Sub(at) > endedTime {
-			delete(s.ended, id)
-		}
-	}
+	isOld := func(_ string, at time.Time) bool { return s.now.Sub(at) > endedTime }
+	maps.DeleteFunc(s.ended, isOld)
+	maps.DeleteFunc(s.early, isOld)
 }
 
 // expireInherited gives up waiting for workers whose leases have lapsed.
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -65,6 +65,9 @@
 func (s *Shard) takeEnd(w *worker, end specifier.End) {
 	r := w.runs[end.Task]
 	t := s.find(end.Task)
+	if r != nil && r.number <= end.Run {
+		s.drop(r)
+	}
 	pending := pendingEnd{number: end.Number}
 	if t != nil {
 		t.number = max(t.number, end.Run)
@@ -78,9 +81,6 @@
 		Message: "run ended", Task: end.Task.String(), Job: end.Task.Job, Worker: w.reg.ID,
 		Run: end.Run, Reason: string(end.Outcome),
 	})
-	if r != nil && r.number <= end.Run {
-		s.drop(r)
-	}
 }
 
 // applyEnd changes the task by the end of one of its runs. It reports whether
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -101,9 +101,14 @@
 	}
 	j := s.newJob(spec)
 	s.jobs[spec.ID] = j
-	s.openSteps(j)
 	s.changed = true
 	s.emit(Log{Message: "job arrived", Job: spec.ID, Age: s.now.Sub(spec.Accepted)})
+	if _, early := s.early[spec.ID]; early {
+		delete(s.early, spec.ID)
+		s.cancel(spec.ID)
+		return
+	}
+	s.openSteps(j)
 }
 
 // load takes over a job with what an earlier owner made durable of it.
@@ -246,6 +251,8 @@
 func (s *Shard) cancel(id string) {
 	j := s.jobs[id]
 	if j == nil {
+		// A list names cancellations before jobs, and a watch may overtake another.
+		s.early[id] = s.now
 		return
 	}
 	j.cancelled = true
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -18,6 +18,7 @@
 
 	missing time.Time // when it was first not listed; zero while it is
 	synced  bool      // it has answered in this life
+	named   bool      // a durable commit names it
 	holding bool      // an inventory is on its way
 	next    time.Time // when to ask for the next
 	failing int       // unanswered inventories in a row
@@ -34,7 +35,7 @@
 	avoided time.Time      // no starts before this time
 	serving map[string]int // runs of each image with a target
 	tail    float64        // worst tail as a share of its target; 0 without such tasks
-	strange int       // runs whose needs are not known
+	strange int            // runs whose needs are not known
 	over    time.Time      // since when a tail is over its target; zero if none is
 	paced   time.Time
 }
@@ -66,7 +67,7 @@
 	ordered time.Time // when the last order was given
 	settled time.Time // when the last order was answered
 	needs   need
-	strange bool // needs are not known
+	strange bool      // needs are not known
 	percent int       // as listed: see specifier.Run
 	figure  float64   // as listed: see specifier.Run
 	pace    int       // percent of full speed, as ordered
@@ -266,7 +267,7 @@
 
 // isUsable reports whether runs may be started on the worker.
 func (w *worker) isUsable(now time.Time) bool {
-	return w.synced && w.failing == 0 && w.strange == 0 && w.missing.IsZero() && !w.reg.Draining && !now.Before(w.avoided)
+	return w.synced && w.named && w.failing == 0 && w.strange == 0 && w.missing.IsZero() && !w.reg.Draining && !now.Before(w.avoided)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -39,8 +39,9 @@
 	reviewInterval  = 100 * time.Millisecond
 	listInterval    = 700 * time.Millisecond // between reads of the registered workers
 	callTimeout     = 1500 * time.Millisecond
-	watchTime       = 2 * time.Second // that a watch waits
-	outageLimit     = 8 * time.Second // without the store, an owner stops after it
+	watchTime       = time.Second            // that a watch waits
+	watchLimit      = 800 * time.Millisecond // more, until its connection counts as silent
+	outageLimit     = 8 * time.Second        // without the store, an owner stops after it
 	workerLease     = 6 * time.Second
 	holdWait        = 1500 * time.Millisecond
 	loadTime        = 10 * time.Second // for a claim and the load of its jobs
@@ -187,9 +188,11 @@
 	return m.owned[name]
 }
 
-// Arrived hands a job that was accepted here to its shard, if it is owned here.
-func (m *Manager) Arrived(shard string, job specifier.Job) {
-	if o := m.shard(shard); o != nil {
+// Arrived hands a job that was accepted here, by the write with this revision,
+// to its shard, if it is owned here. An ownership that read its jobs after the
+// write has it already, or it has ended.
+func (m *Manager) Arrived(shard string, job specifier.Job, revision int64) {
+	if o := m.shard(shard); o != nil && revision > o.after {
 		o.post(dispatcher.JobArrived{Job: job})
 	}
 }
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -126,7 +126,7 @@
 }
 
 func (f *follower) read(ctx context.Context) (items []storer.Item, whole bool, err error) {
-	limited, cancel := context.WithTimeout(ctx, watchTime+callTimeout)
+	limited, cancel := context.WithTimeout(ctx, watchTime+watchLimit)
 	defer cancel()
 	if f.after == 0 {
 		items, f.after, err = f.m.store.List(limited, f.prefix)
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -46,7 +46,7 @@
 type Shards interface {
 	Catalog() *specifier.Catalog
 	View() manager.View
-	Arrived(shard string, job specifier.Job)
+	Arrived(shard string, job specifier.Job, revision int64)
 	Cancelled(shard, id string)
 	JobState(shard, id string) (specifier.State, bool)
 }
@@ -108,16 +108,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, acceptTime)
 	defer cancel()
-	fresh, err := r.accept(ctx, decision.Shard, &job)
+	revision, err := r.accept(ctx, decision.Shard, &job)
 	if err != nil {
 		r.log.Warn().Err(err).Str("job", job.ID).Msg("job not accepted: store")
 		return err
 	}
-	r.log.Info().Str("job", job.ID).Str("queue", queue.Name).Str("shard", decision.Shard).Bool("fresh", fresh).
+	r.log.Info().Str("job", job.ID).Str("queue", queue.Name).Str("shard", decision.Shard).Bool("fresh", revision > 0).
 		Dur("predicted", decision.Predicted).Msg("job accepted")
-	if fresh {
+	if revision > 0 {
 		r.note(decision.Shard, workOf(queue, &job))
-		r.shards.Arrived(decision.Shard, job)
+		r.shards.Arrived(decision.Shard, job, revision)
 	}
 	return nil
 }
@@ -149,8 +149,9 @@
 	}
 }
 
-// accept writes a job. It reports whether it was not there before.
-func (r *Receiver) accept(ctx context.Context, shard string, job *specifier.Job) (bool, error) {
+// accept writes a job and returns the revision of the write, or 0 if the job
+// was there before.
+func (r *Receiver) accept(ctx context.Context, shard string, job *specifier.Job) (int64, error) {
 	entry := recorder.Entry{Shard: shard, Queue: job.Queue, State: specifier.Queued}
 	tx := storer.Transaction{
 		If: []storer.Condition{{Key: recorder.JobIndex(job.ID)}},
@@ -161,19 +162,19 @@
 	}
 	uncertain := false
 	for {
-		_, err := r.store.Commit(ctx, tx)
+		revision, err := r.store.Commit(ctx, tx)
 		switch {
 		case err == nil:
-			return true, nil
+			return revision, nil
 		case errors.Is(err, storer.ErrConflict):
-			return false, nil
+			return 0, nil
 		}
 		uncertain = uncertain || classifier.Of(err) != classifier.NotRun
 		if !pause(ctx, storeRetry) || !uncertain {
 			if uncertain {
 				err = &classifier.Error{Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer", Err: err}
 			}
-			return false, r.unreachable(err)
+			return 0, r.unreachable(err)
 		}
 	}
 }
