job: runs that stand still move; submissions are refused at once while the store is away

Change: a run without progress for 2.5 s moves if there is room, and its worker is avoided when several stand still; the receiver refuses without a try while the store has not answered since its last failure.

--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -32,6 +32,7 @@
 	number   int64
 	stopping bool
 	step     *specifier.Step
+	begun    time.Time
 }
 
 func (m *fakeWorker) isUp() bool { return !m.dead }
@@ -108,7 +109,7 @@
 	step := &w.store[e.Task.Job].job.Steps[e.Task.Step]
 	w.note("%s starts %s run %d", m.id, e.Task, e.Run)
 	w.checkStart(m, e, step)
-	r := &fakeRun{number: e.Run, step: step}
+	r := &fakeRun{number: e.Run, step: step, begun: w.now}
 	m.runs[e.Task] = r
 	if step.Lasting {
 		return NoFault
@@ -175,11 +176,22 @@
 	}
 	inventory := specifier.Inventory{Born: m.born, Clock: m.clock(), Ended: append([]specifier.End(nil), m.ends...)}
 	for _, id := range sortedFake(m.runs) {
-		inventory.Active = append(inventory.Active, specifier.Run{Task: id, Number: m.runs[id].number, Percent: 100})
+		inventory.Active = append(inventory.Active, specifier.Run{Task: id, Number: m.runs[id].number, Percent: m.percent(m.runs[id])})
 	}
 	return inventory, NoFault
 }
 
+// percent is how much of a run's work is done; it stands still on a hung worker.
+func (m *fakeWorker) percent(r *fakeRun) int {
+	switch {
+	case m.hung:
+		return 50
+	case r.step.Lasting:
+		return 100
+	}
+	return int(100 * m.world.now.Sub(r.begun) / (r.step.Estimate + 1))
+}
+
 func sortedFake(runs map[specifier.TaskID]*fakeRun) []specifier.TaskID {
 	ids := make([]specifier.TaskID, 0, len(runs))
 	for id := range runs {
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -48,6 +48,7 @@
 		w.next = s.now.Add(endPause)
 	}
 	s.pace(w)
+	s.replaceStalled(w)
 	s.hold(w)
 }
 
@@ -167,6 +168,9 @@
 	if r.phase == starting || r.phase == unsettled {
 		s.begin(r)
 	}
+	if r.percent != a.Percent {
+		r.moved = s.now
+	}
 	r.percent = a.Percent
 	r.figure = a.Figure
 	if r.task != nil && a.Checkpoint != "" {
@@ -179,6 +183,7 @@
 	r.phase = active
 	r.settled = s.now
 	r.begun = s.now
+	r.moved = s.now
 	if j := r.task.step.job; !j.begun {
 		j.begun = true
 		s.touch(j)
@@ -189,7 +194,7 @@
 // has no use for it.
 func (s *Shard) adopt(w *worker, a specifier.Run) {
 	t := s.find(a.Task)
-	r := &run{id: a.Task, worker: w, number: a.Number, phase: active, settled: s.now, begun: s.now, percent: a.Percent, figure: a.Figure, pace: unknownPace}
+	r := &run{id: a.Task, worker: w, number: a.Number, phase: active, settled: s.now, begun: s.now, moved: s.now, percent: a.Percent, figure: a.Figure, pace: unknownPace}
 	if t != nil {
 		r.needs = t.step.needs
 		t.number = max(t.number, a.Number)
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -53,7 +53,7 @@
 	length := time.Duration(rapid.IntRange(200, 14000).Draw(t, "length")) * time.Millisecond
 	m := w.workers[rapid.IntRange(0, len(w.workers)-1).Draw(t, "worker")]
 	o := w.owner
-	switch rapid.IntRange(0, 14).Draw(t, "what") {
+	switch rapid.IntRange(0, 15).Draw(t, "what") {
 	case 0, 1, 2, 3, 4:
 		w.submit(drawJob(t, fmt.Sprintf("%016x", i)))
 	case 5:
@@ -92,6 +92,10 @@
 	case 13:
 		w.faulty = 0.3
 		w.after(length, func() { w.faulty = 0 })
+	case 15:
+		w.note("%s hangs for %s", m.id, length)
+		m.hung = true
+		w.after(length, func() { m.hung = false })
 	case 14:
 		w.note("all are cut off from %s for %s", m.id, length)
 		m.registered = false
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -73,6 +73,7 @@
 	pace    int       // percent of full speed, as ordered
 	slowed  time.Time // when the pace became 0
 	begun   time.Time
+	moved   time.Time // when percent last changed
 }
 
 // listWorkers takes in the registered workers of the shard.
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -35,10 +35,12 @@
 // Times of the receiver.
 const (
 	storeRetry    = 30 * time.Millisecond
-	unavailable   = time.Second           // Retry-After while the store does not answer
-	afarDistance  = 60 * time.Millisecond // added for a shard of another failure domain
-	staleView     = 10 * time.Second      // loads older than this say nothing
-	acceptTime    = 2 * time.Second       // for the write that accepts a job
+	unavailable   = time.Second             // Retry-After while the store does not answer
+	afarDistance  = 60 * time.Millisecond   // added for a shard of another failure domain
+	contactLimit  = 2500 * time.Millisecond // without an answer of the store, submissions are refused
+	staleView     = 10 * time.Second        // loads older than this say nothing
+	acceptTime    = 1200 * time.Millisecond // for the write that accepts a job, with its repetitions
+	attemptTime   = 600 * time.Millisecond  // for one of them
 	cancelRetries = 20
 )
 
@@ -49,6 +51,7 @@
 	Arrived(shard string, job specifier.Job, revision int64)
 	Cancelled(shard, id string)
 	JobState(shard, id string) (specifier.State, bool)
+	Contact() time.Time // when the store last answered
 }
 
 // Store is the part of the store that the receiver uses.
@@ -73,6 +76,7 @@
 
 	mu       sync.Mutex // guards accepted and options.Random
 	accepted map[string][]accepted
+	failed   time.Time // when the store last did not answer a write
 }
 
 // accepted is work that was accepted here and that no load summary shows yet.
@@ -102,6 +106,11 @@
 	}
 	job.Queue = queue.Name
 	job.Accepted = time.Now()
+	if !r.isStoreUp() {
+		r.log.Info().Str("job", job.ID).Str("reason", "store not reached").
+			Dur("age", time.Since(r.shards.Contact())).Msg("job refused")
+		return r.unreachable(&classifier.Error{Verdict: classifier.NotRun, Code: "store", Message: "not tried"})
+	}
 	decision := r.admit(queue, &job)
 	if !decision.Accepted {
 		return r.refuse(ctx, &job, decision)
@@ -122,6 +131,22 @@
 	return nil
 }
 
+// isStoreUp reports whether the store has answered lately, and since it last
+// did not answer a write.
+func (r *Receiver) isStoreUp() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	contact := r.shards.Contact()
+	return contact.After(r.failed) && time.Since(contact) < contactLimit
+}
+
+// noteFailure takes in that the store did not answer a write.
+func (r *Receiver) noteFailure() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed = time.Now()
+}
+
 // refuse turns a job away, unless it was accepted before.
 func (r *Receiver) refuse(ctx context.Context, job *specifier.Job, d admitter.Decision) error {
 	if _, err := r.store.Get(ctx, recorder.JobIndex(job.ID)); !errors.Is(err, storer.ErrNotFound) {
@@ -162,13 +187,16 @@
 	}
 	uncertain := false
 	for {
-		revision, err := r.store.Commit(ctx, tx)
+		limited, cancel := context.WithTimeout(ctx, attemptTime)
+		revision, err := r.store.Commit(limited, tx)
+		cancel()
 		switch {
 		case err == nil:
 			return revision, nil
 		case errors.Is(err, storer.ErrConflict):
 			return 0, nil
 		}
+		r.noteFailure()
 		uncertain = uncertain || classifier.Of(err) != classifier.NotRun
 		if !pause(ctx, storeRetry) || !uncertain {
 			if uncertain {
