job, control, platform: specs of the new parts

The fake store gave each write of a transaction a revision of its own; the whole change has one now.

--- /dev/null
+++ b/internal/control/admitter/admitter_test.go
@@ -0,0 +1,84 @@
+package admitter
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func shard(name string, free, waiting int64) Shard {
+	return Shard{
+		Name: name, Near: true, Workers: 10, HasLabel: true, Free: describer.Resources{CPU: free},
+		Turning: 10000, Unused: free, Fillers: 10000, Counted: waiting, Filler: waiting,
+	}
+}
+
+var short = Work{Counted: 10000, Chain: time.Second, Objective: 2500 * time.Millisecond}
+
+var _ = Describe("Decide", func() {
+	It("accepts while there is room", func() {
+		d := Decide(short, []Shard{shard("a", 20000, 0)}, random())
+		Expect(d.Accepted).To(BeTrue())
+		Expect(d.Shard).To(Equal("a"))
+	})
+
+	It("takes the shard with the nearest predicted end", func() {
+		d := Decide(short, []Shard{shard("full", 0, 100000), shard("idle", 20000, 0)}, random())
+		Expect(d.Shard).To(Equal("idle"))
+	})
+
+	It("refuses what can't meet its objective, and says when to come back", func() {
+		d := Decide(short, []Shard{shard("a", 0, 100000)}, random())
+		Expect(d.Accepted).To(BeFalse())
+		// 10 s of work wait; the objective leaves room for about 2 s of it.
+		Expect(d.Retry).To(BeNumerically(">", 5*time.Second))
+		Expect(d.Retry).To(BeNumerically("<=", maxRetry*3/2))
+	})
+
+	It("spreads returning callers", func() {
+		r := random()
+		seen := make(map[time.Duration]bool)
+		for range 20 {
+			seen[Decide(short, []Shard{shard("a", 0, 100000)}, r).Retry] = true
+		}
+		Expect(len(seen)).To(BeNumerically(">", 15))
+	})
+
+	It("does not let the fillers' backlog hold up other work", func() {
+		s := shard("a", 20000, 0)
+		s.Filler = 10_000_000
+		Expect(Decide(short, []Shard{s}, random()).Accepted).To(BeTrue())
+	})
+
+	It("refuses when no shard has workers with the label", func() {
+		s := shard("a", 20000, 0)
+		s.HasLabel = false
+		d := Decide(short, []Shard{s}, random())
+		Expect(d.Accepted).To(BeFalse())
+		Expect(d.Retry).To(BeNumerically(">", 0))
+	})
+
+	It("replays a burst: what it accepts ends within reach of its objective", func() {
+		const rate = 10000 // millicores
+		waiting, accepted := int64(0), 0
+		for tick := range 100 { // of 100 ms; twice the work that can be done
+			waiting = max(0, waiting-rate/10)
+			s := shard("a", 0, waiting)
+			s.Turning = rate
+			job := Work{Counted: rate / 5, Chain: 200 * time.Millisecond, Objective: 1400 * time.Millisecond}
+			if Decide(job, []Shard{s}, random()).Accepted {
+				accepted++
+				waiting += job.Counted
+			}
+			end := time.Duration(waiting) * time.Second / rate
+			Expect(end).To(BeNumerically("<=", 2*job.Objective), "tick %d", tick)
+		}
+		Expect(accepted).To(BeNumerically(">=", 50), "no less than the workers can do")
+	})
+})
--- /dev/null
+++ b/internal/job/recorder/recorder_test.go
@@ -0,0 +1,51 @@
+package recorder_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+)
+
+var _ = Describe("keys", func() {
+	It("are read back", func() {
+		kind, name := recorder.ParseView(recorder.OwnerKey("menus@bne"))
+		Expect([]any{kind, name}).To(Equal([]any{recorder.OwnerView, "menus@bne"}))
+		kind, name = recorder.ParseView(recorder.LoadKey("menus"))
+		Expect([]any{kind, name}).To(Equal([]any{recorder.LoadView, "menus"}))
+		kind, name = recorder.ParseView(recorder.LayoutKey("menus"))
+		Expect([]any{kind, name}).To(Equal([]any{recorder.LayoutView, "menus"}))
+		kind, _ = recorder.ParseView("elsewhere")
+		Expect(kind).To(Equal(recorder.OtherView))
+	})
+
+	It("tell jobs from cancellations", func() {
+		id, isCancel, ok := recorder.ParseShard("menus", recorder.JobKey("menus", "1"))
+		Expect([]any{id, isCancel, ok}).To(Equal([]any{"1", false, true}))
+		id, isCancel, ok = recorder.ParseShard("menus", recorder.CancelKey("menus", "1"))
+		Expect([]any{id, isCancel, ok}).To(Equal([]any{"1", true, true}))
+		_, _, ok = recorder.ParseShard("menus", recorder.JobKey("other", "1"))
+		Expect(ok).To(BeFalse())
+	})
+})
+
+var _ = Describe("records", func() {
+	It("survive the store", func() {
+		in := recorder.Progress{Tasks: []recorder.Task{{Step: 1, Index: 2, Done: true}, {Failed: []int64{1, 1001}, Checkpoint: "c"}}}
+		var out recorder.Progress
+		Expect(recorder.Decode(recorder.Encode(in), &out)).To(Succeed())
+		Expect(out).To(Equal(in))
+	})
+
+	It("leave out what is empty", func() {
+		Expect(string(recorder.Encode(recorder.Entry{Shard: "a", Queue: "b", State: "queued"}))).To(Equal(`{"shard":"a","queue":"b","state":"queued"}`))
+		Expect(string(recorder.Encode(recorder.Entry{State: "failed", Ended: time.Unix(0, 0).UTC()}))).To(ContainSubstring("ended"))
+	})
+
+	It("are refused when unreadable", func() {
+		var out recorder.Entry
+		Expect(recorder.Decode([]byte("{"), &out)).To(HaveOccurred())
+	})
+})
--- /dev/null
+++ b/internal/job/specifier/specifier_test.go
@@ -0,0 +1,82 @@
+package specifier_test
+
+import (
+	"errors"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+func valid() specifier.Job {
+	return specifier.Job{ID: "5c0e7a21d94b36f8", Steps: []specifier.Step{
+		{Count: 2, Needs: describer.Resources{CPU: 500}, Estimate: time.Second},
+		{Count: 3, Estimate: 2 * time.Second, After: []int{0}},
+	}}
+}
+
+func fieldOf(err error) string {
+	var field *specifier.FieldError
+	if !errors.As(err, &field) {
+		return ""
+	}
+	return field.Field
+}
+
+var _ = Describe("Validate", func() {
+	It("takes a job in order", func() {
+		job := valid()
+		Expect(job.Validate()).To(Succeed())
+		Expect(job.Chain()).To(Equal(3 * time.Second))
+	})
+
+	DescribeTable("names the field of a fault", func(change func(*specifier.Job), field string) {
+		job := valid()
+		change(&job)
+		Expect(fieldOf(job.Validate())).To(Equal(field))
+	},
+		Entry("short id", func(j *specifier.Job) { j.ID = "5c0e" }, "id"),
+		Entry("id with other characters", func(j *specifier.Job) { j.ID = "5c0e7a21d94b36fz" }, "id"),
+		Entry("no steps", func(j *specifier.Job) { j.Steps = nil }, "steps"),
+		Entry("long payload", func(j *specifier.Job) { j.Payload = string(make([]byte, specifier.MaxPayload+1)) }, "payload"),
+		Entry("a step after itself", func(j *specifier.Job) { j.Steps[1].After = []int{1} }, "steps[1].after"),
+		Entry("a step after a later one, which could be a cycle", func(j *specifier.Job) { j.Steps[0].After = []int{1} }, "steps[0].after"),
+		Entry("an unknown step", func(j *specifier.Job) { j.Steps[1].After = []int{7} }, "steps[1].after"),
+		Entry("no tasks", func(j *specifier.Job) { j.Steps[0].Count = 0 }, "steps[0].count"),
+		Entry("negative needs", func(j *specifier.Job) { j.Steps[0].Needs.CPU = -1 }, "steps[0].needs"),
+		Entry("negative repetitions", func(j *specifier.Job) { j.Repeat = -1 }, "repeat"),
+	)
+})
+
+var _ = Describe("TaskID", func() {
+	It("is read back from its text", func() {
+		id := specifier.TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 1, Step: 2, Index: 17}
+		Expect(id.String()).To(Equal("5c0e7a21d94b36f8.1.2.17"))
+		Expect(specifier.ParseTaskID(id.String())).To(Equal(id))
+	})
+
+	It("is refused when malformed", func() {
+		for _, text := range []string{"", "a.1.2", "a.1.2.x", "a.1.2.-3", "a.1.2.3.4"} {
+			_, err := specifier.ParseTaskID(text)
+			Expect(err).To(HaveOccurred(), text)
+		}
+	})
+})
+
+var _ = Describe("Catalog", func() {
+	It("matches the longest prefix of the host", func() {
+		c := specifier.Catalog{Queues: []specifier.Queue{
+			{Name: "short", Hostname: "a.example", Prefix: "/q/"},
+			{Name: "long", Hostname: "a.example", Prefix: "/q/deep/"},
+			{Name: "other", Hostname: "b.example", Prefix: "/q/deep/er/"},
+		}}
+		q, ok := c.Match("a.example", "/q/deep/er/1")
+		Expect(ok).To(BeTrue())
+		Expect(q.Name).To(Equal("long"))
+		_, ok = c.Match("a.example", "/elsewhere/1")
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/internal/state/faker/commit.go
+++ b/internal/state/faker/commit.go
@@ -29,6 +29,11 @@
 		for _, w := range tx.Put {
 			revision = s.put(w.Key, w.Value, w.Lease)
 		}
+		for _, w := range tx.Put { // the whole change has one revision
+			item := s.items[w.Key]
+			item.Revision = revision
+			s.items[w.Key] = item
+		}
 		for _, key := range tx.Remove {
 			if _, ok := s.items[key]; ok {
 				s.remove(key)
--- /dev/null
+++ b/internal/state/fencer/fencer_test.go
@@ -0,0 +1,108 @@
+package fencer
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+)
+
+// inBubble runs a spec in virtual time.
+func inBubble(t *testing.T, spec func(t *testing.T, g Gomega, store *faker.Store)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) { spec(t, NewWithT(t), faker.New()) })
+}
+
+func owner(ctx context.Context, g Gomega, client *faker.Client, daemon string) storer.Write {
+	lease, err := client.Grant(ctx, 3*time.Second)
+	g.Expect(err).NotTo(HaveOccurred())
+	return storer.Write{
+		Key: recorder.OwnerKey("menus"), Value: recorder.Encode(recorder.Owner{Daemon: daemon}), Lease: lease,
+	}
+}
+
+func put(text string) []storer.Write { return []storer.Write{{Key: "k", Value: []byte(text)}} }
+
+func valueOf(ctx context.Context, g Gomega, client *faker.Client) string {
+	item, err := client.Get(ctx, "k")
+	g.Expect(err).NotTo(HaveOccurred())
+	return string(item.Value)
+}
+
+func TestFormerOwnerCannotWrite(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a, b := store.Client("a"), store.Client("b")
+		first, second := New("menus", "a", a), New("menus", "b", b)
+		g.Expect(first.Claim(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+		g.Expect(first.Write(ctx, []string{"w1"}, put("1"), nil)).To(Succeed())
+		g.Expect(second.Claim(ctx, owner(ctx, g, b, "b"))).To(MatchError(ErrOwned))
+		time.Sleep(4 * time.Second) // the first owner's lease lapses
+		g.Expect(second.Claim(ctx, owner(ctx, g, b, "b"))).To(Succeed())
+		g.Expect(second.Epoch).To(Equal(int64(1)))
+		g.Expect(second.Token).To(BeNumerically(">", first.Token))
+		g.Expect(second.Workers).To(Equal([]string{"w1"}))
+		g.Expect(first.Write(ctx, nil, put("late"), nil)).To(MatchError(ErrFenced))
+		g.Expect(valueOf(ctx, g, b)).To(Equal("1"))
+	})
+}
+
+func TestLostAnswerIsSettled(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a := store.Client("a")
+		f := New("menus", "a", a)
+		g.Expect(f.Claim(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+		lost := 0
+		a.SetFault(func(c faker.Call) faker.Fate {
+			if c.Operation == "commit" && lost < 2 {
+				lost++
+				return faker.LoseAnswer
+			}
+			return faker.Answer
+		})
+		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, nil, put("2"), nil)).To(Succeed())
+		g.Expect(valueOf(ctx, g, a)).To(Equal("2"))
+	})
+}
+
+func TestOutageIsRiddenOut(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a := store.Client("a")
+		f := New("menus", "a", a)
+		g.Expect(f.Claim(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+		a.SetDown(true)
+		time.AfterFunc(30*time.Second, func() { a.SetDown(false) })
+		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
+		g.Expect(f.Renew(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
+	})
+}
+
+func TestFormerLifeIsReplacedAtOnce(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a := store.Client("a")
+		g.Expect(New("menus", "a", a).Claim(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+		g.Expect(New("menus", "a", a).Claim(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+	})
+}
+
+func TestClaimEndsWithItsContext(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		a := store.Client("a")
+		write := owner(t.Context(), g, a, "a")
+		a.SetDown(true)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		g.Expect(New("menus", "a", a).Claim(ctx, write)).NotTo(Succeed())
+	})
+}
