--- a/internal/job/dispatcher/stall.go
+++ b/internal/job/dispatcher/stall.go
@@ -5,7 +5,8 @@
 // Bounds of runs that stand still.
 const (
 	stallLimit     = 2500 * time.Millisecond // without progress, a run stands still
-	stallEstimates = 0.05                    // more, as a share of its estimate: progress shows in whole percents
+	stallPercents  = 4                       // times what a percent took so far, if that is more
+	stallEstimates = 0.1                     // of the estimate, before the first percent
 	stallSuspects  = 2                       // stalled runs at once, from which the worker is avoided
 	stallAvoid     = 4 * time.Second
 )
@@ -20,8 +21,15 @@
 	if spec.Lasting && r.percent >= full {
 		return false
 	}
-	limit := stallLimit + time.Duration(stallEstimates*float64(spec.Estimate))
-	return s.now.Sub(r.moved) > limit
+	return s.now.Sub(r.moved) > max(stallLimit, r.patience())
+}
+
+// patience is how long a run may need for one percent of its work.
+func (r *run) patience() time.Duration {
+	if r.percent <= 0 {
+		return time.Duration(stallEstimates * float64(r.task.step.spec.Estimate))
+	}
+	return stallPercents * r.moved.Sub(r.begun) / time.Duration(r.percent)
 }
 
 // replaceStalled moves runs that stand still to other workers. A worker with
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -231,7 +231,6 @@
 				m.log.Info().Msg("registered workers readable again")
 			}
 			failing = false
-			m.reached()
 			m.takeWorkers(list, took)
 		}
 		pause(ctx, listInterval)
--- /dev/null
+++ b/internal/job/manager/manager_test.go
@@ -0,0 +1,294 @@
+package manager_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+	"dotterelcart.dev/dotterelcart/internal/job/manager"
+	"dotterelcart.dev/dotterelcart/internal/job/receiver"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+)
+
+// fleet is a set of workers that run tasks in virtual time.
+type fleet struct {
+	mu     sync.Mutex
+	start  time.Time
+	token  map[string]int64
+	active map[string]map[specifier.TaskID]specifier.Run
+	ended  map[string][]specifier.End
+	last   map[string]int64
+	starts map[specifier.TaskID]int
+	took   time.Duration // by a task
+	ids    []string
+}
+
+func newFleet(ids ...string) *fleet {
+	f := &fleet{
+		start: time.Now(), token: make(map[string]int64), active: make(map[string]map[specifier.TaskID]specifier.Run),
+		ended: make(map[string][]specifier.End), last: make(map[string]int64), starts: make(map[specifier.TaskID]int),
+		took: 500 * time.Millisecond, ids: ids,
+	}
+	for _, id := range ids {
+		f.active[id] = make(map[specifier.TaskID]specifier.Run)
+	}
+	return f
+}
+
+func (f *fleet) Workers(context.Context) ([]specifier.Worker, error) {
+	var out []specifier.Worker
+	for _, id := range f.ids {
+		out = append(out, specifier.Worker{
+			ID: id, Born: 1, Service: "desk", Domain: "bne", Address: id, Capacity: describer.Resources{CPU: 4000, Memory: 1000},
+		})
+	}
+	return out, nil
+}
+
+func (f *fleet) fenced(id string, token int64) bool {
+	if token < f.token[id] {
+		return true
+	}
+	f.token[id] = token
+	return false
+}
+
+func (f *fleet) Start(_ context.Context, token int64, o dispatcher.StartRun) dispatcher.Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := o.Worker.ID
+	if f.fenced(id, token) {
+		return dispatcher.Fenced
+	}
+	f.starts[o.Task]++
+	f.active[id][o.Task] = specifier.Run{Task: o.Task, Number: o.Run}
+	time.AfterFunc(f.took, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.end(id, o.Task, specifier.Done)
+	})
+	return dispatcher.NoFault
+}
+
+func (f *fleet) end(id string, task specifier.TaskID, outcome specifier.Outcome) {
+	r, ok := f.active[id][task]
+	if !ok {
+		return
+	}
+	delete(f.active[id], task)
+	f.last[id]++
+	f.ended[id] = append(f.ended[id], specifier.End{Number: f.last[id], Task: task, Run: r.Number, Outcome: outcome})
+}
+
+func (f *fleet) Stop(_ context.Context, token int64, o dispatcher.StopRun) dispatcher.Fault {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fenced(o.Worker.ID, token) {
+		return dispatcher.Fenced
+	}
+	f.end(o.Worker.ID, o.Task, specifier.Stopped)
+	return dispatcher.NoFault
+}
+
+func (f *fleet) Pace(context.Context, int64, dispatcher.PaceRun) dispatcher.Fault {
+	return dispatcher.NoFault
+}
+
+func (f *fleet) Hold(_ context.Context, token int64, o dispatcher.HoldWorker) (specifier.Inventory, dispatcher.Fault) {
+	time.Sleep(50 * time.Millisecond)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	id := o.Worker.ID
+	if f.fenced(id, token) {
+		return specifier.Inventory{}, dispatcher.Fenced
+	}
+	for len(f.ended[id]) > 0 && f.ended[id][0].Number <= o.Observed {
+		f.ended[id] = f.ended[id][1:]
+	}
+	out := specifier.Inventory{Born: 1, Clock: time.Since(f.start), Ended: append([]specifier.End(nil), f.ended[id]...)}
+	for _, r := range f.active[id] {
+		r.Percent = int(time.Since(f.start) / time.Millisecond) // it makes progress
+		out.Active = append(out.Active, r)
+	}
+	return out, dispatcher.NoFault
+}
+
+var catalog = &specifier.Catalog{Version: 1, Queues: []specifier.Queue{
+	{Name: "menus", Service: "desk", Attempts: 2, Slack: 3, Completion: 5 * time.Second},
+}}
+
+// daemon is a manager with its receiver.
+type daemon struct {
+	*manager.Manager
+	receiver *receiver.Receiver
+	store    *faker.Client
+}
+
+func newDaemon(name string, store *faker.Store, workers *fleet) *daemon {
+	client := store.Client(name)
+	m := manager.New(manager.Options{
+		Daemon: name, Domain: "bne", TTL: 3 * time.Second, StopTime: 400 * time.Millisecond, MaxLease: 10 * time.Second,
+		Scope: tally.NoopScope, Log: zerolog.Nop(),
+	}, client, workers, workers)
+	m.SetCatalog(catalog)
+	return &daemon{m, receiver.New(receiver.Options{
+		Domain: "bne", Random: rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(),
+	}, m, client), client}
+}
+
+func job(n int) specifier.Job {
+	return specifier.Job{ID: fmt.Sprintf("%016x", n), Steps: []specifier.Step{
+		{Count: 3, Needs: describer.Resources{CPU: 500}, Estimate: time.Second},
+		{Count: 2, Needs: describer.Resources{CPU: 500}, Estimate: time.Second, After: []int{0}},
+	}}
+}
+
+func (d *daemon) submit(g Gomega, n int) {
+	g.Expect(d.receiver.Submit(context.Background(), catalog.Queues[0], job(n))).To(Succeed())
+}
+
+func (d *daemon) state(g Gomega, n int) specifier.State {
+	state, err := d.receiver.State(context.Background(), job(n).ID)
+	g.Expect(err).NotTo(HaveOccurred())
+	return state
+}
+
+// inBubble runs a spec with two daemons in virtual time.
+func inBubble(t *testing.T, spec func(g Gomega, a, b *daemon, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		store, workers := faker.New(), newFleet("w1", "w2", "w3")
+		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
+		time.Sleep(6 * time.Second) // the layout is written and the shard claimed
+		spec(NewWithT(t), a, b, workers)
+		a.Close()
+		b.Close()
+	})
+}
+
+// ownerOf returns the daemon that owns the shard, and the other.
+func ownerOf(g Gomega, a, b *daemon) (owner, other *daemon) {
+	name := a.View().Shards["desk"].Owner
+	g.Expect(name).To(BeElementOf("a", "b"))
+	if name == "a" {
+		return a, b
+	}
+	return b, a
+}
+
+func expectOnce(g Gomega, f *fleet, jobs int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.Expect(f.starts).To(HaveLen(5 * jobs))
+	g.Expect(f.starts).To(HaveEach(1), "starts of each task")
+}
+
+func TestJobsThroughAnyDaemon(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		for n := range 6 {
+			[]*daemon{a, b}[n%2].submit(g, n)
+		}
+		a.submit(g, 1) // repeated through another daemon
+		time.Sleep(5 * time.Second)
+		for n := range 6 {
+			g.Expect(a.state(g, n)).To(Equal(specifier.Succeeded))
+			g.Expect(b.state(g, n)).To(Equal(specifier.Succeeded))
+		}
+		expectOnce(g, f, 6)
+	})
+}
+
+func TestCancellationThroughTheOtherDaemon(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		f.took = time.Minute
+		owner.submit(g, 1)
+		time.Sleep(time.Second)
+		g.Expect(other.receiver.Cancel(context.Background(), job(1).ID)).To(Succeed())
+		time.Sleep(2 * time.Second)
+		g.Expect(owner.state(g, 1)).To(Equal(specifier.Cancelled))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for id, runs := range f.active {
+			g.Expect(runs).To(BeEmpty(), id)
+		}
+	})
+}
+
+func TestOwnerCrashes(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		f.took = 3 * time.Second
+		owner.submit(g, 1)
+		time.Sleep(time.Second)
+		owner.Close() // as a crash: its lease has to lapse
+		other.submit(g, 2)
+		time.Sleep(20 * time.Second)
+		g.Expect(other.state(g, 1)).To(Equal(specifier.Succeeded))
+		g.Expect(other.state(g, 2)).To(Equal(specifier.Succeeded))
+		expectOnce(g, f, 2)
+	})
+}
+
+func TestPlannedStopHandsOver(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		owner.submit(g, 1)
+		time.Sleep(100 * time.Millisecond)
+		owner.Shutdown(context.Background())
+		time.Sleep(2 * time.Second) // less than the lease
+		g.Expect(other.View().Shards["desk"].Owner).NotTo(BeEmpty())
+		time.Sleep(3 * time.Second)
+		g.Expect(other.state(g, 1)).To(Equal(specifier.Succeeded))
+		expectOnce(g, f, 1)
+	})
+}
+
+func TestStoreOutage(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, _ := ownerOf(g, a, b)
+		owner.submit(g, 1)
+		time.Sleep(100 * time.Millisecond)
+		a.store.SetDown(true)
+		b.store.SetDown(true)
+		time.Sleep(4 * time.Second)
+		began := time.Now()
+		err := owner.receiver.Submit(context.Background(), catalog.Queues[0], job(2))
+		g.Expect(err).To(HaveOccurred())
+		g.Expect(time.Since(began)).To(BeNumerically("<", 100*time.Millisecond), "refused at once")
+		a.store.SetDown(false)
+		b.store.SetDown(false)
+		time.Sleep(8 * time.Second)
+		g.Expect(owner.state(g, 1)).To(Equal(specifier.Succeeded))
+		expectOnce(g, f, 1)
+	})
+}
+
+// A former owner that is cut off from the store stops when a worker has seen
+// its successor.
+func TestOwnerCutOffFromTheStore(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		f.took = 2 * time.Second
+		owner.submit(g, 1)
+		time.Sleep(100 * time.Millisecond)
+		owner.store.SetDown(true)
+		time.Sleep(6 * time.Second)
+		g.Expect(other.View().Shards["desk"].Owner).NotTo(Equal(owner.store.Name))
+		owner.store.SetDown(false)
+		time.Sleep(10 * time.Second)
+		g.Expect(other.state(g, 1)).To(Equal(specifier.Succeeded))
+		expectOnce(g, f, 1)
+	})
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -133,7 +133,7 @@
 
 // followJobs posts new jobs and cancellations until ctx ends.
 func (o *owned) followJobs(ctx context.Context) {
-	f := follower{m: o.m, prefix: recorder.ShardPrefix(o.target.name), after: o.after}
+	f := follower{m: o.m, prefix: recorder.ShardPrefix(o.target.name), listed: true, after: o.after}
 	f.run(ctx, func(items []storer.Item, _ bool) {
 		for _, item := range items {
 			if item.Deleted {
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -93,7 +93,8 @@
 	m      *Manager
 	prefix string
 	pause  time.Duration // after each read that had changes
-	after  int64         // revision read up to; 0 lists first
+	listed bool          // the prefix has been read whole
+	after  int64         // revision read up to
 }
 
 // run hands what was read to take: everything below the prefix after a list,
@@ -128,14 +129,15 @@
 func (f *follower) read(ctx context.Context) (items []storer.Item, whole bool, err error) {
 	limited, cancel := context.WithTimeout(ctx, watchTime+watchLimit)
 	defer cancel()
-	if f.after == 0 {
+	if !f.listed {
 		items, f.after, err = f.m.store.List(limited, f.prefix)
+		f.listed = err == nil
 		return items, true, err
 	}
 	items, next, err := f.m.store.Watch(limited, f.prefix, f.after, watchTime)
 	switch {
 	case errors.Is(err, storer.ErrCompacted):
-		f.after = 0
+		f.listed = false
 	case err == nil:
 		f.after = max(f.after, next)
 	}
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -17,7 +17,6 @@
 import (
 	"context"
 	"errors"
-	"sync"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -57,20 +56,33 @@
 	Workers []string
 
 	store    Store
-	mu       sync.Mutex // held during a write
+	turn     chan struct{} // held by the goroutine that writes
 	revision int64
 }
 
 // New returns a fence that is not claimed.
 func New(shard, daemon string, store Store) *Fence {
-	return &Fence{Shard: shard, Daemon: daemon, store: store}
+	return &Fence{Shard: shard, Daemon: daemon, store: store, turn: make(chan struct{}, 1)}
+}
+
+// enter waits for the writes before this one. The result ends the turn.
+func (f *Fence) enter(ctx context.Context) (leave func(), err error) {
+	select {
+	case f.turn <- struct{}{}:
+		return func() { <-f.turn }, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 }
 
 // Claim makes the daemon the owner, unless another's record exists. A record
 // of the daemon's own name is that of its former life, which has ended.
 func (f *Fence) Claim(ctx context.Context, owner storer.Write) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	leave, err := f.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	item, err := f.store.Get(ctx, recorder.FenceKey(f.Shard))
 	var former recorder.Fence
 	switch {
@@ -123,8 +135,11 @@
 
 // Renew writes the owner's record anew after its lease was lost.
 func (f *Fence) Renew(ctx context.Context, owner storer.Write) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	leave, err := f.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	return f.offer(ctx, storer.Transaction{
 		If:  []storer.Condition{{Key: owner.Key}},
 		Put: []storer.Write{owner},
@@ -134,8 +149,11 @@
 // Write makes puts and removes durable. It returns when the outcome is known,
 // or when ctx ends.
 func (f *Fence) Write(ctx context.Context, workers []string, puts []storer.Write, removes []string) error {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+	leave, err := f.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer leave()
 	f.Workers = workers
 	return f.offer(ctx, storer.Transaction{Put: puts, Remove: removes})
 }
