job/dispatcher, control/ranker: lasting tasks don't starve; room is reserved for work that has waited

Ruled out: spread and labels, it had none. Change: a lasting task is never late in the order, and what waits over 0.7 s has a worker's room reserved.

--- a/internal/control/ranker/ranker.go
+++ b/internal/control/ranker/ranker.go
@@ -35,6 +35,7 @@
 	Grace     time.Time     // until when an end still earns something
 	Remaining time.Duration // shortest time to its end
 	Accepted  time.Time
+	Steady    bool   // never late: it earns for as long as it runs
 	ID        string // settles ties
 }
 
@@ -42,6 +43,8 @@
 func (w *Work) Standing(now time.Time) Standing {
 	end := now.Add(w.Remaining)
 	switch {
+	case w.Steady:
+		return OnTime
 	case !end.After(w.Objective):
 		return OnTime
 	case !end.After(w.Grace):
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -53,6 +53,7 @@
 	checkpoint string
 	last       string // worker of the last failed run
 	later      time.Time
+	since      time.Time // when it last began to wait
 }
 
 func (t *task) id() specifier.TaskID {
@@ -166,6 +167,9 @@
 		})
 		if ready {
 			st.open = true
+			for _, t := range st.tasks {
+				t.since = s.now
+			}
 			s.enlist(st)
 		}
 	}
@@ -212,6 +216,7 @@
 	if t.done {
 		return
 	}
+	t.since = s.now
 	t.step.waiting++
 	s.enlist(t.step)
 	s.changed = true
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -13,9 +13,10 @@
 
 // placement is one round of choosing workers.
 type placement struct {
-	s       *Shard
-	workers []*worker
-	rooms   []fitter.Room
+	s        *Shard
+	workers  []*worker
+	rooms    []fitter.Room
+	reserved int // workers kept free for work that has waited for long
 }
 
 // place starts waiting tasks, in their order, where there is room.
@@ -73,11 +74,27 @@
 	}
 	if st.spec.Lasting {
 		// A lasting task earns for as long as it runs, however late it begins.
-		w.Grace = w.Grace.Add(24 * time.Hour)
+		w.Steady = true
+		w.Objective = st.waitingSince().Add(lastingWait)
 	}
 	return w
 }
 
+// lastingWait is how long a lasting task may wait beside other work of its
+// priority.
+const lastingWait = time.Second
+
+// waitingSince is when the first of the waiting tasks began to wait.
+func (st *step) waitingSince() time.Time {
+	var first time.Time
+	for _, t := range st.tasks {
+		if !t.done && t.worker == nil && (first.IsZero() || t.since.Before(first)) {
+			first = t.since
+		}
+	}
+	return first
+}
+
 func (s *Shard) newPlacement() *placement {
 	p := &placement{s: s}
 	for _, id := range sortedKeys(s.workers) {
@@ -145,6 +162,7 @@
 		}
 		i := p.choose(st, t, need)
 		if i < 0 {
+			p.reserve(st, t)
 			return
 		}
 		if st.spec.Tight && need.Rack == "" {
@@ -155,6 +173,35 @@
 	}
 }
 
+// Bounds of reservations.
+const (
+	reserveAfter = 700 * time.Millisecond // of waiting
+	maxReserved  = 4                      // workers at once
+)
+
+// reserve keeps what becomes free on one worker for a task that has waited for
+// long. Otherwise smaller tasks behind it would take the room each time.
+func (p *placement) reserve(st *step, t *task) {
+	if st.spec.Filler || p.reserved >= maxReserved || p.s.now.Sub(t.since) < reserveAfter {
+		return
+	}
+	best := -1
+	for i, w := range p.workers {
+		ends := w.reg.Capacity.CPU - w.used.lasting // once the tasks that end have ended
+		fits := st.needs.counted.CPU <= ends && st.needs.counted.Memory <= w.reg.Capacity.Memory
+		if !fits || !w.reg.HasLabel(st.spec.Label) || st.spec.Spread > 0 && w.perStep[st] >= st.spec.Spread {
+			continue
+		}
+		if best < 0 || p.rooms[i].Free.CPU > p.rooms[best].Free.CPU {
+			best = i
+		}
+	}
+	if best >= 0 {
+		p.reserved++
+		p.rooms[best].Free.CPU = 0
+	}
+}
+
 // relate fills in what the workers' tasks mean for those of the step.
 func (p *placement) relate(st *step) {
 	for i, w := range p.workers {
