control/pacer: fillers whose job is late give way first

Cause: among harmful fillers the least harmful worked first, whatever it could still achieve, so bursts made every job a little late. Change: the standing of the job goes before the harm. A load line of each shard tells what is free, unused and waiting. Serving tasks are expected to use half of their reservation instead of 0.6.

--- a/internal/control/pacer/pacer.go
+++ b/internal/control/pacer/pacer.go
@@ -15,6 +15,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/ranker"
 )
 
 // Shares of the target, paces in percent, and times.
@@ -34,8 +36,9 @@
 
 // Filler is one filler on a worker.
 type Filler struct {
-	Pace int     // percent
-	Harm float64 // expected growth of the logarithm of the worst tail, at full pace
+	Pace     int     // percent
+	Harm     float64 // expected growth of the logarithm of the worst tail, at full pace
+	Standing ranker.Standing
 }
 
 // Decide sets the paces on one worker. tail is the worst tail of its serving
@@ -58,16 +61,30 @@
 	}
 }
 
-// order lists the fillers' indexes, most harmful first.
+// order lists the fillers' indexes in the order in which they give way.
 func order(fillers []Filler) []int {
 	out := make([]int, len(fillers))
 	for i := range out {
 		out[i] = i
 	}
-	slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(fillers[b].Harm, fillers[a].Harm) })
+	slices.SortStableFunc(out, func(a, b int) int {
+		x, y := &fillers[a], &fillers[b]
+		return cmp.Or(compareMild(x, y), cmp.Compare(y.Standing, x.Standing), cmp.Compare(y.Harm, x.Harm))
+	})
 	return out
 }
 
+// compareMild puts fillers that do no harm last.
+func compareMild(a, b *Filler) int {
+	switch {
+	case a.Harm < mild && b.Harm >= mild:
+		return 1
+	case b.Harm < mild && a.Harm >= mild:
+		return -1
+	}
+	return 0
+}
+
 // slow takes excess away from the log tail, from the most harmful on.
 func slow(excess float64, fillers []Filler) {
 	for _, i := range order(fillers) {
--- a/internal/control/pacer/pacer_test.go
+++ b/internal/control/pacer/pacer_test.go
@@ -6,6 +6,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/ranker"
 )
 
 // play replays a worker whose serving task has a load that swings, beside
@@ -55,6 +57,13 @@
 		Expect(fillers[1].Pace).To(BeNumerically("<", 100))
 	})
 
+	It("lets work that is late give way to work that can end in time", func() {
+		fillers := []Filler{{Pace: 100, Harm: 0.6}, {Pace: 100, Harm: 0.3, Standing: ranker.Late}}
+		Decide(1.1, 0, fillers)
+		Expect(fillers[0].Pace).To(Equal(100))
+		Expect(fillers[1].Pace).To(BeNumerically("<", 100))
+	})
+
 	It("stops every filler when a tail stays over its target", func() {
 		fillers := []Filler{{Pace: 100, Harm: 0}, {Pace: 50, Harm: 0}}
 		Decide(1.3, overLimit, fillers)
--- a/internal/job/dispatcher/harm.go
+++ b/internal/job/dispatcher/harm.go
@@ -126,8 +126,10 @@
 			continue
 		}
 		runs = append(runs, r)
+		work := r.task.step.work()
 		fillers = append(fillers, pacer.Filler{
 			Pace: max(r.pace, 0), Harm: s.harmTo(w, r.task.step.spec.Image, r.task.step.spec.Needs.CPU),
+			Standing: work.Standing(s.now.Add(-r.done())),
 		})
 	}
 	over := time.Duration(0)
@@ -145,6 +147,11 @@
 	}
 }
 
+// done is how much of its estimated time a run has behind it.
+func (r *run) done() time.Duration {
+	return r.task.step.spec.Estimate * time.Duration(r.percent) / full
+}
+
 // hasBetterPlace reports whether a filler that rests has room on a worker
 // where it is expected to do clearly less harm.
 func (s *Shard) hasBetterPlace(r *run, harm float64) bool {
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -9,7 +9,7 @@
 )
 
 // servingShare is the part of its reservation that a serving task is expected to use.
-const servingShare = 0.6
+const servingShare = 0.5
 
 // placement is one round of choosing workers.
 type placement struct {
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -248,6 +248,12 @@
 	}
 	load.Made = made
 	o.last = load
+	line := o.log.Info().Int("workers", load.Workers).Int64("free", load.Free.CPU).Int64("turning", load.Turning).
+		Int64("unused", load.Unused).Int64("fillers", load.Fillers)
+	for _, b := range load.Backlog {
+		line = line.Int64(fmt.Sprintf("backlog%d", b.Priority), b.Counted).Int64(fmt.Sprintf("fillers%d", b.Priority), b.Filler)
+	}
+	line.Msg("load")
 	o.calls.Go(func() {
 		o.m.takeLoad(o.target.name, load)
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
