control/pacer: paces aim at 0.82 of the target

Cause: paces fell at 0.9 and rose again below 0.6 of the target only, so a third of what serving tasks can bear was left.

--- a/internal/control/pacer/pacer.go
+++ b/internal/control/pacer/pacer.go
@@ -21,9 +21,9 @@
 
 // Shares of the target, paces in percent, and times.
 const (
-	high    = 0.9 // tail at which paces fall
-	aim     = 0.7 // tail that paces fall or rise towards
-	low     = 0.6 // tail below which paces may rise
+	high    = 0.95 // tail at which paces fall
+	aim     = 0.82 // tail that paces fall or rise towards
+	low     = 0.75 // tail below which paces may rise
 	caution = 0.5 // part of the room up to aim that one rise may use
 	resting = 8   // a lower pace is none at all
 	rise    = 34  // most that a pace rises at once
