--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -100,6 +100,7 @@
 	workers   Workers
 	directory Directory
 	lease     *leaser.Lease
+	metrics   *metrics
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 	catalog   atomic.Pointer[specifier.Catalog]
@@ -127,6 +128,7 @@
 		store:     store,
 		workers:   workers,
 		directory: directory,
+		metrics:   newMetrics(o.Scope),
 		cancel:    cancel,
 		view:      newView(),
 		owned:     make(map[string]*owned),
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -143,7 +143,7 @@
 	}, client, workers, workers)
 	m.SetCatalog(catalog)
 	return &daemon{m, receiver.New(receiver.Options{
-		Domain: "bne", Random: rand.New(rand.NewPCG(1, 2)), Log: zerolog.Nop(),
+		Domain: "bne", Random: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope, Log: zerolog.Nop(),
 	}, m, client), client}
 }
 
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -108,9 +108,11 @@
 }
 
 func (o *owned) reduce(ctx context.Context, events ...dispatcher.Event) {
+	began := time.Now()
 	o.mu.Lock()
-	effects := o.state.Reduce(time.Now(), events...)
+	effects := o.state.Reduce(began, events...)
 	o.mu.Unlock()
+	o.m.metrics.reduce.RecordDuration(time.Since(began))
 	for _, effect := range effects {
 		o.carryOut(ctx, effect)
 	}
@@ -186,23 +188,32 @@
 	case dispatcher.StartRun:
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
+		began := time.Now()
 		fault := o.m.workers.Start(limited, token, e)
+		o.m.metrics.starts.RecordDuration(time.Since(began))
+		o.m.metrics.fault("start", fault)
 		o.post(dispatcher.StartAnswered{Worker: e.Worker.ID, Born: e.Worker.Born, Task: e.Task, Run: e.Run, Fault: fault})
 	case dispatcher.StopRun:
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		fault := o.m.workers.Stop(limited, token, e)
+		o.m.metrics.fault("stop", fault)
 		o.post(dispatcher.StopAnswered{Worker: e.Worker.ID, Born: e.Worker.Born, Task: e.Task, Run: e.Run, Fault: fault})
 	case dispatcher.PaceRun:
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		fault := o.m.workers.Pace(limited, token, e)
+		o.m.metrics.fault("pace", fault)
 		o.post(dispatcher.PaceAnswered{Worker: e.Worker.ID, Task: e.Task, Run: e.Run, Fault: fault})
 	case dispatcher.HoldWorker:
 		limited, cancel := context.WithTimeout(ctx, callTimeout+e.Wait)
 		defer cancel()
 		sent := time.Now()
 		inventory, fault := o.m.workers.Hold(limited, token, e)
+		o.m.metrics.fault("hold", fault)
+		if e.Wait == 0 {
+			o.m.metrics.holds.RecordDuration(time.Since(sent))
+		}
 		if fault == dispatcher.NoFault {
 			o.post(dispatcher.Held{Worker: e.Worker.ID, Sent: sent, Inventory: inventory})
 			return
@@ -227,7 +238,9 @@
 		}
 		puts = append(puts, storer.Write{Key: recorder.JobIndex(change.ID), Value: recorder.Encode(entry)})
 	}
+	began := time.Now()
 	err := o.fence.Write(ctx, e.Workers, puts, removes)
+	o.m.metrics.writes.RecordDuration(time.Since(began))
 	switch {
 	case err == nil:
 		o.m.reached()
@@ -256,6 +269,7 @@
 	line.Msg("load")
 	o.calls.Go(func() {
 		o.m.takeLoad(o.target.name, load)
+		o.m.metrics.load(o.target.name, load)
 		limited, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
 		_, err := o.m.store.Commit(limited, storer.Transaction{
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -246,6 +246,7 @@
 		return
 	}
 	delete(m.owned, o.target.name)
+	m.metrics.lost.Inc(1)
 	m.log.Warn().Str("shard", o.target.name).Str("reason", reason).Msg("shard lost")
 }
 
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
 
 	"dotterelcart.dev/dotterelcart/internal/control/admitter"
 	"dotterelcart.dev/dotterelcart/internal/job/manager"
@@ -64,6 +65,7 @@
 type Options struct {
 	Domain string // failure domain of this daemon
 	Random *rand.Rand
+	Scope  tally.Scope
 	Log    zerolog.Logger
 }
 
@@ -107,6 +109,7 @@
 	job.Queue = queue.Name
 	job.Accepted = time.Now()
 	if !r.isStoreUp() {
+		r.count(queue.Name, "unreachable")
 		r.log.Info().Str("job", job.ID).Str("reason", "store not reached").
 			Dur("age", time.Since(r.shards.Contact())).Msg("job refused")
 		return r.unreachable(&classifier.Error{Verdict: classifier.NotRun, Code: "store", Message: "not tried"})
@@ -119,11 +122,13 @@
 	defer cancel()
 	revision, err := r.accept(ctx, decision.Shard, &job)
 	if err != nil {
+		r.count(queue.Name, "unknown")
 		r.log.Warn().Err(err).Str("job", job.ID).Msg("job not accepted: store")
 		return err
 	}
 	r.log.Info().Str("job", job.ID).Str("queue", queue.Name).Str("shard", decision.Shard).Bool("fresh", revision > 0).
 		Dur("predicted", decision.Predicted).Msg("job accepted")
+	r.count(queue.Name, "accepted")
 	if revision > 0 {
 		r.note(decision.Shard, workOf(queue, &job))
 		r.shards.Arrived(decision.Shard, job, revision)
@@ -147,6 +152,11 @@
 	r.failed = time.Now()
 }
 
+// count adds to the submissions of a queue with this outcome.
+func (r *Receiver) count(queue, outcome string) {
+	r.options.Scope.Tagged(map[string]string{"queue": queue, "outcome": outcome}).Counter("submissions").Inc(1)
+}
+
 // refuse turns a job away, unless it was accepted before.
 func (r *Receiver) refuse(ctx context.Context, job *specifier.Job, d admitter.Decision) error {
 	if _, err := r.store.Get(ctx, recorder.JobIndex(job.ID)); !errors.Is(err, storer.ErrNotFound) {
@@ -155,6 +165,7 @@
 		}
 		return r.unreachable(err)
 	}
+	r.count(job.Queue, "refused")
 	r.log.Info().Str("job", job.ID).Str("queue", job.Queue).Str("reason", d.Reason).
 		Dur("predicted", d.Predicted).Dur("retry", d.Retry).Msg("job refused")
 	return &classifier.Error{
