--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -60,7 +60,8 @@
 // Decision is the outcome.
 type Decision struct {
 	Accepted  bool
-	Shard     string
+	Shard     string        // with the nearest predicted end; empty if none has suitable workers
+	Age       time.Duration // of that shard's summary
 	Predicted time.Duration // from acceptance to the end
 	Retry     time.Duration // when to come back, if refused
 	Reason    string
@@ -79,10 +80,12 @@
 		if predicted < best.Predicted {
 			best.Predicted = predicted
 			best.Shard = s.Name
+			best.Age = s.Age
 			best.Reason = "predicted end is within reach"
 		}
 	}
 	if best.Shard == "" {
+		best.Predicted = 0
 		best.Retry = spread(minRetry*2, random)
 		return best
 	}
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -106,6 +106,14 @@
 			Message: field.Reason, Field: field.Field,
 		}
 	}
+	if queue.Advice.Needed {
+		r.count(queue.Name, "unsupported")
+		r.log.Info().Str("job", job.ID).Str("queue", queue.Name).Str("reason", "queue needs advice").Msg("job refused")
+		return &classifier.Error{
+			Verdict: classifier.NotRun, Status: http.StatusServiceUnavailable, Code: "unsupported",
+			Message: "queue needs advice, which is not supported",
+		}
+	}
 	job.Queue = queue.Name
 	job.Accepted = time.Now()
 	if !r.isStoreUp() {
@@ -127,7 +135,7 @@
 		return err
 	}
 	r.log.Info().Str("job", job.ID).Str("queue", queue.Name).Str("shard", decision.Shard).Bool("fresh", revision > 0).
-		Dur("predicted", decision.Predicted).Msg("job accepted")
+		Dur("age", decision.Age).Dur("predicted", decision.Predicted).Msg("job accepted")
 	r.count(queue.Name, "accepted")
 	if revision > 0 {
 		r.note(decision.Shard, workOf(queue, &job))
@@ -166,8 +174,8 @@
 		return r.unreachable(err)
 	}
 	r.count(job.Queue, "refused")
-	r.log.Info().Str("job", job.ID).Str("queue", job.Queue).Str("reason", d.Reason).
-		Dur("predicted", d.Predicted).Dur("retry", d.Retry).Msg("job refused")
+	r.log.Info().Str("job", job.ID).Str("queue", job.Queue).Str("reason", d.Reason).Str("shard", d.Shard).
+		Dur("age", d.Age).Dur("predicted", d.Predicted).Dur("retry", d.Retry).Msg("job refused")
 	return &classifier.Error{
 		Verdict: classifier.NotRun, Status: http.StatusTooManyRequests, Code: "overloaded",
 		Message: d.Reason, RetryAfter: d.Retry,
