--- a/internal/control/pacer/pacer.go
+++ b/internal/control/pacer/pacer.go
@@ -24,9 +24,9 @@
 	high    = 0.95 // tail at which paces fall
 	aim     = 0.82 // tail that paces fall or rise towards
 	low     = 0.75 // tail below which paces may rise
-	caution = 0.5 // part of the room up to aim that one rise may use
-	resting = 8   // a lower pace is none at all
-	rise    = 34  // most that a pace rises at once
+	caution = 0.5  // part of the room up to aim that one rise may use
+	resting = 8    // a lower pace is none at all
+	rise    = 34   // most that a pace rises at once
 	full    = 100
 	mild    = 0.05 // expected growth of the log tail at full pace that is not worth a cut
 )
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -176,6 +176,8 @@
 		s.startAnswered(e)
 	case StopAnswered:
 		s.stopAnswered(e)
+	case Advised:
+		s.advised(e)
 	case PaceAnswered:
 		s.paceAnswered(e)
 	case Committed:
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -126,6 +126,7 @@
 	Run        int64
 	Payload    string
 	Checkpoint string
+	Ticket     string        // if the queue needs advice
 	Until      time.Duration // by the worker's clock: its lease
 }
 
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -40,6 +40,7 @@
 	listed     bool // in Shard.steps
 	due        time.Time
 	needs      need
+	advice     advice
 }
 
 // task is one task.
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -37,6 +37,7 @@
 		if st.job.inherited && !s.isSettled() {
 			continue
 		}
+		p.seekAdvice(st)
 		if st.spec.Gang {
 			p.placeGang(st)
 			continue
@@ -222,7 +223,7 @@
 		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil {
 			return false
 		}
-		if w.wouldHarm(p.rooms[i].Harm) {
+		if w.wouldHarm(p.rooms[i].Harm) || !p.isAdvised(st, w) {
 			return false
 		}
 		return st.spec.Spread == 0 || w.perStep[st] < st.spec.Spread
@@ -237,6 +238,15 @@
 	return i
 }
 
+// isAdvised reports whether the step may start on the worker now.
+func (p *placement) isAdvised(st *step, w *worker) bool {
+	if !st.job.queue.Advice.Needed {
+		return true
+	}
+	_, ok := st.ticketFor(w, p.s.now)
+	return ok
+}
+
 // placeGang starts all tasks of a step together, or none.
 func (p *placement) placeGang(st *step) {
 	if st.waiting < len(st.tasks) {
@@ -250,7 +260,7 @@
 		i := fitter.Choose(rooms, need, func(i int) bool {
 			w := p.workers[i]
 			free := st.spec.Spread == 0 || w.perStep[st]+count[i] < st.spec.Spread
-			return free && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil
+			return free && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil && p.isAdvised(st, w)
 		})
 		if i < 0 {
 			return
@@ -286,6 +296,7 @@
 	if t.step.spec.Checkpoint {
 		order.Checkpoint = t.checkpoint
 	}
+	order.Ticket, _ = t.step.ticketFor(w, s.now)
 	s.emit(order)
 	s.emit(Log{
 		Message: "start ordered", Task: order.Task.String(), Job: order.Task.Job, Worker: w.reg.ID, Run: number,
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -71,6 +71,11 @@
 	Hold(ctx context.Context, token int64, order dispatcher.HoldWorker) (specifier.Inventory, dispatcher.Fault)
 }
 
+// Adviser knows which workers may run a step.
+type Adviser interface {
+	Advise(ctx context.Context, ask dispatcher.AskAdvice) dispatcher.Advised
+}
+
 // Directory lists the registered workers.
 type Directory interface {
 	Workers(ctx context.Context) ([]specifier.Worker, error)
@@ -85,6 +90,7 @@
 	StopTime   time.Duration // a worker's bound on a stop
 	MaxLease   time.Duration // that a worker grants
 	ClockError time.Duration // by which the time of day may be off
+	Adviser    Adviser       // nil: queues that need advice wait
 
 	Scope tally.Scope
 	Log   zerolog.Logger
@@ -115,6 +121,7 @@
 	distance   time.Duration // of the store: the shortest read
 	owned      map[string]*owned
 	claiming   map[string]bool
+	advising   chan struct{} // held by the call to the adviser, which takes one at a time
 	ownerless  map[string]time.Time
 }
 
@@ -133,6 +140,7 @@
 		view:      newView(),
 		owned:     make(map[string]*owned),
 		claiming:  make(map[string]bool),
+		advising:  make(chan struct{}, 1),
 		ownerless: make(map[string]time.Time),
 	}
 	m.catalog.Store(&specifier.Catalog{})
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -174,6 +174,8 @@
 		o.lose("worker " + e.Worker + " has seen a later owner")
 	case dispatcher.Publish:
 		o.publish(ctx, e.Load)
+	case dispatcher.AskAdvice:
+		o.calls.Go(func() { o.post(o.m.advise(ctx, e)) })
 	case dispatcher.Commit:
 		o.calls.Go(func() { o.commit(ctx, e) })
 	default:
@@ -181,6 +183,23 @@
 	}
 }
 
+// advise asks the adviser when it is this call's turn.
+func (m *Manager) advise(ctx context.Context, e dispatcher.AskAdvice) dispatcher.Advised {
+	failed := dispatcher.Advised{Step: e.Step, Failed: true}
+	if m.options.Adviser == nil {
+		return failed
+	}
+	select {
+	case m.advising <- struct{}{}:
+	case <-ctx.Done():
+		return failed
+	}
+	defer func() { <-m.advising }()
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return m.options.Adviser.Advise(limited, e)
+}
+
 // call carries out an order to a worker.
 func (o *owned) call(ctx context.Context, effect dispatcher.Effect) {
 	token := o.fence.Token
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -106,14 +106,6 @@
 			Message: field.Reason, Field: field.Field,
 		}
 	}
-	if queue.Advice.Needed {
-		r.count(queue.Name, "unsupported")
-		r.log.Info().Str("job", job.ID).Str("queue", queue.Name).Str("reason", "queue needs advice").Msg("job refused")
-		return &classifier.Error{
-			Verdict: classifier.NotRun, Status: http.StatusServiceUnavailable, Code: "unsupported",
-			Message: "queue needs advice, which is not supported",
-		}
-	}
 	job.Queue = queue.Name
 	job.Accepted = time.Now()
 	if !r.isStoreUp() {
