--- /dev/null
+++ b/internal/job/dispatcher/takeover_test.go
@@ -0,0 +1,105 @@
+package dispatcher
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+var _ = Describe("an owner", func() {
+	queue := specifier.Queue{Name: "menus", Slack: 2, Attempts: 2}
+	first := specifier.TaskID{Job: "5c0e7a21d94b36f8"}
+
+	It("starts nothing on a worker before a commit names it", func() {
+		s := New(Options{Name: "desk", Lease: worldLease, OutageLimit: worldOutage}, epoch)
+		effects := s.Reduce(epoch, Configured{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}},
+			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Born: 1, Capacity: describer.Resources{CPU: 4000, Memory: 1000}}}})
+		held := Held{Worker: "w1", Sent: epoch, Inventory: specifier.Inventory{Born: 1, Clock: time.Minute}}
+		Expect(effects).To(ContainElement(And(BeAssignableToTypeOf(Commit{}), HaveField("Workers", []string{"w1"}))))
+		effects = s.Reduce(epoch.Add(time.Second), held, JobArrived{Job: oneStep(1, nil)})
+		Expect(effects).NotTo(ContainElement(BeAssignableToTypeOf(StartRun{})))
+		effects = s.Reduce(epoch.Add(time.Second), Committed{Batch: 1})
+		Expect(effects).To(ContainElement(BeAssignableToTypeOf(StartRun{})))
+	})
+
+	It("starts nothing inherited before the workers of its predecessor have answered", func() {
+		s := New(Options{Name: "desk", Lease: worldLease, OutageLimit: worldOutage, Epoch: 1, Workers: []string{"gone"}}, epoch)
+		d := &desk{Shard: s}
+		d.do(Configured{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}},
+			JobLoaded{Job: oneStep(1, nil)},
+			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Born: 1, Capacity: describer.Resources{CPU: 4000, Memory: 1000}}}})
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: time.Minute}})
+		d.pass(time.Second)
+		Expect(taken[StartRun](d)).To(BeEmpty())
+		d.pass(worldOutage + 2*worldLease)
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: 2 * time.Minute}})
+		starts := taken[StartRun](d)
+		Expect(starts).To(HaveLen(1))
+		Expect(starts[0].Run).To(Equal(int64(runsOfEpoch + 1)))
+	})
+
+	It("counts a failure once, also when its end is listed again", func() {
+		d := newDesk(queue, "w1")
+		d.do(JobLoaded{Job: oneStep(1, nil), Progress: recorder.Progress{Tasks: []recorder.Task{{Failed: []int64{1}}}}})
+		end := specifier.End{Number: 1, Task: first, Run: 1, Outcome: specifier.Faulty}
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: 2 * time.Minute, Ended: []specifier.End{end}}})
+		Expect(d.jobs).To(HaveKey(first.Job))
+		Expect(d.jobs[first.Job].final).To(BeEmpty())
+	})
+
+	It("closes a worker that has runs of unknown needs", func() {
+		d := newDesk(queue, "w1")
+		strange := specifier.Run{Task: specifier.TaskID{Job: "0000000000000000"}, Number: 1}
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: 2 * time.Minute, Active: []specifier.Run{strange}}})
+		Expect(taken[StopRun](d)).To(HaveLen(1))
+		d.do(JobArrived{Job: oneStep(1, nil)})
+		Expect(taken[StartRun](d)).To(BeEmpty())
+		d.do(StopAnswered{Worker: "w1", Born: 1, Task: strange.Task, Run: 1})
+		d.now = d.now.Add(time.Second)
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: 2 * time.Minute}})
+		Expect(taken[StartRun](d)).To(HaveLen(1))
+	})
+
+	It("lets the leases of a silent worker lapse, then starts its tasks elsewhere", func() {
+		d := newDesk(queue, "w1", "w2")
+		d.do(JobArrived{Job: oneStep(1, nil)})
+		start := taken[StartRun](d)[0]
+		d.do(StartAnswered{Worker: start.Worker.ID, Born: 1, Task: start.Task, Run: 1})
+		other := map[string]string{"w1": "w2", "w2": "w1"}[start.Worker.ID]
+		for range 40 {
+			d.pass(250 * time.Millisecond)
+			for _, h := range taken[HoldWorker](d) {
+				if h.Worker.ID == start.Worker.ID {
+					d.do(HoldFailed{Worker: h.Worker.ID, Born: 1, Fault: Unknown})
+				}
+			}
+			d.do(Held{Worker: other, Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: d.now.Sub(epoch)}})
+		}
+		again := taken[StartRun](d)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Worker.ID).To(Equal(other))
+	})
+
+	It("stops when a worker has seen a later owner", func() {
+		d := newDesk(queue, "w1")
+		d.do(HoldFailed{Worker: "w1", Born: 1, Fault: Fenced})
+		Expect(taken[Resign](d)).To(HaveLen(1))
+		d.do(JobArrived{Job: oneStep(1, nil)})
+		Expect(taken[StartRun](d)).To(BeEmpty())
+	})
+
+	It("does not go on without the store for longer than a successor counts on", func() {
+		d := newDesk(queue, "w1")
+		taken[HoldWorker](d)
+		d.do(StoreReached{OK: false})
+		d.now = d.now.Add(worldOutage + time.Second)
+		d.do(Tick{}, JobArrived{Job: oneStep(1, nil)})
+		Expect(taken[HoldWorker](d)).To(BeEmpty())
+		Expect(taken[StartRun](d)).To(BeEmpty())
+	})
+})
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -146,6 +146,7 @@
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.sub(r.needs)
+	s.changed = true
 	if r.strange {
 		w.strange--
 	}
@@ -159,7 +160,6 @@
 	if r.task.worker == w {
 		s.release(r.task)
 	}
-	s.changed = true
 }
 
 func decrement[K comparable](counts map[K]int, key K) {
