job, state/fencer: an owner that was replaced leaves the jobs that come after its successor's claim

Ruled out: inherited jobs, they wait for every named worker. Change: a claim writes a key below the shard's prefix, which the former owner reads before any later job; the short cut from the accepting host to its own shard, which could overtake it, is gone. A new owner lets its predecessor's load summary stand until half of the workers have answered: callers were refused meanwhile. Test: TestReplacedOwnerLeavesNewJobs, without the look at the claim two starts of one task.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -73,6 +73,7 @@
 type Shard struct {
 	options Options
 	now     time.Time
+	claimed time.Time
 	catalog *specifier.Catalog
 	effects []Effect
 
@@ -105,6 +106,7 @@
 	s := &Shard{
 		options:   o,
 		now:       now,
+		claimed:   now,
 		catalog:   &specifier.Catalog{},
 		jobs:      make(map[string]*job),
 		ended:     make(map[string]time.Time),
@@ -190,6 +192,24 @@
 	}
 }
 
+// openTime is how long after its claim a shard lets its predecessor's summary
+// stand while no worker has answered.
+const openTime = 3 * time.Second
+
+// isOpen reports whether the shard knows enough of its workers for a summary.
+func (s *Shard) isOpen() bool {
+	if s.now.Sub(s.claimed) >= openTime {
+		return true
+	}
+	answered := 0
+	for _, w := range s.workers {
+		if w.isUsable(s.now) {
+			answered++
+		}
+	}
+	return s.listed && answered*2 > len(s.workers)
+}
+
 // configure takes in a catalog. Jobs of a queue that is gone go on with what
 // they were accepted under.
 func (s *Shard) configure(c *specifier.Catalog) {
@@ -212,7 +232,7 @@
 	for _, id := range sortedKeys(s.workers) {
 		s.reviewWorker(s.workers[id])
 	}
-	if s.now.Sub(s.published) >= publishInterval {
+	if s.now.Sub(s.published) >= publishInterval && s.isOpen() {
 		s.published = s.now
 		s.emit(Publish{Load: s.summarize()})
 		s.forgetEnded()
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -12,7 +12,6 @@
 //	m := manager.New(options, store, workers, directory)
 //	m.SetCatalog(catalog)
 //	view := m.View()           // owners and loads, for admission
-//	m.Arrived(shard, job)      // a job that was accepted here
 //	m.Shutdown(ctx)            // hands the shards over
 //
 // Each owned shard has one goroutine for its control state; calls to workers
@@ -198,15 +197,6 @@
 	return m.owned[name]
 }
 
-// Arrived hands a job that was accepted here, by the write with this revision,
-// to its shard, if it is owned here. An ownership that read its jobs after the
-// write has it already, or it has ended.
-func (m *Manager) Arrived(shard string, job specifier.Job, revision int64) {
-	if o := m.shard(shard); o != nil && revision > o.after {
-		o.post(dispatcher.JobArrived{Job: job})
-	}
-}
-
 // Cancelled hands an accepted cancellation to the job's shard, if it is owned here.
 func (m *Manager) Cancelled(shard, id string) {
 	if o := m.shard(shard); o != nil {
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -30,7 +30,8 @@
 	ended  map[string][]specifier.End
 	last   map[string]int64
 	starts map[specifier.TaskID]int
-	took   time.Duration // by a task
+	took   time.Duration    // by a task
+	cut    map[string]int64 // calls with a token above this do not reach the worker
 	ids    []string
 }
 
@@ -56,6 +57,18 @@
 	return out, nil
 }
 
+// reaches reports whether a call reaches the worker; otherwise it waits in vain.
+func (f *fleet) reaches(ctx context.Context, id string, token int64) bool {
+	f.mu.Lock()
+	limit, isCut := f.cut[id]
+	f.mu.Unlock()
+	if isCut && token > limit {
+		<-ctx.Done()
+		return false
+	}
+	return true
+}
+
 func (f *fleet) fenced(id string, token int64) bool {
 	if token < f.token[id] {
 		return true
@@ -64,7 +77,10 @@
 	return false
 }
 
-func (f *fleet) Start(_ context.Context, token int64, o dispatcher.StartRun) dispatcher.Fault {
+func (f *fleet) Start(ctx context.Context, token int64, o dispatcher.StartRun) dispatcher.Fault {
+	if !f.reaches(ctx, o.Worker.ID, token) {
+		return dispatcher.Unknown
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	id := o.Worker.ID
@@ -105,7 +121,10 @@
 	return dispatcher.NoFault
 }
 
-func (f *fleet) Hold(_ context.Context, token int64, o dispatcher.HoldWorker) (specifier.Inventory, dispatcher.Fault) {
+func (f *fleet) Hold(ctx context.Context, token int64, o dispatcher.HoldWorker) (specifier.Inventory, dispatcher.Fault) {
+	if !f.reaches(ctx, o.Worker.ID, token) {
+		return specifier.Inventory{}, dispatcher.Unknown
+	}
 	time.Sleep(50 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -292,3 +311,34 @@
 		expectOnce(g, f, 1)
 	})
 }
+
+// An owner whose lease lapsed while it reads the store sees the claim of its
+// successor, and leaves the jobs that come after it alone.
+func TestReplacedOwnerLeavesNewJobs(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		f.mu.Lock()
+		f.cut = map[string]int64{"w1": f.token["w1"]} // the successor does not reach w1
+		f.mu.Unlock()
+		owner.store.SetFault(func(c faker.Call) faker.Fate {
+			if c.Operation == "renew" || c.Operation == "grant" {
+				return faker.Drop
+			}
+			return faker.Answer
+		})
+		for range 60 {
+			time.Sleep(100 * time.Millisecond)
+			if other.View().Shards["desk"].Owner == other.store.Name {
+				break
+			}
+		}
+		for n := range 4 {
+			for other.receiver.Submit(context.Background(), catalog.Queues[0], job(n)) != nil {
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+		time.Sleep(30 * time.Second)
+		g.Expect(other.state(g, 3)).To(Equal(specifier.Succeeded))
+		expectOnce(g, f, 4)
+	})
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -141,6 +141,13 @@
 			if item.Deleted {
 				continue
 			}
+			if o.isReplaced(item) {
+				o.lose("another owner has claimed it")
+				return
+			}
+			if item.Key == recorder.ClaimKey(o.target.name) {
+				continue
+			}
 			event, err := o.decode(item)
 			if err != nil {
 				o.log.Error().Err(err).Str("key", item.Key).Msg("record unreadable, left alone")
@@ -151,6 +158,20 @@
 	})
 }
 
+// isReplaced reports whether an item is the claim of another owner. Jobs that
+// come after it are that owner's.
+func (o *owned) isReplaced(item storer.Item) bool {
+	if item.Key != recorder.ClaimKey(o.target.name) {
+		return false
+	}
+	var claim recorder.Claim
+	if err := recorder.Decode(item.Value, &claim); err != nil {
+		o.log.Error().Err(err).Msg("claim unreadable")
+		return true
+	}
+	return claim.Daemon != o.fence.Daemon || claim.Epoch != o.fence.Epoch
+}
+
 // decode reads a record below the shard's prefix.
 func (o *owned) decode(item storer.Item) (dispatcher.Event, error) {
 	id, isCancel, ok := recorder.ParseShard(o.target.name, item.Key)
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -167,6 +167,10 @@
 			m.adopt(ctx, o)
 			return
 		}
+		if errors.Is(err, fencer.ErrFenced) {
+			m.log.Info().Str("shard", t.name).Msg("shard claimed by another before it was loaded")
+			return
+		}
 		m.log.Warn().Err(err).Str("shard", t.name).Msg("shard's jobs not loaded")
 		pause(limited, renewRetry)
 	}
@@ -204,6 +208,12 @@
 	o := newOwned(m, t, fence, revision)
 	o.first = append(o.first, dispatcher.Configured{Catalog: m.Catalog()})
 	for _, item := range items {
+		if o.isReplaced(item) {
+			return nil, fencer.ErrFenced
+		}
+		if item.Key == recorder.ClaimKey(t.name) {
+			continue
+		}
 		event, err := o.decode(item)
 		if err != nil {
 			return nil, err
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -49,7 +49,6 @@
 type Shards interface {
 	Catalog() *specifier.Catalog
 	View() manager.View
-	Arrived(shard string, job specifier.Job, revision int64)
 	Cancelled(shard, id string)
 	JobState(shard, id string) (specifier.State, bool)
 	Contact() time.Time // when the store last answered
@@ -131,7 +130,6 @@
 	r.count(queue.Name, "accepted")
 	if revision > 0 {
 		r.note(decision.Shard, workOf(queue, &job))
-		r.shards.Arrived(decision.Shard, job, revision)
 	}
 	return nil
 }
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -15,6 +15,7 @@
 //	JobIndex(id)          Entry     which shard has the job, its state
 //	shard/NAME/job/ID     Job       while the job has not ended
 //	shard/NAME/cancel/ID            a cancellation that the owner has yet to act on
+//	shard/NAME/claim      Claim     the last claim, where an owner that was replaced sees it
 //	progress/NAME/ID      Progress  what has completed so far
 //	fence/NAME            Fence     epoch and last write of the owner
 //	view/owner/NAME       Owner     leased: who owns the shard now
@@ -53,6 +54,10 @@
 // CancelKey is the key of a cancellation.
 func CancelKey(shard, id string) string { return ShardPrefix(shard) + "cancel/" + id }
 
+// ClaimKey is the key of a shard's last claim. It is below ShardPrefix, so that
+// an owner that was replaced reads of it before any job that came after.
+func ClaimKey(shard string) string { return ShardPrefix(shard) + "claim" }
+
 // ProgressPrefix is the prefix of the shard's progress records.
 func ProgressPrefix(shard string) string { return "progress/" + shard + "/" }
 
@@ -145,6 +150,12 @@
 	Workers []string `json:"workers,omitempty"` // that may have runs of this shard
 }
 
+// Claim identifies an ownership.
+type Claim struct {
+	Daemon string `json:"daemon"`
+	Epoch  int64  `json:"epoch"`
+}
+
 // Owner says who owns a shard.
 type Owner struct {
 	Daemon string `json:"daemon"`
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -103,8 +103,11 @@
 		return err
 	}
 	tx := storer.Transaction{
-		If:  []storer.Condition{{Key: owner.Key, Revision: revision}},
-		Put: []storer.Write{owner},
+		If: []storer.Condition{{Key: owner.Key, Revision: revision}},
+		Put: []storer.Write{owner, {
+			Key:   recorder.ClaimKey(f.Shard),
+			Value: recorder.Encode(recorder.Claim{Daemon: f.Daemon, Epoch: f.Epoch}),
+		}},
 	}
 	if err := f.offer(ctx, tx); err != nil {
 		return err
