job/manager: an owner whose host was suspended orders nothing until the store confirms it

A suspended host's steady clock stands still, so its ownership looks fresh after the wake-up although a successor may have been counting for seconds. The offset of the boot time clock tells.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -87,8 +87,7 @@
 
 	inherited map[string]time.Time // workers that may have runs of an earlier ownership: when these have lapsed
 	listed    bool                 // the registered workers are known
-	reached   bool                 // the store confirms the ownership
-	contact   time.Time            // when it last did
+	contact   time.Time            // when the store last confirmed the ownership
 	resigned  bool
 
 	batch     int64
@@ -114,7 +113,6 @@
 		workers:   make(map[string]*worker),
 		harm:      newHarm(),
 		inherited: make(map[string]time.Time),
-		reached:   true,
 		contact:   now,
 	}
 	// A predecessor that can't reach the store goes on renewing for OutageLimit.
@@ -185,9 +183,9 @@
 	case Committed:
 		s.committedBatch(e.Batch)
 	case StoreReached:
-		s.reached = e.OK
-		if e.OK {
-			s.contact = s.now
+		s.contact = s.now
+		if !e.OK {
+			s.contact = s.now.Add(-s.options.OutageLimit)
 		}
 	}
 }
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -99,7 +99,8 @@
 // Committed says that a Commit is durable.
 type Committed struct{ Batch int64 }
 
-// StoreReached says whether the ownership was confirmed by the store lately.
+// StoreReached says that the store has confirmed the ownership, or, with OK
+// false, that it is in doubt: nothing is ordered until it is confirmed.
 type StoreReached struct{ OK bool }
 
 func (Tick) event()          {}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -31,6 +31,8 @@
 	calls  sync.WaitGroup
 	last   recorder.Load // as published
 
+	suspension suspension
+
 	mu    sync.Mutex // guards state
 	state *dispatcher.Shard
 }
@@ -108,6 +110,11 @@
 }
 
 func (o *owned) reduce(ctx context.Context, events ...dispatcher.Event) {
+	if o.suspension.hasPassed() {
+		o.log.Warn().Msg("host was suspended, ownership is in doubt")
+		events = append([]dispatcher.Event{dispatcher.StoreReached{OK: false}}, events...)
+		o.m.lease.Poke()
+	}
 	began := time.Now()
 	o.mu.Lock()
 	effects := o.state.Reduce(began, events...)
