--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -4,8 +4,7 @@
 
 // commit sends what has changed, one batch at a time.
 func (s *Shard) commit() {
-	unnamed := s.hasUnnamed()
-	if s.pending || len(s.dirty) == 0 && !unnamed || s.now.Sub(s.committed) < commitInterval {
+	if s.pending || len(s.dirty) == 0 && s.unnamed == 0 || s.now.Sub(s.committed) < commitInterval {
 		return
 	}
 	n := min(len(s.dirty), commitChanges)
@@ -31,16 +30,6 @@
 	s.emit(Commit{Batch: s.batch, Changes: changes, Workers: s.naming})
 }
 
-// hasUnnamed reports whether a worker is not durably named yet.
-func (s *Shard) hasUnnamed() bool {
-	for _, w := range s.workers {
-		if !w.named {
-			return true
-		}
-	}
-	return false
-}
-
 // committedBatch takes in that a batch is durable, and lets the ends that
 // caused it be acknowledged.
 func (s *Shard) committedBatch(batch int64) {
@@ -59,6 +48,7 @@
 	for _, id := range s.naming {
 		if w := s.workers[id]; w != nil && !w.named {
 			w.named = true
+			s.unnamed--
 			s.changed = true
 		}
 	}
@@ -70,7 +60,10 @@
 // usedWorkers names the workers that may have runs of this shard. Nothing is
 // started on a worker before a successor would find it named.
 func (s *Shard) usedWorkers() []string {
-	used := sortedKeys(s.workers)
+	used := make([]string, 0, len(s.roster))
+	for _, w := range s.roster {
+		used = append(used, w.reg.ID)
+	}
 	for _, id := range sortedKeys(s.inherited) {
 		if s.workers[id] == nil {
 			used = append(used, id)
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -33,6 +33,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/learner"
@@ -82,6 +83,8 @@
 	early   map[string]time.Time // cancellations of jobs that have not arrived: when
 	steps   []*step              // with waiting tasks, in no order
 	workers map[string]*worker
+	roster  []*worker        // the same, sorted by id
+	unnamed int              // workers that no durable commit names yet
 	harm    *learner.Learner // how fillers disturb serving tasks, by image
 	beliefs beliefs
 
@@ -227,8 +230,8 @@
 func (s *Shard) tick() {
 	s.expireInherited()
 	s.wake()
-	for _, id := range sortedKeys(s.workers) {
-		s.reviewWorker(s.workers[id])
+	for _, w := range slices.Clone(s.roster) {
+		s.reviewWorker(w)
 	}
 	if s.now.Sub(s.published) >= publishInterval && s.isOpen() {
 		s.published = s.now
--- a/internal/job/dispatcher/harm.go
+++ b/internal/job/dispatcher/harm.go
@@ -167,6 +167,7 @@
 		r.slowed = s.now
 	}
 	r.pace = percent
+	r.worker.use = unknownUse
 	r.worker.paced = s.now
 	s.emit(PaceRun{Worker: r.worker.reg, Task: r.id, Run: r.number, Percent: percent})
 	s.emit(Log{
@@ -183,6 +184,7 @@
 	}
 	if r := w.runs[e.Task]; r != nil && r.number == e.Run {
 		r.pace = unknownPace
+		w.use = unknownUse
 	}
 }
 
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -16,7 +16,8 @@
 	s        *Shard
 	workers  []*worker
 	rooms    []fitter.Room
-	reserved int // workers kept free for work that has waited for long
+	reserved int         // workers kept free for work that has waited for long
+	largest  fitter.Room // the most that any worker has of each kind, when the round began
 }
 
 // place starts waiting tasks, in their order, where there is room.
@@ -87,24 +88,36 @@
 
 // waitingSince is when the first of the waiting tasks began to wait.
 func (st *step) waitingSince() time.Time {
-	var first time.Time
+	if t := st.firstWaiting(); t != nil {
+		return t.since
+	}
+	return time.Time{}
+}
+
+// firstWaiting is the task that has waited for longest, or nil.
+func (st *step) firstWaiting() *task {
+	var first *task
 	for _, t := range st.tasks {
-		if !t.done && t.worker == nil && (first.IsZero() || t.since.Before(first)) {
-			first = t.since
+		if !t.done && t.worker == nil && (first == nil || t.since.Before(first.since)) {
+			first = t
 		}
 	}
 	return first
 }
 
 func (s *Shard) newPlacement() *placement {
-	p := &placement{s: s}
-	for _, id := range sortedKeys(s.workers) {
-		w := s.workers[id]
+	p := &placement{s: s, workers: make([]*worker, 0, len(s.roster)), rooms: make([]fitter.Room, 0, len(s.roster))}
+	for _, w := range s.roster {
 		if !w.isUsable(s.now) {
 			continue
 		}
+		room := w.room()
 		p.workers = append(p.workers, w)
-		p.rooms = append(p.rooms, w.room())
+		p.rooms = append(p.rooms, room)
+		p.largest.Free.CPU = max(p.largest.Free.CPU, room.Free.CPU)
+		p.largest.Free.Memory = max(p.largest.Free.Memory, room.Free.Memory)
+		p.largest.Free.Accelerators = max(p.largest.Free.Accelerators, room.Free.Accelerators)
+		p.largest.Unused = max(p.largest.Unused, room.Unused)
 	}
 	return p
 }
@@ -134,16 +147,16 @@
 
 // fillerUse is the CPU that fillers may use at their present pace.
 func (w *worker) fillerUse() int64 {
-	if w.used.filler == 0 {
-		return 0
+	if w.use >= 0 {
+		return w.use
 	}
-	var use int64
+	w.use = 0
 	for _, r := range w.runs {
 		if r.isFiller() {
-			use += r.needs.filler * int64(max(r.pace, 0)) / full
+			w.use += r.needs.filler * int64(max(r.pace, 0)) / full
 		}
 	}
-	return use
+	return w.use
 }
 
 func (st *step) fitterNeed() fitter.Need {
@@ -153,6 +166,10 @@
 // placeStep starts as many waiting tasks of a step as there is room for.
 func (p *placement) placeStep(st *step) {
 	need := st.fitterNeed()
+	if !need.Fits(&p.largest) {
+		p.reserve(st, st.firstWaiting())
+		return
+	}
 	p.relate(st)
 	for _, t := range st.tasks {
 		if st.waiting == 0 {
@@ -183,7 +200,7 @@
 // reserve keeps what becomes free on one worker for a task that has waited for
 // long. Otherwise smaller tasks behind it would take the room each time.
 func (p *placement) reserve(st *step, t *task) {
-	if st.spec.Filler || p.reserved >= maxReserved || p.s.now.Sub(t.since) < reserveAfter {
+	if t == nil || st.spec.Filler || p.reserved >= maxReserved || p.s.now.Sub(t.since) < reserveAfter {
 		return
 	}
 	best := -1
@@ -308,7 +325,7 @@
 func (s *Shard) hasRoom(r *run, allowed func(*worker) bool) bool {
 	st := r.task.step
 	need := st.fitterNeed()
-	for _, w := range s.workers {
+	for _, w := range s.roster {
 		if w == r.worker || !w.isUsable(s.now) || !w.reg.HasLabel(st.spec.Label) {
 			continue
 		}
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
@@ -14,6 +15,7 @@
 	rack    string
 	runs    map[specifier.TaskID]*run
 	used    need
+	use     int64         // CPU of fillers at their pace, millicores; unknownUse after a change
 	perStep map[*step]int // runs of each step
 
 	missing time.Time // when it was first not listed; zero while it is
@@ -40,6 +42,8 @@
 	paced   time.Time
 }
 
+const unknownUse = -1
+
 // pendingEnd is an end whose change is not durable yet.
 type pendingEnd struct {
 	number  int64
@@ -101,7 +105,7 @@
 	if w == nil {
 		w = &worker{reg: reg, runs: make(map[specifier.TaskID]*run), perStep: make(map[*step]int), serving: make(map[string]int)}
 		w.rack = reg.Rack()
-		s.workers[reg.ID] = w
+		s.admit(w)
 		s.emit(Log{Message: "worker registered", Worker: reg.ID})
 		s.hold(w)
 		return
@@ -119,6 +123,27 @@
 	w.missing = time.Time{}
 }
 
+// admit adds a worker to the shard.
+func (s *Shard) admit(w *worker) {
+	s.workers[w.reg.ID] = w
+	s.unnamed++
+	at, _ := slices.BinarySearchFunc(s.roster, w, compareWorkers)
+	s.roster = slices.Insert(s.roster, at, w)
+}
+
+// dismiss removes a worker that is gone.
+func (s *Shard) dismiss(w *worker) {
+	delete(s.workers, w.reg.ID)
+	if !w.named {
+		s.unnamed--
+	}
+	if at, ok := slices.BinarySearchFunc(s.roster, w, compareWorkers); ok {
+		s.roster = slices.Delete(s.roster, at, at+1)
+	}
+}
+
+func compareWorkers(a, b *worker) int { return strings.Compare(a.reg.ID, b.reg.ID) }
+
 // rebirth forgets what ran in an earlier life of the worker.
 func (s *Shard) rebirth(w *worker, born int64) {
 	s.emit(Log{Message: "worker born again", Worker: w.reg.ID})
@@ -146,6 +171,7 @@
 	}
 	delete(w.runs, r.id)
 	w.used = w.used.sub(r.needs)
+	w.use = unknownUse
 	s.changed = true
 	if r.strange {
 		w.strange--
@@ -173,6 +199,7 @@
 func (w *worker) add(r *run) {
 	w.runs[r.id] = r
 	w.used = w.used.add(r.needs)
+	w.use = unknownUse
 	if r.strange {
 		w.strange++
 	}
@@ -191,7 +218,7 @@
 	if !w.missing.IsZero() && (len(w.runs) == 0 || !w.lapsed.IsZero() && s.now.After(w.lapsed)) && !w.holding {
 		if _, may := s.inherited[w.reg.ID]; !may {
 			s.dropRuns(w)
-			delete(s.workers, w.reg.ID)
+			s.dismiss(w)
 			s.emit(Log{Message: "worker is gone", Worker: w.reg.ID})
 			return
 		}
