job/dispatcher: a failed task may start again where it failed

Ruled out: the reservation, it holds room on another worker that never became large enough. Test: 'starts a failed task again where it failed' fails without.

--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -249,12 +249,16 @@
 		return fitter.Choose(p.rooms, need, allowed)
 	}
 	i := fitter.Choose(p.rooms, need, func(i int) bool { return p.workers[i].reg.ID != t.last && allowed(i) })
-	if i < 0 && len(p.workers) == 1 {
+	if i < 0 && p.s.now.Sub(t.since) >= elsewhereWait {
 		return fitter.Choose(p.rooms, need, allowed)
 	}
 	return i
 }
 
+// elsewhereWait is how long a task that failed waits for another worker than
+// that where it failed; its room there may be the only one.
+const elsewhereWait = 300 * time.Millisecond
+
 // isAdvised reports whether the step may start on the worker now.
 func (p *placement) isAdvised(st *step, w *worker) bool {
 	if !st.job.queue.Advice.Needed {
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -85,6 +85,29 @@
 		Expect(again[0].Worker.ID).To(Equal(other))
 	})
 
+	It("starts a failed task again where it failed, if there is no room elsewhere", func() {
+		d := newDesk(queue, "w1", "w2")
+		whole := func(s *specifier.Step) { s.Lasting, s.Needs = true, resources(workerCPU) }
+		other := oneStep(1, whole)
+		other.ID = "0000000000000001"
+		d.do(JobArrived{Job: oneStep(1, whole)}, JobArrived{Job: other})
+		starts := taken[StartRun](d)
+		Expect(starts).To(HaveLen(2))
+		for _, s := range starts {
+			d.do(StartAnswered{Worker: s.Worker.ID, Born: 1, Task: s.Task, Run: 1})
+		}
+		d.now = d.now.Add(time.Second)
+		d.do(Held{Worker: starts[0].Worker.ID, Sent: d.now, Inventory: specifier.Inventory{
+			Born: 1, Clock: 2 * time.Minute,
+			Ended: []specifier.End{{Number: 1, Task: starts[0].Task, Run: 1, Outcome: specifier.Faulty}},
+		}})
+		Expect(taken[StartRun](d)).To(BeEmpty())
+		d.pass(elsewhereWait)
+		again := taken[StartRun](d)
+		Expect(again).To(HaveLen(1))
+		Expect(again[0].Worker.ID).To(Equal(starts[0].Worker.ID))
+	})
+
 	It("stops when a worker has seen a later owner", func() {
 		d := newDesk(queue, "w1")
 		d.do(HoldFailed{Worker: "w1", Born: 1, Fault: Fenced})
