traffic/forwarder: a planned stop serves what the balancer still sends

Cause: with the request to stop the routing table became unready, and the forwarder refused as 'starting' everything until the balancer had noticed; keys were refused as 'unclaimed' since their call ended after 1 s, before the 1.5 s that a change of owner may take. Ruled out: hosts that are ready too early after a start; the refusals all fall into the planned stop.

--- a/internal/control/describer/host.go
+++ b/internal/control/describer/host.go
@@ -55,7 +55,8 @@
 	Services map[string][]Backend // by service, sorted by worker name
 	Owners   map[string]string    // shard to the control address of its owner, as far as known
 	Owned    map[string]int64     // shards owned by this daemon, with the epoch
-	Ready    bool                 // whether this daemon may serve
+	Ready    bool                 // whether this daemon may be sent requests
+	Stopping bool                 // a planned stop has begun; what still comes is served
 }
 
 // Backends returns the targets of a service.
--- a/internal/control/reducer/routing.go
+++ b/internal/control/reducer/routing.go
@@ -27,6 +27,7 @@
 		Owners:   make(map[string]string, len(s.config.Shards)),
 		Owned:    make(map[string]int64),
 		Ready:    s.isReady(),
+		Stopping: s.stopping,
 	}
 	for _, p := range s.peers {
 		for _, id := range p.Shards {
--- a/internal/traffic/forwarder/claims.go
+++ b/internal/traffic/forwarder/claims.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	claimTimeout = time.Second // of one call to the claimer
-	maxClaims    = 1024        // keys remembered
-	maxCopied    = 16 << 10    // bytes of an answer that is remembered
+	claimTimeout = 2 * time.Second // of one call to the claimer, with a change of owner
+	maxClaims    = 1024            // keys remembered
+	maxCopied    = 16 << 10        // bytes of an answer that is remembered
 )
 
 // claimState is what this entry host knows of a key.
--- a/internal/traffic/forwarder/forwarder_test.go
+++ b/internal/traffic/forwarder/forwarder_test.go
@@ -13,6 +13,8 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+
 	"dotterelcart.dev/dotterelcart/internal/traffic/forwarder"
 )
 
@@ -183,6 +185,25 @@
 		Expect(text(b.do("GET", "/svc/desk/", ""))).To(Equal("free"))
 	})
 
+	It("serves what still comes after a planned stop has begun", func() {
+		b := new(bench)
+		b.add(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("served")) })
+		b.start()
+		table := *b.table.Load()
+		table.Ready, table.Stopping = false, true
+		b.table.Store(&table)
+		Expect(text(b.do("GET", "/svc/desk/", ""))).To(Equal("served"))
+	})
+
+	It("refuses while it does not know the configuration", func() {
+		b := new(bench)
+		b.start()
+		b.table.Store(&describer.RoutingTable{})
+		status, failure := b.failure("GET", "/svc/desk/", "")
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		Expect(failure.Code).To(Equal("starting"))
+	})
+
 	It("ends a planned stop without cutting a request off", func() {
 		b := new(bench)
 		arrived, proceed := make(chan struct{}), make(chan struct{})
--- a/internal/traffic/forwarder/headers.go
+++ b/internal/traffic/forwarder/headers.go
@@ -72,7 +72,7 @@
 	}
 	c.weight = weight
 	table := f.table()
-	if table == nil || !table.Ready {
+	if table == nil || !table.Ready && !table.Stopping {
 		return errStarting
 	}
 	if _, err := table.Backends(c.service); err != nil {
