--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -31,6 +31,7 @@
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/state/leaser"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
 )
 
 // Times of the manager.
@@ -233,7 +234,7 @@
 			failing = false
 			m.takeWorkers(list, took)
 		}
-		pause(ctx, listInterval)
+		waiter.Pause(ctx, listInterval)
 	}
 }
 
@@ -279,14 +280,3 @@
 	m.lease.Close()
 	<-m.Done
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -13,6 +13,7 @@
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/state/fencer"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
 )
 
 // wholeLimit is the most workers of a service that are one shard.
@@ -38,7 +39,7 @@
 
 // reviewOwnership claims shards without an owner until ctx ends.
 func (m *Manager) reviewOwnership(ctx context.Context) {
-	for pause(ctx, reviewInterval) {
+	for waiter.Pause(ctx, reviewInterval) {
 		if m.leaving.Load() || m.Catalog().Version == 0 {
 			continue
 		}
@@ -65,7 +66,7 @@
 	if err == nil {
 		return
 	}
-	pause(ctx, renewRetry) // the view will show whether another daemon has written it
+	waiter.Pause(ctx, renewRetry) // the view will show whether another daemon has written it
 }
 
 // claimable lists the shards that this daemon should claim now, and the
@@ -172,7 +173,7 @@
 			return
 		}
 		m.log.Warn().Err(err).Str("shard", t.name).Msg("shard's jobs not loaded")
-		pause(limited, renewRetry)
+		waiter.Pause(limited, renewRetry)
 	}
 	m.log.Warn().Str("shard", t.name).Msg("shard given up: its jobs were not loaded in time")
 	m.removeOwner(ctx, fence)
@@ -298,7 +299,7 @@
 			return
 		}
 		m.log.Warn().Err(err).Str("shard", o.target.name).Msg("ownership not confirmed")
-		pause(ctx, renewRetry)
+		waiter.Pause(ctx, renewRetry)
 	}
 }
 
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -8,6 +8,7 @@
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
 )
 
 // View is what a daemon knows of all shards.
@@ -111,7 +112,7 @@
 				f.m.log.Warn().Err(err).Str("prefix", f.prefix).Msg("store not followed")
 			}
 			failing = true
-			pause(ctx, renewRetry)
+			waiter.Pause(ctx, renewRetry)
 			continue
 		}
 		if failing {
@@ -121,7 +122,7 @@
 		f.m.reached()
 		take(items, whole)
 		if len(items) > 0 && f.pause > 0 {
-			pause(ctx, f.pause)
+			waiter.Pause(ctx, f.pause)
 		}
 	}
 }
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -30,6 +30,7 @@
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 )
 
@@ -207,7 +208,7 @@
 		}
 		r.noteFailure()
 		uncertain = uncertain || classifier.Of(err) != classifier.NotRun
-		if !pause(ctx, storeRetry) || !uncertain {
+		if !waiter.Pause(ctx, storeRetry) || !uncertain {
 			if uncertain {
 				err = &classifier.Error{Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer", Err: err}
 			}
@@ -233,7 +234,7 @@
 // entry reads the index entry of a job and its revision.
 func (r *Receiver) entry(ctx context.Context, id string) (recorder.Entry, int64, error) {
 	item, err := r.store.Get(ctx, recorder.JobIndex(id))
-	for err != nil && !errors.Is(err, storer.ErrNotFound) && pause(ctx, storeRetry) {
+	for err != nil && !errors.Is(err, storer.ErrNotFound) && waiter.Pause(ctx, storeRetry) {
 		item, err = r.store.Get(ctx, recorder.JobIndex(id))
 	}
 	if errors.Is(err, storer.ErrNotFound) {
@@ -270,7 +271,7 @@
 		}
 		if !errors.Is(err, storer.ErrConflict) {
 			r.log.Warn().Err(err).Str("job", id).Msg("cancellation not accepted")
-			if !pause(ctx, storeRetry) {
+			if !waiter.Pause(ctx, storeRetry) {
 				return r.unreachable(err)
 			}
 		}
@@ -367,14 +368,3 @@
 	}
 	return w
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/operator/server/build.go
+++ b/internal/operator/server/build.go
@@ -23,6 +23,7 @@
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/state/distributor"
 	"dotterelcart.dev/dotterelcart/internal/state/holder"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
 	"dotterelcart.dev/dotterelcart/internal/traffic/forwarder"
 	"dotterelcart.dev/dotterelcart/internal/traffic/lender"
 )
@@ -164,7 +165,7 @@
 		if s.metrics.Ready.Swap(ready) != ready {
 			s.log.Info().Str("part", "server").Bool("ready", ready).Msg("readiness changed")
 		}
-		wait(ctx, tickInterval)
+		waiter.Pause(ctx, tickInterval)
 	}
 }
 
@@ -182,7 +183,7 @@
 			s.members.UpdateHosts(list)
 			s.control.Post(reducer.HostsListed{Hosts: list})
 		}
-		wait(ctx, hostsInterval)
+		waiter.Pause(ctx, hostsInterval)
 	}
 }
 
--- a/internal/operator/server/stop.go
+++ b/internal/operator/server/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/reducer"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
 )
 
 const (
@@ -22,7 +23,7 @@
 		s.metrics.Ready.Store(false)
 		s.members.Leave()
 		s.control.Post(reducer.StopRequested{})
-		wait(ctx, balancerTime)
+		waiter.Pause(ctx, balancerTime)
 		cut = s.forwarder.Drain(ctx)
 		if err := s.callers.Shutdown(ctx); err != nil {
 			s.log.Warn().Str("part", "server").Err(err).Msg("callers cut off")
@@ -72,15 +73,6 @@
 	limited, cancel := context.WithTimeout(ctx, releaseTime)
 	defer cancel()
 	for len(s.table.Load().Owned) > 0 && limited.Err() == nil {
-		wait(limited, releasePoll)
-	}
-}
-
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
+		waiter.Pause(limited, releasePoll)
 	}
 }
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -24,6 +24,7 @@
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
 )
 
 // Errors of a Fence, found with errors.Is.
@@ -186,7 +187,7 @@
 				return err
 			}
 		}
-		if !pause(ctx, delays.NextBackOff()) {
+		if !waiter.Pause(ctx, delays.NextBackOff()) {
 			return err
 		}
 	}
@@ -215,14 +216,3 @@
 	}
 	return ErrFenced
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
