--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -36,14 +36,13 @@
 	Age      time.Duration // of the summary
 	Workers  int
 	Free     describer.Resources
-	Largest  describer.Resources // room of the worker with the most free CPU
-	Turning  int64               // CPU of counted tasks that will end, millicores
-	Unused   int64               // CPU for fillers that is not taken, millicores
-	Fillers  int64               // CPU that running fillers asked for, millicores
-	Counted  int64               // waiting work that goes first or equal, millicore-seconds
-	Filler   int64               // the same of fillers
-	HasRack  bool                // has the rack of the job's data
-	HasLabel bool                // has workers of each label that the job needs
+	Turning  int64 // CPU of counted tasks that will end, millicores
+	Unused   int64 // CPU for fillers that is not taken, millicores
+	Fillers  int64 // CPU that running fillers asked for, millicores
+	Counted  int64 // waiting work that goes first or equal, millicore-seconds
+	Filler   int64 // the same of fillers
+	HasRack  bool  // has the rack of the job's data
+	HasLabel bool  // has workers of each label that the job needs
 }
 
 // Work is what a job asks for.
@@ -51,7 +50,6 @@
 	Counted   int64 // millicore-seconds of tasks that count against the capacity
 	Filler    int64 // the same of fillers
 	Lasting   int64 // millicores that lasting tasks reserve
-	Widest    describer.Resources
 	Chain     time.Duration
 	Objective time.Duration // from acceptance
 	NeedsRack bool
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -19,12 +19,11 @@
 	objective time.Time
 	grace     time.Time // until when an end still earns something
 
-	cancelled bool // a cancellation was accepted
-	final     specifier.State
-	version   int64 // of what would be committed
-	sent      int64 // version of the last commit
-	durable   int64 // version that is committed for certain
-	dirty     bool  // version is to be committed
+	final   specifier.State
+	version int64 // of what would be committed
+	sent    int64 // version of the last commit
+	durable int64 // version that is committed for certain
+	dirty   bool  // version is to be committed
 }
 
 // step is one step of one occurrence.
@@ -261,7 +260,6 @@
 		s.early[id] = s.now
 		return
 	}
-	j.cancelled = true
 	if j.final == "" {
 		s.end(j, specifier.Cancelled, "cancelled")
 	}
--- a/internal/job/dispatcher/load.go
+++ b/internal/job/dispatcher/load.go
@@ -22,9 +22,9 @@
 		l.Turning += w.used.counted.CPU - w.used.lasting
 		l.Unused += max(room.Unused, 0)
 		l.Fillers += w.used.filler
-		if room.Free.CPU > l.Largest.CPU {
-			l.Largest = room.Free
-		}
+		l.Largest.CPU = max(l.Largest.CPU, w.reg.Capacity.CPU)
+		l.Largest.Memory = max(l.Largest.Memory, w.reg.Capacity.Memory)
+		l.Largest.Accelerators = max(l.Largest.Accelerators, w.reg.Capacity.Accelerators)
 		for _, label := range w.reg.Labels {
 			if !slices.Contains(l.Labels, label) {
 				l.Labels = append(l.Labels, label)
--- a/internal/job/dispatcher/world_test.go
+++ b/internal/job/dispatcher/world_test.go
@@ -161,7 +161,7 @@
 	o := &owner{world: w, token: w.token, alive: true, store: true, cut: make(map[*fakeWorker]bool)}
 	o.shard = New(Options{
 		Name: "desk", Service: "desk", Epoch: w.epoch, Workers: slices.Clone(w.used),
-		Lease: worldLease, OutageLimit: worldOutage, StopTime: worldStop, HoldWait: 500 * time.Millisecond,
+		Lease: worldLease, OutageLimit: worldOutage, HoldWait: 500 * time.Millisecond,
 	}, w.now)
 	w.epoch++
 	w.owner = o
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -87,7 +87,6 @@
 	Domain string        // its failure domain
 	TTL    time.Duration // of the ownership's lease in the store
 
-	StopTime   time.Duration // a worker's bound on a stop
 	MaxLease   time.Duration // that a worker grants
 	ClockError time.Duration // by which the time of day may be off
 	Adviser    Adviser       // nil: queues that need advice wait
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -157,7 +157,7 @@
 func newDaemon(name string, store *faker.Store, workers *fleet) *daemon {
 	client := store.Client(name)
 	m := manager.New(manager.Options{
-		Daemon: name, Domain: "bne", TTL: 3 * time.Second, StopTime: 400 * time.Millisecond, MaxLease: 10 * time.Second,
+		Daemon: name, Domain: "bne", TTL: 3 * time.Second, MaxLease: 10 * time.Second,
 		Scope: tally.NoopScope, Log: zerolog.Nop(),
 	}, client, workers, workers)
 	m.SetCatalog(catalog)
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -50,7 +50,6 @@
 		Epoch: fence.Epoch, Workers: fence.Workers,
 		Lease:       min(workerLease, m.options.MaxLease),
 		OutageLimit: outageLimit,
-		StopTime:    m.options.StopTime,
 		HoldWait:    holdWait,
 		ClockError:  m.options.ClockError,
 	}, time.Now())
--- /dev/null
+++ b/internal/job/receiver/admission.go
@@ -0,0 +1,117 @@
+package receiver
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/admitter"
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/manager"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+// accepted is work that was accepted here and that no load summary shows yet.
+type accepted struct {
+	at   time.Time
+	work admitter.Work
+}
+
+// checkSizes reports a step whose tasks are larger than any worker, as far as
+// the workers are known.
+func (r *Receiver) checkSizes(queue specifier.Queue, job *specifier.Job) error {
+	var largest describer.Resources
+	for _, s := range r.shards.View().Shards {
+		if s.Load.Service == queue.Service && s.Load.Workers > 0 {
+			largest.CPU = max(largest.CPU, s.Load.Largest.CPU)
+			largest.Memory = max(largest.Memory, s.Load.Largest.Memory)
+			largest.Accelerators = max(largest.Accelerators, s.Load.Largest.Accelerators)
+		}
+	}
+	if largest.IsZero() {
+		return nil
+	}
+	for i, step := range job.Steps {
+		needs := step.Needs
+		if step.Filler {
+			needs.CPU = 0
+		}
+		if !needs.Fits(largest) {
+			return &specifier.FieldError{Field: fmt.Sprintf("steps[%d].needs", i), Reason: "no worker is that large"}
+		}
+	}
+	return nil
+}
+
+// admit decides by what is known of the shards.
+func (r *Receiver) admit(queue specifier.Queue, job *specifier.Job) admitter.Decision {
+	work := workOf(queue, job)
+	view := r.shards.View()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var shards []admitter.Shard
+	for name, s := range view.Shards {
+		if s.Load.Service == queue.Service && time.Since(s.Received) < staleView {
+			shards = append(shards, r.shard(name, s, queue, job))
+		}
+	}
+	slices.SortFunc(shards, func(a, b admitter.Shard) int { return cmp.Compare(a.Name, b.Name) })
+	return admitter.Decide(work, shards, r.options.Random)
+}
+
+// shard is the load of one shard, with what was accepted here since.
+func (r *Receiver) shard(name string, s manager.ShardView, queue specifier.Queue, job *specifier.Job) admitter.Shard {
+	out := admitter.Shard{
+		Name: name, Near: s.Load.Domain == "" || s.Load.Domain == r.options.Domain, Age: time.Since(s.Received),
+		Workers: s.Load.Workers, Free: s.Load.Free,
+		Turning: s.Load.Turning, Unused: s.Load.Unused, Fillers: s.Load.Fillers, HasLabel: true,
+	}
+	if !out.Near {
+		out.Distance = afarDistance
+	}
+	for _, step := range job.Steps {
+		out.HasLabel = out.HasLabel && (step.Label == "" || slices.Contains(s.Load.Labels, step.Label))
+		out.HasRack = out.HasRack || step.Rack != "" && slices.Contains(s.Load.Labels, step.Rack)
+	}
+	for _, b := range s.Load.Backlog {
+		if b.Priority <= queue.Priority {
+			out.Counted += b.Counted
+			out.Filler += b.Filler
+		}
+	}
+	recent := slices.DeleteFunc(r.accepted[name], func(a accepted) bool { return a.at.Before(s.Received) })
+	r.accepted[name] = recent
+	for _, a := range recent {
+		out.Counted += a.work.Counted
+		out.Filler += a.work.Filler
+		out.Free.CPU -= a.work.Lasting
+	}
+	return out
+}
+
+// note counts work that was accepted here until a load summary shows it.
+func (r *Receiver) note(shard string, work admitter.Work) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.accepted[shard] = append(r.accepted[shard], accepted{time.Now(), work})
+}
+
+func workOf(queue specifier.Queue, job *specifier.Job) admitter.Work {
+	w := admitter.Work{Chain: job.Chain()}
+	w.Objective = time.Duration(float64(w.Chain)*queue.Slack) + queue.Completion
+	for _, step := range job.Steps {
+		cpu := step.Needs.CPU * int64(step.Count)
+		work := cpu * int64(step.Estimate) / int64(time.Second) * int64(job.Occurrences())
+		switch {
+		case step.Lasting:
+			w.Lasting += cpu
+		case step.Filler:
+			w.Filler += work
+		default:
+			w.Counted += work
+		}
+		w.NeedsRack = w.NeedsRack || step.Rack != ""
+	}
+	return w
+}
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -18,7 +18,6 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
-	"slices"
 	"sync"
 	"time"
 
@@ -81,12 +80,6 @@
 	failed   time.Time // when the store last did not answer a write
 }
 
-// accepted is work that was accepted here and that no load summary shows yet.
-type accepted struct {
-	at   time.Time
-	work admitter.Work
-}
-
 // New returns a receiver.
 func New(o Options, shards Shards, store Store) *Receiver {
 	return &Receiver{
@@ -99,12 +92,11 @@
 // accepted again.
 func (r *Receiver) Submit(ctx context.Context, queue specifier.Queue, job specifier.Job) error {
 	if err := job.Validate(); err != nil {
-		var field *specifier.FieldError
-		errors.As(err, &field)
-		return &classifier.Error{
-			Verdict: classifier.NotRun, Status: http.StatusBadRequest, Code: "invalid",
-			Message: field.Reason, Field: field.Field,
-		}
+		return invalid(err)
+	}
+	if err := r.checkSizes(queue, &job); err != nil {
+		r.log.Info().Err(err).Str("job", job.ID).Msg("job refused")
+		return invalid(err)
 	}
 	job.Queue = queue.Name
 	job.Accepted = time.Now()
@@ -135,6 +127,16 @@
 	return nil
 }
 
+// invalid is the answer to a fault of a submission.
+func invalid(err error) error {
+	e := &classifier.Error{Verdict: classifier.NotRun, Status: http.StatusBadRequest, Code: "invalid", Message: err.Error()}
+	var field *specifier.FieldError
+	if errors.As(err, &field) {
+		e.Message, e.Field = field.Reason, field.Field
+	}
+	return e
+}
+
 // isStoreUp reports whether the store has answered lately, and since it last
 // did not answer a write.
 func (r *Receiver) isStoreUp() bool {
@@ -291,80 +293,3 @@
 	}
 	return total
 }
-
-// admit decides by what is known of the shards.
-func (r *Receiver) admit(queue specifier.Queue, job *specifier.Job) admitter.Decision {
-	work := workOf(queue, job)
-	view := r.shards.View()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var shards []admitter.Shard
-	for name, s := range view.Shards {
-		if s.Load.Service == queue.Service && time.Since(s.Received) < staleView {
-			shards = append(shards, r.shard(name, s, queue, job))
-		}
-	}
-	slices.SortFunc(shards, func(a, b admitter.Shard) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return admitter.Decide(work, shards, r.options.Random)
-}
-
-// shard is the load of one shard, with what was accepted here since.
-func (r *Receiver) shard(name string, s manager.ShardView, queue specifier.Queue, job *specifier.Job) admitter.Shard {
-	out := admitter.Shard{
-		Name: name, Near: s.Load.Domain == "" || s.Load.Domain == r.options.Domain, Age: time.Since(s.Received),
-		Workers: s.Load.Workers, Free: s.Load.Free, Largest: s.Load.Largest,
-		Turning: s.Load.Turning, Unused: s.Load.Unused, Fillers: s.Load.Fillers, HasLabel: true,
-	}
-	if !out.Near {
-		out.Distance = afarDistance
-	}
-	for _, step := range job.Steps {
-		out.HasLabel = out.HasLabel && (step.Label == "" || slices.Contains(s.Load.Labels, step.Label))
-		out.HasRack = out.HasRack || step.Rack != "" && slices.Contains(s.Load.Labels, step.Rack)
-	}
-	for _, b := range s.Load.Backlog {
-		if b.Priority <= queue.Priority {
-			out.Counted += b.Counted
-			out.Filler += b.Filler
-		}
-	}
-	recent := slices.DeleteFunc(r.accepted[name], func(a accepted) bool { return a.at.Before(s.Received) })
-	r.accepted[name] = recent
-	for _, a := range recent {
-		out.Counted += a.work.Counted
-		out.Filler += a.work.Filler
-		out.Free.CPU -= a.work.Lasting
-	}
-	return out
-}
-
-// note counts work that was accepted here until a load summary shows it.
-func (r *Receiver) note(shard string, work admitter.Work) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.accepted[shard] = append(r.accepted[shard], accepted{time.Now(), work})
-}
-
-func workOf(queue specifier.Queue, job *specifier.Job) admitter.Work {
-	w := admitter.Work{Chain: job.Chain()}
-	w.Objective = time.Duration(float64(w.Chain)*queue.Slack) + queue.Completion
-	for _, step := range job.Steps {
-		cpu := step.Needs.CPU * int64(step.Count)
-		work := cpu * int64(step.Estimate) / int64(time.Second) * int64(job.Occurrences())
-		switch {
-		case step.Lasting:
-			w.Lasting += cpu
-		case step.Filler:
-			w.Filler += work
-		default:
-			w.Counted += work
-		}
-		w.NeedsRack = w.NeedsRack || step.Rack != ""
-	}
-	return w
-}
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -175,7 +175,7 @@
 	Workers  int                 `json:"workers"`
 	Capacity describer.Resources `json:"capacity"`
 	Free     describer.Resources `json:"free"`
-	Largest  describer.Resources `json:"largest"` // room of the worker with the most free CPU
+	Largest  describer.Resources `json:"largest"` // most that any worker has of each kind
 	Turning  int64               `json:"turning"` // CPU of counted tasks that will end, millicores
 	Unused   int64               `json:"unused"`  // CPU for fillers that is not taken, millicores
 	Fillers  int64               `json:"fillers"` // CPU that running fillers asked for, millicores
