job/dispatcher: a successor waits for other workers only with tasks that it can't locate

Ruled out: room, there was twice as much. Change: a task that was active under this owner, or of a step whose turn came by one that was, can run nowhere else: a former owner is refused where the run was.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -194,7 +194,7 @@
 
 // openTime is how long after its claim a shard lets its predecessor's summary
 // stand while no worker has answered.
-const openTime = 3 * time.Second
+const openTime = 1500 * time.Millisecond
 
 // isOpen reports whether the shard knows enough of its workers for a summary.
 func (s *Shard) isOpen() bool {
@@ -203,7 +203,7 @@
 	}
 	answered := 0
 	for _, w := range s.workers {
-		if w.isUsable(s.now) {
+		if w.synced {
 			answered++
 		}
 	}
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -211,6 +211,7 @@
 		return
 	}
 	r.task = t
+	t.located, t.watched = true, true
 	t.step.waiting--
 	t.step.job.begun = true
 	if a.Checkpoint != "" {
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -15,7 +15,6 @@
 	steps     []*step // by occurrence, then step
 	left      int     // steps that have not completed
 	begun     bool    // a task has started
-	inherited bool    // accepted before this ownership
 	objective time.Time
 	grace     time.Time // until when an end still earns something
 
@@ -54,6 +53,8 @@
 	last       string // worker of the last failed run
 	later      time.Time
 	since      time.Time // when it last began to wait
+	located    bool      // no earlier owner can have a run of it that is not known here
+	watched    bool      // a run of it was active under this owner
 }
 
 func (t *task) id() specifier.TaskID {
@@ -101,6 +102,9 @@
 		return
 	}
 	j := s.newJob(spec)
+	for _, st := range j.steps {
+		st.locate()
+	}
 	s.jobs[spec.ID] = j
 	s.changed = true
 	s.emit(Log{Message: "job arrived", Job: spec.ID, Age: s.now.Sub(spec.Accepted)})
@@ -118,7 +122,6 @@
 		return
 	}
 	j := s.newJob(e.Job)
-	j.inherited = true
 	j.begun = e.Begun
 	s.jobs[e.Job.ID] = j
 	for _, p := range e.Progress.Tasks {
@@ -154,8 +157,10 @@
 	return nil
 }
 
-// openSteps lists the steps whose turn has come.
-func (s *Shard) openSteps(j *job) {
+// openSteps lists the steps whose turn has come, and returns those for which it
+// came now.
+func (s *Shard) openSteps(j *job) []*step {
+	var opened []*step
 	for i, st := range j.steps {
 		if st.open || st.done == len(st.tasks) || !st.due.IsZero() && s.now.Before(st.due.Add(s.options.ClockError)) {
 			continue
@@ -171,8 +176,10 @@
 				t.since = s.now
 			}
 			s.enlist(st)
+			opened = append(opened, st)
 		}
 	}
+	return opened
 }
 
 // wake opens the steps of repeating jobs that have become due.
@@ -231,10 +238,22 @@
 		s.end(j, specifier.Succeeded, "all tasks completed")
 		return
 	}
-	s.openSteps(j)
+	for _, st := range s.openSteps(j) {
+		if t.watched {
+			// No earlier owner can have known that this step's turn has come.
+			st.locate()
+		}
+	}
 	s.changed = true
 }
 
+// locate notes that no earlier owner can have started tasks of the step.
+func (st *step) locate() {
+	for _, t := range st.tasks {
+		t.located = true
+	}
+}
+
 // fail takes in that a run failed by its own fault or its worker's.
 func (s *Shard) fail(t *task, w *worker, run int64) {
 	if slices.Contains(t.failed, run) {
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -14,6 +14,7 @@
 // placement is one round of choosing workers.
 type placement struct {
 	s        *Shard
+	settled  bool // see isSettled
 	workers  []*worker
 	rooms    []fitter.Room
 	reserved int         // workers kept free for work that has waited for long
@@ -35,9 +36,6 @@
 		return
 	}
 	for _, st := range s.steps {
-		if st.job.inherited && !s.isSettled() {
-			continue
-		}
 		p.seekAdvice(st)
 		if st.spec.Gang {
 			p.placeGang(st)
@@ -106,7 +104,7 @@
 }
 
 func (s *Shard) newPlacement() *placement {
-	p := &placement{s: s, workers: make([]*worker, 0, len(s.roster)), rooms: make([]fitter.Room, 0, len(s.roster))}
+	p := &placement{s: s, settled: s.isSettled(), workers: make([]*worker, 0, len(s.roster)), rooms: make([]fitter.Room, 0, len(s.roster))}
 	for _, w := range s.roster {
 		if !w.isUsable(s.now) {
 			continue
@@ -175,7 +173,7 @@
 		if st.waiting == 0 {
 			return
 		}
-		if t.done || t.worker != nil || p.s.now.Before(t.later) {
+		if t.done || t.worker != nil || p.s.now.Before(t.later) || !p.settled && !t.located {
 			continue
 		}
 		i := p.choose(st, t, need)
@@ -270,7 +268,8 @@
 
 // placeGang starts all tasks of a step together, or none.
 func (p *placement) placeGang(st *step) {
-	if st.waiting < len(st.tasks) {
+	unknown := func(t *task) bool { return !p.settled && !t.located }
+	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, unknown) {
 		return
 	}
 	rooms := slices.Clone(p.rooms)
@@ -309,6 +308,7 @@
 // start orders a run on a worker.
 func (s *Shard) start(t *task, w *worker, number int64) {
 	t.number = number
+	t.located, t.watched = true, true
 	t.step.waiting--
 	w.add(&run{task: t, id: t.id(), worker: w, number: number, phase: starting, ordered: s.now, needs: t.step.needs, pace: full})
 	order := StartRun{
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -43,6 +43,28 @@
 		Expect(starts[0].Run).To(Equal(int64(runsOfEpoch + 1)))
 	})
 
+	It("does not wait for other workers with a task that it has seen running", func() {
+		s := New(Options{Name: "desk", Lease: worldLease, OutageLimit: worldOutage, Epoch: 1, Workers: []string{"gone", "w1"}}, epoch)
+		d := &desk{Shard: s}
+		job := oneStep(1, nil)
+		job.Steps = append(job.Steps, specifier.Step{Count: 1, Needs: resources(1000), Estimate: time.Second, After: []int{0}})
+		d.do(Configured{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}}, JobLoaded{Job: job},
+			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Born: 1, Capacity: describer.Resources{CPU: 4000, Memory: 1000}}}})
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{
+			Born: 1, Clock: time.Minute, Active: []specifier.Run{{Task: first, Number: 1}},
+		}})
+		d.pass(time.Second)
+		end := specifier.End{Number: 1, Task: first, Run: 1, Outcome: specifier.Stopped}
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: 2 * time.Minute, Ended: []specifier.End{end}}})
+		again := taken[StartRun](d)
+		Expect(again).To(HaveLen(1), "its only run is known")
+		d.do(StartAnswered{Worker: "w1", Born: 1, Task: first, Run: again[0].Run})
+		d.pass(time.Second)
+		end = specifier.End{Number: 2, Task: first, Run: again[0].Run, Outcome: specifier.Done}
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: 3 * time.Minute, Ended: []specifier.End{end}}})
+		Expect(taken[StartRun](d)).To(HaveLen(1), "nobody can have started the step after it")
+	})
+
 	It("counts a failure once, also when its end is listed again", func() {
 		d := newDesk(queue, "w1")
 		d.do(JobLoaded{Job: oneStep(1, nil), Progress: recorder.Progress{Tasks: []recorder.Task{{Failed: []int64{1}}}}})
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -6,6 +6,8 @@
 	"maps"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/state/waiter"
@@ -25,6 +27,10 @@
 	Received time.Time // when the load came
 }
 
+// followRetry is the longest time between tries to read a store that does not
+// answer.
+const followRetry = 800 * time.Millisecond
+
 // viewPause is the time between two reads of the view's changes.
 const viewPause = 250 * time.Millisecond
 
@@ -102,6 +108,9 @@
 // otherwise the changes.
 func (f *follower) run(ctx context.Context, take func(items []storer.Item, whole bool)) {
 	failing := false
+	delays := backoff.NewExponentialBackOff()
+	delays.InitialInterval = renewRetry
+	delays.MaxInterval = followRetry
 	for ctx.Err() == nil {
 		items, whole, err := f.read(ctx)
 		if ctx.Err() != nil {
@@ -112,9 +121,10 @@
 				f.m.log.Warn().Err(err).Str("prefix", f.prefix).Msg("store not followed")
 			}
 			failing = true
-			waiter.Pause(ctx, renewRetry)
+			waiter.Pause(ctx, delays.NextBackOff())
 			continue
 		}
+		delays.Reset()
 		if failing {
 			f.m.log.Info().Str("prefix", f.prefix).Msg("store followed again")
 		}
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 
@@ -35,7 +36,8 @@
 
 // Times of the receiver.
 const (
-	storeRetry    = 30 * time.Millisecond
+	firstRetry    = 40 * time.Millisecond   // between calls to a store that does not answer
+	lastRetry     = 500 * time.Millisecond  // the same, after several
 	unavailable   = time.Second             // Retry-After while the store does not answer
 	afarDistance  = 60 * time.Millisecond   // added for a shard of another failure domain
 	contactLimit  = 2500 * time.Millisecond // without an answer of the store, submissions are refused
@@ -80,6 +82,14 @@
 	failed   time.Time // when the store last did not answer a write
 }
 
+// newDelays are the delays between calls to a store that does not answer.
+func newDelays() *backoff.ExponentialBackOff {
+	d := backoff.NewExponentialBackOff()
+	d.InitialInterval = firstRetry
+	d.MaxInterval = lastRetry
+	return d
+}
+
 // New returns a receiver.
 func New(o Options, shards Shards, store Store) *Receiver {
 	return &Receiver{
@@ -198,6 +208,7 @@
 		},
 	}
 	uncertain := false
+	delays := newDelays()
 	for {
 		limited, cancel := context.WithTimeout(ctx, attemptTime)
 		revision, err := r.store.Commit(limited, tx)
@@ -210,7 +221,7 @@
 		}
 		r.noteFailure()
 		uncertain = uncertain || classifier.Of(err) != classifier.NotRun
-		if !waiter.Pause(ctx, storeRetry) || !uncertain {
+		if !uncertain || !waiter.Pause(ctx, delays.NextBackOff()) {
 			if uncertain {
 				err = &classifier.Error{Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer", Err: err}
 			}
@@ -235,8 +246,9 @@
 
 // entry reads the index entry of a job and its revision.
 func (r *Receiver) entry(ctx context.Context, id string) (recorder.Entry, int64, error) {
+	delays := newDelays()
 	item, err := r.store.Get(ctx, recorder.JobIndex(id))
-	for err != nil && !errors.Is(err, storer.ErrNotFound) && waiter.Pause(ctx, storeRetry) {
+	for err != nil && !errors.Is(err, storer.ErrNotFound) && waiter.Pause(ctx, delays.NextBackOff()) {
 		item, err = r.store.Get(ctx, recorder.JobIndex(id))
 	}
 	if errors.Is(err, storer.ErrNotFound) {
@@ -254,6 +266,7 @@
 
 // Cancel accepts the cancellation of a job. One that has ended is left as it is.
 func (r *Receiver) Cancel(ctx context.Context, id string) error {
+	delays := newDelays()
 	for range cancelRetries {
 		entry, revision, err := r.entry(ctx, id)
 		if err != nil {
@@ -273,7 +286,7 @@
 		}
 		if !errors.Is(err, storer.ErrConflict) {
 			r.log.Warn().Err(err).Str("job", id).Msg("cancellation not accepted")
-			if !waiter.Pause(ctx, storeRetry) {
+			if !waiter.Pause(ctx, delays.NextBackOff()) {
 				return r.unreachable(err)
 			}
 		}
