--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -12,7 +12,7 @@
 	refusedWait = 500 * time.Millisecond // without starts, after a worker refused one
 	faultLimit  = 3                      // failed runs in a row before a worker is avoided
 	faultWait   = 2 * time.Second        // for which it is avoided, doubled with each further one
-	faultMost   = 16 * time.Second
+	faultMost   = 4 * time.Second
 )
 
 // held takes in a worker's inventory.
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -130,6 +130,21 @@
 		Expect(again[0].Worker.ID).To(Equal(starts[0].Worker.ID))
 	})
 
+	It("tries a worker whose runs failed again within seconds", func() {
+		d := newDesk(queue, "w1")
+		for range 8 {
+			d.now = d.now.Add(time.Second)
+			d.do(Held{Worker: "w1", Sent: d.now, Inventory: specifier.Inventory{
+				Born: 1, Clock: d.now.Sub(epoch),
+			}})
+			d.suspect(d.workers["w1"])
+		}
+		d.do(JobArrived{Job: oneStep(1, nil)})
+		Expect(taken[StartRun](d)).To(BeEmpty())
+		d.pass(4 * time.Second)
+		Expect(taken[StartRun](d)).To(HaveLen(1))
+	})
+
 	It("stops when a worker has seen a later owner", func() {
 		d := newDesk(queue, "w1")
 		d.do(HoldFailed{Worker: "w1", Born: 1, Fault: Fenced})
