state/fencer: every offer of a write has a deadline

Ruled out: the roster, the workers were dismissed at 19.5 s. Change: 1.5 s for each offer and each read back; the offer is repeated, and takes effect at most once as before. Test: TestAnswerThatNeverComes hangs without.

--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -37,6 +37,7 @@
 const (
 	firstRetry = 50 * time.Millisecond
 	maxRetry   = time.Second
+	offerTime  = 1500 * time.Millisecond // for one call; an answer may be lost for good
 )
 
 // Store is the part of the store that a fence uses.
@@ -173,7 +174,7 @@
 	delays.InitialInterval = firstRetry
 	delays.MaxInterval = maxRetry
 	for {
-		revision, err := f.store.Commit(ctx, tx)
+		revision, err := f.commit(ctx, tx)
 		if err == nil {
 			f.revision = revision
 			return nil
@@ -193,10 +194,19 @@
 	}
 }
 
+// commit makes one offer.
+func (f *Fence) commit(ctx context.Context, tx storer.Transaction) (int64, error) {
+	limited, cancel := context.WithTimeout(ctx, offerTime)
+	defer cancel()
+	return f.store.Commit(limited, tx)
+}
+
 // settle reads the fence back after a conflict: the write may be an earlier
 // offer's, or the fence may be unchanged and the other condition have failed.
 func (f *Fence) settle(ctx context.Context, key, write string) error {
-	item, err := f.store.Get(ctx, key)
+	limited, cancel := context.WithTimeout(ctx, offerTime)
+	defer cancel()
+	item, err := f.store.Get(limited, key)
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return err
 	}
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -106,3 +106,34 @@
 		g.Expect(New("menus", "a", a).Claim(ctx, write)).NotTo(Succeed())
 	})
 }
+
+// mute is a store that carries out the first write and never answers it.
+type mute struct {
+	*faker.Client
+	written bool
+}
+
+func (m *mute) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
+	revision, err := m.Client.Commit(ctx, tx)
+	if !m.written {
+		m.written = true
+		<-ctx.Done()
+		return 0, ctx.Err()
+	}
+	return revision, err
+}
+
+func TestAnswerThatNeverComes(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		a := store.Client("a")
+		f := New("menus", "a", a)
+		g.Expect(f.Claim(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+		f.store = &mute{Client: a}
+		began := time.Now()
+		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically("<", 2*offerTime))
+		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
+	})
+}
