operator/demonstrator: requests go on until drained workers can show that they are back

Ruled out: a restore that stalls; it went on.

The load now goes on until the workers have requests or the limit of the run; the check and the limit are as before.

--- a/internal/operator/demonstrator/demonstrator.go
+++ b/internal/operator/demonstrator/demonstrator.go
@@ -140,7 +140,9 @@
 	view := newScreen(stderr, o.Terminal, calls, jobs, drained)
 	var parts, drawing sync.WaitGroup
 	drawing.Go(func() { view.draw(settled) })
-	parts.Go(func() { calls.Run(loaded) })
+	// A killed owner's successor can begin the restore after the load's length;
+	// the workers can only show that they are back while there are requests.
+	parts.Go(func() { calls.Run(untilBoth(settled, loaded, drained.busy)) })
 	parts.Go(func() { jobs.run(loaded, settled) })
 	parts.Go(func() { drained.run(settled) })
 	for _, e := range script(o, d, view) {
@@ -155,6 +157,20 @@
 	return report(o, d, calls, jobs, drained), nil
 }
 
+// untilBoth is done once the other context and the channel are, and with ctx at the latest.
+func untilBoth(ctx, other context.Context, busy <-chan struct{}) context.Context {
+	both, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		<-other.Done()
+		select {
+		case <-busy:
+		case <-ctx.Done():
+		}
+	}()
+	return both
+}
+
 func report(o Options, d *deployer.Deployment, calls *caller.Load, jobs *wave, drained *drain) Report {
 	audit := d.Audit.Report()
 	out := Report{
--- a/internal/operator/demonstrator/drain.go
+++ b/internal/operator/demonstrator/drain.go
@@ -25,6 +25,7 @@
 	d       *deployer.Deployment
 	options Options
 	workers []*hoster.Worker
+	busy    chan struct{} // closed once every worker has requests again, or the drain is given up
 
 	mu    sync.Mutex
 	state string // for the screen
@@ -36,40 +37,49 @@
 // newDrain chooses the first workers of the first domain.
 func newDrain(d *deployer.Deployment, o Options) *drain {
 	return &drain{
-		d: d, options: o, workers: d.Domains[0].Workers[:drained],
+		d: d, options: o, workers: d.Domains[0].Workers[:drained], busy: make(chan struct{}),
 		state: "not begun", back: make(map[string]bool), empty: make(map[string]bool),
 	}
 }
 
 // run drains, and waits until every worker was empty and has its work back.
 func (r *drain) run(ctx context.Context) {
-	if !deployer.Pause(ctx, time.Duration(float64(r.length())*drainAt)) {
+	if !r.untilBusy(ctx) {
+		return
+	}
+	if err := deployer.Until(ctx, func() error { return r.isOver(ctx) }); err != nil {
 		return
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.over = true
+	r.state = "restored"
+}
+
+// untilBusy drains, and waits until every worker was empty and has requests again.
+func (r *drain) untilBusy(ctx context.Context) bool {
+	defer close(r.busy)
+	if !deployer.Pause(ctx, time.Duration(float64(r.length())*drainAt)) {
+		return false
+	}
 	if err := deployer.Until(ctx, func() error { return r.confirm(ctx) }); err != nil {
 		r.say("not confirmed: " + err.Error())
-		return
+		return false
 	}
 	r.say("draining")
 	if !r.await(ctx, r.isEmpty, r.empty) {
-		return
+		return false
 	}
 	r.say("drained")
 	if err := deployer.Until(ctx, func() error { return r.isRestoring(ctx) }); err != nil {
-		return
+		return false
 	}
 	r.say("restoring")
 	if !r.await(ctx, r.hasWork(), r.back) {
-		return
+		return false
 	}
 	r.say("restoring, all workers have requests")
-	if err := deployer.Until(ctx, func() error { return r.isOver(ctx) }); err != nil {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.over = true
-	r.state = "restored"
+	return true
 }
 
 func (r *drain) length() time.Duration { return time.Duration(r.options.Seconds) * time.Second }
