job/dispatcher: lasting tasks keep to a limit while tasks that end need room

Change: a shard publishes a limit of 90 % for lasting tasks, which admission keeps to; waiting ones yield for 4 s, then until two places are free.

--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -8,6 +8,9 @@
 // otherwise it is refused at once, with the time at which the work ahead of it
 // will have shrunk enough. While some shard has room for the job nothing is
 // refused.
+//
+// Jobs whose tasks last for minutes would take all room for as long, and the
+// many short ones after them find none. They are accepted up to a limit.
 package admitter
 
 import (
@@ -35,6 +38,8 @@
 	Distance time.Duration // of a call there
 	Age      time.Duration // of the summary
 	Workers  int
+	Lasting  int64 // CPU that lasting tasks reserve, or wait for, millicores
+	Limit    int64 // most of it, so that tasks that end find room
 	Free     describer.Resources
 	Turning  int64 // CPU of counted tasks that will end, millicores
 	Unused   int64 // CPU for fillers that is not taken, millicores
@@ -63,6 +68,8 @@
 	Predicted time.Duration // from acceptance to the end
 	Retry     time.Duration // when to come back, if refused
 	Reason    string
+
+	hasLastingRoom bool
 }
 
 // Decide chooses the shard with the nearest predicted end. random spreads
@@ -75,7 +82,9 @@
 			continue
 		}
 		predicted := w.predict(s)
-		if predicted < best.Predicted {
+		hasLastingRoom := w.hasLastingRoom(s)
+		if predicted < best.Predicted || hasLastingRoom && !best.hasLastingRoom {
+			best.hasLastingRoom = hasLastingRoom
 			best.Predicted = predicted
 			best.Shard = s.Name
 			best.Age = s.Age
@@ -87,6 +96,11 @@
 		best.Retry = spread(minRetry*2, random)
 		return best
 	}
+	if !best.hasLastingRoom {
+		best.Reason = "lasting tasks have their share"
+		best.Retry = spread(maxRetry, random)
+		return best
+	}
 	limit := time.Duration(reach * float64(w.Objective))
 	if best.Predicted <= limit {
 		best.Accepted = true
@@ -114,6 +128,15 @@
 	return predicted
 }
 
+// hasLastingRoom reports whether the job's lasting tasks leave room for tasks
+// that end.
+func (w *Work) hasLastingRoom(s *Shard) bool {
+	if w.Lasting == 0 || s.Lasting == 0 {
+		return true
+	}
+	return s.Lasting+w.Lasting <= s.Limit
+}
+
 // countedWait is how long the work ahead keeps the workers busy.
 func (w *Work) countedWait(s *Shard) time.Duration {
 	if w.Counted == 0 {
--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 )
 
 // commit sends what has changed, one batch at a time.
@@ -97,14 +99,17 @@
 	return len(w.runs) > 0 || len(w.ends) > 0 || !isSilent
 }
 
-// Leftover returns what a successor has to know of a shard that ends at now:
-// the workers that may have runs, and for how long the last lease there goes on.
-func (s *Shard) Leftover(now time.Time) (workers []string, lapse time.Duration) {
-	for _, w := range s.roster {
-		lapse = max(lapse, w.lapsed.Sub(now))
-	}
-	for _, lapsed := range s.inherited {
-		lapse = max(lapse, lapsed.Sub(now))
+// Leftovers returns what a successor has to know of a shard that ends at now:
+// the workers that may have runs, and for how long leases there may go on.
+func (s *Shard) Leftovers(now time.Time) []recorder.Leftover {
+	used := s.usedWorkers()
+	left := make([]recorder.Leftover, 0, len(used))
+	for _, id := range used {
+		lapse := s.inherited[id].Sub(now)
+		if w := s.workers[id]; w != nil {
+			lapse = max(lapse, w.lapsed.Sub(now))
+		}
+		left = append(left, recorder.Leftover{Worker: id, Lapse: max(lapse, 0)})
 	}
-	return s.usedWorkers(), lapse
+	return left
 }
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -37,6 +37,7 @@
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/learner"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -63,8 +64,8 @@
 	Epoch   int64    // number of ownerships before this one
 	Workers []string // that may have runs of an earlier ownership
 
-	Released bool          // the predecessor has stopped as planned
-	Lapse    time.Duration // after such a stop: when its leases have lapsed
+	Released  bool                // the predecessor has stopped as planned
+	Leftovers []recorder.Leftover // after such a stop: the same workers
 
 	Lease       time.Duration // granted to everything that runs on a worker with each renewal
 	OutageLimit time.Duration // how long an owner that can't reach the store goes on
@@ -89,6 +90,7 @@
 	unnamed bool             // a worker that answers is not named yet
 	harm    *learner.Learner // how fillers disturb serving tasks, by image
 	beliefs beliefs
+	ending  time.Time // when a task last started that ends and counts
 
 	inherited map[string]time.Time // workers that may have runs of an earlier ownership: when these have lapsed
 	listed    bool                 // the registered workers are known
@@ -120,19 +122,18 @@
 		inherited: make(map[string]time.Time),
 		contact:   now,
 	}
-	for _, id := range o.Workers {
-		s.inherited[id] = now.Add(o.lapse())
-	}
-	return s
-}
-
-// lapse is how long a predecessor's leases may last.
-func (o *Options) lapse() time.Duration {
 	if o.Released {
-		return o.Lapse
+		for _, left := range o.Leftovers {
+			s.inherited[left.Worker] = now.Add(left.Lapse)
+		}
+		return s
 	}
 	// A predecessor that can't reach the store goes on renewing for OutageLimit.
-	return stretch(o.OutageLimit+o.Lease) + lapseMargin
+	lapsed := now.Add(stretch(o.OutageLimit+o.Lease) + lapseMargin)
+	for _, id := range o.Workers {
+		s.inherited[id] = lapsed
+	}
+	return s
 }
 
 // stretch is the longest time that d on a worker's clock takes.
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -36,6 +36,7 @@
 	waiting    int  // tasks that neither run nor have completed
 	open       bool // its turn has come
 	listed     bool // in Shard.steps
+	yielding   bool // leaves the room to others in this round
 	due        time.Time
 	needs      need
 	advice     advice
--- a/internal/job/dispatcher/load.go
+++ b/internal/job/dispatcher/load.go
@@ -20,6 +20,7 @@
 		l.Capacity = l.Capacity.Add(w.reg.Capacity)
 		l.Free = l.Free.Add(room.Free)
 		l.Turning += w.used.counted.CPU - w.used.lasting
+		l.Lasting += w.used.lasting
 		l.Unused += max(room.Unused, 0)
 		l.Fillers += w.used.filler
 		l.Largest.CPU = max(l.Largest.CPU, w.reg.Capacity.CPU)
@@ -31,6 +32,7 @@
 			}
 		}
 	}
+	l.Limit = s.lastingLimit(l.Capacity.CPU)
 	s.countJobs(&l)
 	return l
 }
@@ -50,6 +52,9 @@
 			counted, filler := st.waitingWork()
 			b.Counted += counted
 			b.Filler += filler
+			if st.spec.Lasting {
+				l.Lasting += int64(st.waiting) * st.needs.counted.CPU
+			}
 		}
 		backlog[j.queue.Priority] = b
 	}
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -19,6 +19,8 @@
 	rooms    []fitter.Room
 	reserved int         // workers kept free for work that has waited for long
 	largest  fitter.Room // the most that any worker has of each kind, when the round began
+	lasting  int64       // CPU that lasting tasks reserve, millicores
+	limit    int64       // the most of it while other tasks need room
 }
 
 // place starts waiting tasks, in their order, where there is room.
@@ -30,29 +32,33 @@
 	if len(s.steps) == 0 || !s.mayAct() || !s.listed {
 		return
 	}
-	s.rank()
 	p := s.newPlacement()
 	if len(p.workers) == 0 {
 		return
 	}
+	p.rank()
 	for _, st := range s.steps {
 		p.seekAdvice(st)
-		if st.spec.Gang {
+		switch {
+		case st.yielding:
+		case st.spec.Gang:
 			p.placeGang(st)
-			continue
+		default:
+			p.placeStep(st)
 		}
-		p.placeStep(st)
 	}
 }
 
 // rank orders the waiting steps.
-func (s *Shard) rank() {
+func (p *placement) rank() {
+	s := p.s
 	type ranked struct {
 		step *step
 		work ranker.Work
 	}
 	list := make([]ranked, len(s.steps))
 	for i, st := range s.steps {
+		st.yielding = p.isYielding(st)
 		list[i] = ranked{st, st.work()}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return ranker.Compare(s.now, &a.work, &b.work) })
@@ -105,11 +111,14 @@
 
 func (s *Shard) newPlacement() *placement {
 	p := &placement{s: s, settled: s.isSettled(), workers: make([]*worker, 0, len(s.roster)), rooms: make([]fitter.Room, 0, len(s.roster))}
+	capacity := int64(0)
 	for _, w := range s.roster {
 		if !w.isUsable(s.now) {
 			continue
 		}
 		room := w.room()
+		capacity += w.reg.Capacity.CPU
+		p.lasting += w.used.lasting
 		p.workers = append(p.workers, w)
 		p.rooms = append(p.rooms, room)
 		p.largest.Free.CPU = max(p.largest.Free.CPU, room.Free.CPU)
@@ -117,6 +126,7 @@
 		p.largest.Free.Accelerators = max(p.largest.Free.Accelerators, room.Free.Accelerators)
 		p.largest.Unused = max(p.largest.Unused, room.Unused)
 	}
+	p.limit = s.lastingLimit(capacity)
 	return p
 }
 
@@ -185,6 +195,7 @@
 			need.Rack = p.workers[i].rack
 		}
 		p.rooms[i].Take(&need)
+		p.lasting += st.needs.lasting
 		p.s.start(t, p.workers[i], t.nextRun(p.s.options.Epoch))
 	}
 }
@@ -238,7 +249,7 @@
 		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil {
 			return false
 		}
-		if w.wouldHarm(p.rooms[i].Harm) || !p.isAdvised(st, w) {
+		if st.spec.Filler && w.wouldHarm(p.rooms[i].Harm) || !p.isAdvised(st, w) {
 			return false
 		}
 		return st.spec.Spread == 0 || w.perStep[st] < st.spec.Spread
@@ -310,6 +321,9 @@
 	t.number = number
 	t.located, t.watched = true, true
 	t.step.waiting--
+	if !t.step.spec.Lasting && t.step.needs.counted.CPU > 0 {
+		s.ending = s.now
+	}
 	w.add(&run{task: t, id: t.id(), worker: w, number: number, phase: starting, ordered: s.now, needs: t.step.needs, pace: full})
 	order := StartRun{
 		Worker: w.reg, Task: t.id(), Run: number, Payload: t.step.job.spec.Payload, Until: s.until(w),
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -79,12 +79,17 @@
 
 	It("waits for a predecessor that stopped as planned only until its leases have lapsed", func() {
 		before := newDesk(queue, "w1", "gone")
-		workers, lapse := before.Leftover(before.now)
-		Expect(workers).To(Equal([]string{"gone", "w1"}))
-		Expect(lapse).To(BeNumerically("<=", stretch(worldLease)+lapseMargin))
+		before.pass(time.Second)
+		before.do(Held{Worker: "w1", Sent: before.now, Inventory: specifier.Inventory{Born: 1, Clock: 2 * time.Minute}})
+		left := before.Leftovers(before.now)
+		Expect(left).To(HaveLen(2))
+		Expect(left[0].Worker).To(Equal("gone"))
+		lapse := left[0].Lapse
+		Expect(lapse).To(BeNumerically("<", left[1].Lapse), "renewed later")
+		Expect(left[1].Lapse).To(BeNumerically("<=", stretch(worldLease)+lapseMargin))
 		s := New(Options{
 			Name: "desk", Lease: worldLease, OutageLimit: worldOutage, Epoch: 1,
-			Workers: workers, Released: true, Lapse: lapse,
+			Released: true, Leftovers: left,
 		}, epoch)
 		d := &desk{Shard: s}
 		d.do(Configured{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}},
@@ -99,9 +104,10 @@
 
 	It("leaves behind how long its own predecessor may go on", func() {
 		s := New(Options{Name: "desk", Lease: worldLease, OutageLimit: worldOutage, Epoch: 1, Workers: []string{"gone"}}, epoch)
-		workers, lapse := s.Leftover(epoch.Add(time.Second))
-		Expect(workers).To(Equal([]string{"gone"}))
-		Expect(lapse).To(BeNumerically(">", worldOutage))
+		left := s.Leftovers(epoch.Add(time.Second))
+		Expect(left).To(HaveLen(1))
+		Expect(left[0].Worker).To(Equal("gone"))
+		Expect(left[0].Lapse).To(BeNumerically(">", worldOutage))
 	})
 
 	It("does not wait for other workers with a task that it has seen running", func() {
@@ -187,7 +193,7 @@
 	})
 
 	It("gives up waiting for inherited runs only while the store confirms the ownership", func() {
-		s := New(Options{Name: "desk", Lease: worldLease, OutageLimit: 3 * worldOutage, Epoch: 1, Workers: []string{"gone"}, Released: true}, epoch)
+		s := New(Options{Name: "desk", Lease: worldLease, OutageLimit: 3 * worldOutage, Epoch: 1, Released: true, Leftovers: []recorder.Leftover{{Worker: "gone"}}}, epoch)
 		d := &desk{Shard: s}
 		d.do(Configured{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}}, JobLoaded{Job: oneStep(1, nil)},
 			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Born: 1, Capacity: describer.Resources{CPU: 4000, Memory: 1000}}}})
@@ -200,7 +206,7 @@
 
 	It("starts a failed task again where it failed, if there is no room elsewhere", func() {
 		d := newDesk(queue, "w1", "w2")
-		whole := func(s *specifier.Step) { s.Lasting, s.Needs = true, resources(workerCPU) }
+		whole := func(s *specifier.Step) { s.Lasting, s.Needs = true, resources(lastingShare*workerCPU) }
 		other := oneStep(1, whole)
 		other.ID = "0000000000000001"
 		d.do(JobArrived{Job: oneStep(1, whole)}, JobArrived{Job: other})
--- a/internal/job/dispatcher/world_test.go
+++ b/internal/job/dispatcher/world_test.go
@@ -39,13 +39,13 @@
 	token   int64
 	catalog *specifier.Catalog
 
-	store    map[string]*record // jobs by id
-	used     []string           // workers named by the last commit
-	released bool               // the last owner has stopped as planned
-	lapse    time.Duration      // as it left it
-	lose     float64            // share of calls whose answer is lost
-	late     float64            // share of calls that are carried out seconds later, unanswered
-	faulty   float64            // share of runs that fail
+	store    map[string]*record  // jobs by id
+	used     []string            // workers named by the last commit
+	released bool                // the last owner has stopped as planned
+	left     []recorder.Leftover // by it
+	lose     float64             // share of calls whose answer is lost
+	late     float64             // share of calls that are carried out seconds later, unanswered
+	faulty   float64             // share of runs that fail
 	rules    rules
 	history  []string
 }
@@ -163,11 +163,11 @@
 	o := &owner{world: w, token: w.token, alive: true, store: true, cut: make(map[*fakeWorker]bool)}
 	o.shard = New(Options{
 		Name: "desk", Service: "desk", Epoch: w.epoch, Workers: slices.Clone(w.used),
-		Released: w.released, Lapse: w.lapse,
+		Released: w.released, Leftovers: w.left,
 		Lease: worldLease, OutageLimit: worldOutage, HoldWait: 500 * time.Millisecond,
 	}, w.now)
 	w.epoch++
-	w.released, w.lapse = false, 0
+	w.released, w.left = false, nil
 	w.owner = o
 	w.note("claim %d", o.token)
 	events := []Event{Configured{Catalog: w.catalog}}
@@ -194,8 +194,11 @@
 	}
 	w.note("owner %d stops as planned", o.token)
 	o.alive = false
-	w.used, w.lapse = o.shard.Leftover(w.now)
-	w.released = true
+	w.left, w.released = o.shard.Leftovers(w.now), true
+	w.used = nil
+	for _, left := range w.left {
+		w.used = append(w.used, left.Worker)
+	}
 	w.after(w.delay(), w.claim)
 }
 
--- /dev/null
+++ b/internal/job/dispatcher/yield.go
@@ -0,0 +1,56 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of yielding.
+const (
+	lastingShare = 0.9             // of the workers' CPU that lasting tasks may reserve
+	endingMemory = time.Minute     // for which their limit stands after a task that ends has started
+	yieldTime    = 4 * time.Second // for which a yielding task leaves all room to others
+	yieldPlaces  = 2               // places for it that have to be free before it takes one after that
+)
+
+// lastingLimit is the CPU that lasting tasks may reserve out of capacity, both
+// in millicores. It leaves room for tasks that end, if the shard has such; a
+// new owner does not know.
+func (s *Shard) lastingLimit(capacity int64) int64 {
+	last := s.claimed
+	if s.ending.After(last) {
+		last = s.ending
+	}
+	if s.now.Sub(last) > endingMemory {
+		return capacity
+	}
+	return int64(lastingShare * float64(capacity))
+}
+
+// isYielding reports whether the step's tasks last, would take more than their
+// limit, and so leave the room to others for now. They do so for yieldTime, and
+// after that while there is little room.
+func (p *placement) isYielding(st *step) bool {
+	if !st.spec.Lasting || p.lasting+st.needs.lasting <= p.limit {
+		return false
+	}
+	t := st.firstWaiting()
+	return t == nil || p.s.now.Sub(t.since) < yieldTime || p.places(st, t) < yieldPlaces
+}
+
+// places counts how often a task would fit, up to yieldPlaces.
+func (p *placement) places(st *step, t *task) int {
+	rooms := slices.Clone(p.rooms)
+	defer func() { p.rooms = rooms }()
+	need := st.fitterNeed()
+	n := 0
+	for n < yieldPlaces {
+		i := p.choose(st, t, need)
+		if i < 0 {
+			break
+		}
+		p.rooms[i].Take(&need)
+		n++
+	}
+	return n
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -47,7 +47,7 @@
 	}
 	o.state = dispatcher.New(dispatcher.Options{
 		Name: t.name, Service: t.service, Domain: t.domain,
-		Epoch: fence.Epoch, Workers: fence.Workers, Released: fence.Released, Lapse: fence.Lapse,
+		Epoch: fence.Epoch, Workers: fence.Workers, Released: fence.Released, Leftovers: fence.Leftovers,
 		Lease:       min(workerLease, m.options.MaxLease),
 		OutageLimit: outageLimit,
 		HoldWait:    holdWait,
@@ -136,10 +136,10 @@
 func (o *owned) release(ctx context.Context) {
 	o.lose("planned stop")
 	<-o.done
-	workers, lapse := o.state.Leftover(time.Now())
+	left := o.state.Leftovers(time.Now())
 	limited, cancel := context.WithTimeout(ctx, releaseTime)
 	defer cancel()
-	o.m.noteRelease(o.fence, o.fence.Release(limited, recorder.OwnerKey(o.target.name), workers, lapse))
+	o.m.noteRelease(o.fence, o.fence.Release(limited, recorder.OwnerKey(o.target.name), left))
 }
 
 // followJobs posts new jobs and cancellations until ctx ends.
--- a/internal/job/receiver/admission.go
+++ b/internal/job/receiver/admission.go
@@ -64,7 +64,7 @@
 func (r *Receiver) shard(name string, s manager.ShardView, queue specifier.Queue, job *specifier.Job) admitter.Shard {
 	out := admitter.Shard{
 		Name: name, Near: s.Load.Domain == "" || s.Load.Domain == r.options.Domain, Age: time.Since(s.Received),
-		Workers: s.Load.Workers, Free: s.Load.Free,
+		Workers: s.Load.Workers, Free: s.Load.Free, Lasting: s.Load.Lasting, Limit: s.Load.Limit,
 		Turning: s.Load.Turning, Unused: s.Load.Unused, Fillers: s.Load.Fillers, HasLabel: true,
 	}
 	if !out.Near {
@@ -86,6 +86,7 @@
 		out.Counted += a.work.Counted
 		out.Filler += a.work.Filler
 		out.Free.CPU -= a.work.Lasting
+		out.Lasting += a.work.Lasting
 	}
 	return out
 }
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -149,8 +149,16 @@
 	Write   string   `json:"write"`             // identifies the write; a random id
 	Workers []string `json:"workers,omitempty"` // that may have runs of this shard
 
-	Released bool          `json:"released,omitempty"` // the owner has stopped as planned
-	Lapse    time.Duration `json:"lapse,omitempty"`    // after such a stop: when its workers' leases have lapsed
+	// Released is that the owner has stopped as planned; Leftovers then stand
+	// in place of Workers.
+	Released  bool       `json:"released,omitempty"`
+	Leftovers []Leftover `json:"leftovers,omitempty"`
+}
+
+// Leftover is a worker that may have runs of an owner that has stopped as planned.
+type Leftover struct {
+	Worker string        `json:"worker"`
+	Lapse  time.Duration `json:"lapse"` // after which all leases there have lapsed, from the stop
 }
 
 // Claim identifies an ownership.
@@ -180,6 +188,8 @@
 	Free     describer.Resources `json:"free"`
 	Largest  describer.Resources `json:"largest"` // most that any worker has of each kind
 	Turning  int64               `json:"turning"` // CPU of counted tasks that will end, millicores
+	Lasting  int64               `json:"lasting"` // CPU that lasting tasks reserve, or wait for, millicores
+	Limit    int64               `json:"limit"`   // the most that lasting tasks are to reserve, millicores
 	Unused   int64               `json:"unused"`  // CPU for fillers that is not taken, millicores
 	Fillers  int64               `json:"fillers"` // CPU that running fillers asked for, millicores
 	Queues   []QueueLoad         `json:"queues,omitempty"`
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -57,8 +57,8 @@
 	// the former owner.
 	Workers []string
 
-	Released bool          // the former owner had stopped as planned when this one claimed
-	Lapse    time.Duration // after such a stop: when the leases on Workers have lapsed
+	Released  bool                // the former owner had stopped as planned when this one claimed
+	Leftovers []recorder.Leftover // after such a stop: for how long leases on Workers may go on
 
 	store    Store
 	turn     chan struct{} // held by the goroutine that writes
@@ -102,7 +102,10 @@
 	}
 	f.revision = item.Revision
 	f.Epoch = former.Epoch + 1
-	f.Workers, f.Released, f.Lapse = former.Workers, former.Released, former.Lapse
+	f.Workers, f.Released, f.Leftovers = former.Workers, former.Released, former.Leftovers
+	for _, left := range f.Leftovers {
+		f.Workers = append(f.Workers, left.Worker)
+	}
 	revision, err := f.formerRecord(ctx, owner.Key)
 	if err != nil {
 		return err
@@ -167,16 +170,15 @@
 }
 
 // Release takes the owner's record away, so that another may claim at once.
-// The next owner learns that runs on the workers go on for lapse at most.
-func (f *Fence) Release(ctx context.Context, owner string, workers []string, lapse time.Duration) error {
+// The next owner learns of the workers that may have runs.
+func (f *Fence) Release(ctx context.Context, owner string, left []recorder.Leftover) error {
 	leave, err := f.enter(ctx)
 	if err != nil {
 		return err
 	}
 	defer leave()
-	f.Workers = workers
 	record := f.record()
-	record.Released, record.Lapse = true, lapse
+	record.Workers, record.Released, record.Leftovers = nil, true, left
 	return f.offer(ctx, record, storer.Transaction{Remove: []string{owner}})
 }
 
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -96,10 +96,11 @@
 		key := recorder.OwnerKey("menus")
 		first, second, third := New("menus", "a", client), New("menus", "b", client), New("menus", "c", client)
 		g.Expect(first.Claim(ctx, owner(ctx, g, client, "a"))).To(Succeed())
-		g.Expect(first.Release(ctx, key, []string{"w1"}, 6*time.Second)).To(Succeed())
+		left := []recorder.Leftover{{Worker: "w1", Lapse: 6 * time.Second}}
+		g.Expect(first.Release(ctx, key, left)).To(Succeed())
 		g.Expect(second.Claim(ctx, owner(ctx, g, client, "b"))).To(Succeed())
 		g.Expect(second.Released).To(BeTrue())
-		g.Expect(second.Lapse).To(Equal(6 * time.Second))
+		g.Expect(second.Leftovers).To(Equal(left))
 		g.Expect(second.Workers).To(Equal([]string{"w1"}))
 		time.Sleep(4 * time.Second) // the second owner's lease lapses
 		g.Expect(third.Claim(ctx, owner(ctx, g, client, "c"))).To(Succeed())
