job/dispatcher: excess lasting jobs are handed to other shards

Change: a lasting job's shard is drawn by room, and an owner above its limit hands on jobs of which nothing has run, by one write through its fence that fails if a cancellation is there. Jobs that stay are counted whole.

--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -14,8 +14,9 @@
 package admitter
 
 import (
-	"math"
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
@@ -68,39 +69,20 @@
 	Predicted time.Duration // from acceptance to the end
 	Retry     time.Duration // when to come back, if refused
 	Reason    string
-
-	hasLastingRoom bool
 }
 
-// Decide chooses the shard with the nearest predicted end. random spreads
-// returning callers.
+// Decide chooses a shard and decides whether it is to take the job. random
+// spreads returning callers, and lasting jobs over the shards.
 func Decide(w Work, shards []Shard, random *rand.Rand) Decision {
-	best := Decision{Predicted: math.MaxInt64, Reason: "no shard has suitable workers"}
-	for i := range shards {
-		s := &shards[i]
-		if s.Workers == 0 || !s.HasLabel {
-			continue
-		}
-		predicted := w.predict(s)
-		hasLastingRoom := w.hasLastingRoom(s)
-		if predicted < best.Predicted || hasLastingRoom && !best.hasLastingRoom {
-			best.hasLastingRoom = hasLastingRoom
-			best.Predicted = predicted
-			best.Shard = s.Name
-			best.Age = s.Age
-			best.Reason = "predicted end is within reach"
-		}
-	}
-	if best.Shard == "" {
-		best.Predicted = 0
-		best.Retry = spread(minRetry*2, random)
-		return best
+	open := suitable(shards)
+	if len(open) == 0 {
+		return Decision{Reason: "no shard has suitable workers", Retry: spread(minRetry*2, random)}
 	}
-	if !best.hasLastingRoom {
-		best.Reason = "lasting tasks have their share"
-		best.Retry = spread(maxRetry, random)
-		return best
+	s := w.choose(open, random)
+	if s == nil {
+		return Decision{Shard: open[0].Name, Age: open[0].Age, Reason: "lasting tasks have their share", Retry: spread(maxRetry, random)}
 	}
+	best := Decision{Shard: s.Name, Age: s.Age, Predicted: w.predict(s), Reason: "predicted end is within reach"}
 	limit := time.Duration(reach * float64(w.Objective))
 	if best.Predicted <= limit {
 		best.Accepted = true
@@ -111,6 +93,62 @@
 	return best
 }
 
+// choose returns the shard with the nearest predicted end; for lasting tasks one
+// with room for them, or nil.
+func (w *Work) choose(shards []*Shard, random *rand.Rand) *Shard {
+	if w.Lasting > 0 {
+		return w.chooseLasting(shards, random)
+	}
+	return slices.MinFunc(shards, func(a, b *Shard) int { return cmp.Compare(w.predict(a), w.predict(b)) })
+}
+
+// ChooseLasting draws a shard for a job whose tasks last and reserve so many
+// millicores, and returns its name; it is empty if none has room for them.
+func ChooseLasting(lasting int64, shards []Shard, random *rand.Rand) string {
+	w := Work{Lasting: lasting}
+	if s := w.chooseLasting(suitable(shards), random); s != nil {
+		return s.Name
+	}
+	return ""
+}
+
+// suitable returns the shards that have workers for the job.
+func suitable(shards []Shard) []*Shard {
+	var out []*Shard
+	for i := range shards {
+		if shards[i].Workers > 0 && shards[i].HasLabel {
+			out = append(out, &shards[i])
+		}
+	}
+	return out
+}
+
+// chooseLasting draws a shard by how much more of lasting tasks it may take:
+// many hosts accept at once by the same summaries, and what one shard has too
+// much of stays there for minutes.
+func (w *Work) chooseLasting(shards []*Shard, random *rand.Rand) *Shard {
+	total := 0.0
+	for _, s := range shards {
+		total += w.lastingRoom(s)
+	}
+	if total == 0 {
+		return nil
+	}
+	at := random.Float64() * total
+	var chosen *Shard
+	for _, s := range shards {
+		room := w.lastingRoom(s)
+		if room == 0 {
+			continue
+		}
+		chosen = s
+		if at -= room; at < 0 {
+			break
+		}
+	}
+	return chosen
+}
+
 // predict is the expected time from acceptance to the end in the shard.
 func (w *Work) predict(s *Shard) time.Duration {
 	wait := max(w.countedWait(s), w.fillerWait(s))
@@ -128,13 +166,14 @@
 	return predicted
 }
 
-// hasLastingRoom reports whether the job's lasting tasks leave room for tasks
-// that end.
-func (w *Work) hasLastingRoom(s *Shard) bool {
-	if w.Lasting == 0 || s.Lasting == 0 {
-		return true
+// lastingRoom is how much more lasting tasks the shard may take, in millicores,
+// and 0 if the job's would be too many.
+func (w *Work) lastingRoom(s *Shard) float64 {
+	room := s.Limit - s.Lasting
+	if s.Lasting == 0 || w.Lasting <= room {
+		return float64(max(room, 1))
 	}
-	return s.Lasting+w.Lasting <= s.Limit
+	return 0
 }
 
 // countedWait is how long the work ahead keeps the workers busy.
--- a/internal/control/admitter/admitter_test.go
+++ b/internal/control/admitter/admitter_test.go
@@ -88,6 +88,24 @@
 		Expect(Decide(Work{Lasting: 3000, Objective: time.Minute}, []Shard{full, open}, random()).Shard).To(Equal("open"))
 	})
 
+	It("replays lasting jobs that many hosts accept by the same summaries: no shard takes far more than others", func() {
+		var shards []Shard
+		for _, name := range []string{"a", "b", "c"} {
+			s := shard(name, 900000, 0)
+			s.Limit = 900000
+			shards = append(shards, s)
+		}
+		shards[0].Near, shards[1].Near = true, false
+		taken := make(map[string]int)
+		r := random()
+		for range 60 {
+			taken[Decide(Work{Lasting: 30000, Objective: time.Minute}, shards, r).Shard]++
+		}
+		for _, s := range shards {
+			Expect(taken[s.Name]).To(BeNumerically("~", 20, 10), s.Name)
+		}
+	})
+
 	It("replays a burst: what it accepts ends within reach of its objective", func() {
 		const rate = 10000 // millicores
 		waiting, accepted := int64(0), 0
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -193,6 +193,8 @@
 		s.advised(e)
 	case PaceAnswered:
 		s.paceAnswered(e)
+	case JobMoved:
+		s.moved(e)
 	case Committed:
 		s.committedBatch(e.Batch)
 	case StoreReached:
@@ -245,7 +247,9 @@
 	}
 	if s.now.Sub(s.published) >= publishInterval && s.isOpen() {
 		s.published = s.now
-		s.emit(Publish{Load: s.summarize()})
+		load := s.summarize()
+		s.emit(Publish{Load: load})
+		s.moveExcess(&load)
 		s.forgetEnded()
 	}
 	s.changed = true
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -12,9 +12,11 @@
 type job struct {
 	spec      specifier.Job
 	queue     specifier.Queue
-	steps     []*step // by occurrence, then step
-	left      int     // steps that have not completed
-	begun     bool    // a task has started
+	steps     []*step   // by occurrence, then step
+	left      int       // steps that have not completed
+	begun     bool      // a task has started
+	moving    bool      // on its way to another shard; starts nothing
+	arrived   time.Time // zero if it was loaded from an earlier ownership
 	objective time.Time
 	grace     time.Time // until when an end still earns something
 
@@ -36,7 +38,7 @@
 	waiting    int  // tasks that neither run nor have completed
 	open       bool // its turn has come
 	listed     bool // in Shard.steps
-	yielding   bool // leaves the room to others in this round
+	exceeds    bool // its tasks may start above the limit of lasting ones in this round
 	due        time.Time
 	needs      need
 	advice     advice
@@ -103,6 +105,7 @@
 		return
 	}
 	j := s.newJob(spec)
+	j.arrived = s.now
 	for _, st := range j.steps {
 		st.locate()
 	}
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -21,12 +21,13 @@
 	largest  fitter.Room // the most that any worker has of each kind, when the round began
 	lasting  int64       // CPU that lasting tasks reserve, millicores
 	limit    int64       // the most of it while other tasks need room
+	promised int64       // CPU of all lasting tasks of jobs that stay in the shard, millicores
 }
 
 // place starts waiting tasks, in their order, where there is room.
 func (s *Shard) place() {
 	s.steps = slices.DeleteFunc(s.steps, func(st *step) bool {
-		st.listed = st.waiting > 0 && st.job.final == ""
+		st.listed = st.waiting > 0 && st.job.final == "" && s.jobs[st.job.spec.ID] == st.job
 		return !st.listed
 	})
 	if len(s.steps) == 0 || !s.mayAct() || !s.listed {
@@ -39,13 +40,15 @@
 	p.rank()
 	for _, st := range s.steps {
 		p.seekAdvice(st)
+		before := st.job.promise()
 		switch {
-		case st.yielding:
+		case p.isYielding(st):
 		case st.spec.Gang:
 			p.placeGang(st)
 		default:
 			p.placeStep(st)
 		}
+		p.promised += st.job.promise() - before
 	}
 }
 
@@ -58,7 +61,7 @@
 	}
 	list := make([]ranked, len(s.steps))
 	for i, st := range s.steps {
-		st.yielding = p.isYielding(st)
+		st.exceeds = p.mayExceed(st)
 		list[i] = ranked{st, st.work()}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return ranker.Compare(s.now, &a.work, &b.work) })
@@ -127,6 +130,11 @@
 		p.largest.Unused = max(p.largest.Unused, room.Unused)
 	}
 	p.limit = s.lastingLimit(capacity)
+	if s.options.Domain != "" {
+		for _, j := range s.jobs {
+			p.promised += j.promise()
+		}
+	}
 	return p
 }
 
@@ -197,6 +205,9 @@
 		p.rooms[i].Take(&need)
 		p.lasting += st.needs.lasting
 		p.s.start(t, p.workers[i], t.nextRun(p.s.options.Epoch))
+		if p.isYielding(st) {
+			return
+		}
 	}
 }
 
--- a/internal/job/dispatcher/yield.go
+++ b/internal/job/dispatcher/yield.go
@@ -28,14 +28,28 @@
 }
 
 // isYielding reports whether the step's tasks last, would take more than their
-// limit, and so leave the room to others for now. They do so for yieldTime, and
-// after that while there is little room.
+// limit, and so leave the room to others for now. In one shard of several only
+// jobs that may be moved do; for all others this shard is the only one.
 func (p *placement) isYielding(st *step) bool {
+	switch {
+	case st.job.moving:
+		return true
+	case !st.spec.Lasting || st.exceeds:
+		return false
+	case p.s.options.Domain != "":
+		return p.isToMove(st.job)
+	}
+	return p.lasting+st.needs.lasting > p.limit
+}
+
+// mayExceed reports whether tasks of the step may start above the limit: they
+// have yielded for yieldTime and there is more room than one of them needs.
+func (p *placement) mayExceed(st *step) bool {
 	if !st.spec.Lasting || p.lasting+st.needs.lasting <= p.limit {
 		return false
 	}
 	t := st.firstWaiting()
-	return t == nil || p.s.now.Sub(t.since) < yieldTime || p.places(st, t) < yieldPlaces
+	return t != nil && p.s.now.Sub(t.since) >= yieldTime && p.places(st, t) >= yieldPlaces
 }
 
 // places counts how often a task would fit, up to yieldPlaces.
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,6 +91,7 @@
 	MaxLease   time.Duration // that a worker grants
 	ClockError time.Duration // by which the time of day may be off
 	Adviser    Adviser       // nil: queues that need advice wait
+	Random     *rand.Rand    // used by one goroutine at a time
 
 	Scope tally.Scope
 	Log   zerolog.Logger
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -158,7 +158,8 @@
 	client := store.Client(name)
 	m := manager.New(manager.Options{
 		Daemon: name, Domain: "bne", TTL: 3 * time.Second, MaxLease: 10 * time.Second,
-		Scope: tally.NoopScope, Log: zerolog.Nop(),
+		Random: rand.New(rand.NewPCG(1, 2)),
+		Scope:  tally.NoopScope, Log: zerolog.Nop(),
 	}, client, workers, workers)
 	m.SetCatalog(catalog)
 	return &daemon{m, receiver.New(receiver.Options{
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -31,6 +31,9 @@
 var (
 	ErrFenced = errors.New("fencer: the shard has another owner")
 	ErrOwned  = errors.New("fencer: the owner's record exists")
+	// ErrRefused is returned when the owner's transaction has a condition that
+	// does not hold.
+	ErrRefused = errors.New("fencer: a condition does not hold")
 )
 
 // Delays between offers of one write.
@@ -169,6 +172,21 @@
 	return f.offer(ctx, f.record(), storer.Transaction{Put: puts, Remove: removes})
 }
 
+// Move makes a transaction durable, or returns ErrRefused if a condition of its
+// own does not hold.
+func (f *Fence) Move(ctx context.Context, tx storer.Transaction) error {
+	leave, err := f.enter(ctx)
+	if err != nil {
+		return err
+	}
+	defer leave()
+	err = f.offer(ctx, f.record(), tx)
+	if errors.Is(err, ErrOwned) {
+		return ErrRefused
+	}
+	return err
+}
+
 // Release takes the owner's record away, so that another may claim at once.
 // The next owner learns of the workers that may have runs.
 func (f *Fence) Release(ctx context.Context, owner string, left []recorder.Leftover) error {
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -109,6 +109,20 @@
 	})
 }
 
+func TestMoveKeepsItsOwnConditions(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a := store.Client("a")
+		f := New("menus", "a", a)
+		g.Expect(f.Claim(ctx, owner(ctx, g, a, "a"))).To(Succeed())
+		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
+		g.Expect(f.Move(ctx, storer.Transaction{If: []storer.Condition{{Key: "k"}}, Put: put("2")})).To(MatchError(ErrRefused))
+		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
+		g.Expect(f.Move(ctx, storer.Transaction{If: []storer.Condition{{Key: "other"}}, Put: put("3")})).To(Succeed())
+		g.Expect(valueOf(ctx, g, a)).To(Equal("3"))
+	})
+}
+
 func TestFormerLifeIsReplacedAtOnce(t *testing.T) {
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
