job/dispatcher: a job may be handed on three times, never back

Change: the record names the shards that have handed a job on; it goes to none of them, which would take it for a late delivery, and is moved three times at most.

--- a/internal/job/dispatcher/move.go
+++ b/internal/job/dispatcher/move.go
@@ -82,10 +82,13 @@
 	return j.lasting()
 }
 
-// isMovable reports whether nothing of the job can have run anywhere. A job is
-// moved once at most.
+// maxMoves is how often a job is moved. It never returns to a shard, which
+// would take it for a late delivery.
+const maxMoves = 3
+
+// isMovable reports whether nothing of the job can have run anywhere.
 func (j *job) isMovable() bool {
-	if j.begun || j.moving || j.final != "" || j.spec.Moved || j.arrived.IsZero() {
+	if j.begun || j.moving || j.final != "" || len(j.spec.Former) >= maxMoves || j.arrived.IsZero() {
 		return false
 	}
 	for _, st := range j.steps {
