--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -1,6 +1,7 @@
 package manager_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -33,6 +34,7 @@
 	took   time.Duration    // by a task
 	cut    map[string]int64 // calls with a token above this do not reach the worker
 	ids    []string
+	domain map[string]string // by worker; "bne" if there is none
 }
 
 func newFleet(ids ...string) *fleet {
@@ -51,7 +53,7 @@
 	var out []specifier.Worker
 	for _, id := range f.ids {
 		out = append(out, specifier.Worker{
-			ID: id, Born: 1, Service: "desk", Domain: "bne", Address: id, Capacity: describer.Resources{CPU: 4000, Memory: 1000},
+			ID: id, Born: 1, Service: "desk", Domain: cmp.Or(f.domain[id], "bne"), Address: id, Capacity: describer.Resources{CPU: 4000, Memory: 1000},
 		})
 	}
 	return out, nil
