--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -80,7 +80,7 @@
 	}
 	s := w.choose(open, random)
 	if s == nil {
-		return Decision{Shard: open[0].Name, Age: open[0].Age, Reason: "lasting tasks have their share", Retry: spread(maxRetry, random)}
+		return Decision{Shard: open[0].Name, Age: open[0].Age, Reason: "the limit of lasting tasks is reached", Retry: spread(maxRetry, random)}
 	}
 	best := Decision{Shard: s.Name, Age: s.Age, Predicted: w.predict(s), Reason: "predicted end is within reach"}
 	limit := time.Duration(reach * float64(w.Objective))
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -38,7 +38,7 @@
 	waiting    int  // tasks that neither run nor have completed
 	open       bool // its turn has come
 	listed     bool // in Shard.steps
-	exceeds    bool // its tasks may start above the limit of lasting ones in this round
+	mayExceed  bool // its tasks may start above the limit of lasting ones in this round
 	due        time.Time
 	needs      need
 	advice     advice
--- a/internal/job/dispatcher/move.go
+++ b/internal/job/dispatcher/move.go
@@ -76,10 +76,19 @@
 // promise is the CPU that the lasting tasks of a job that can't be moved any
 // more reserve or wait for, in millicores.
 func (j *job) promise() int64 {
-	if j.isMovable() {
+	lasting := j.lasting()
+	if lasting == 0 || j.isMovable() {
 		return 0
 	}
-	return j.lasting()
+	return lasting
+}
+
+// promiseOf is the promise of the step's job, where shards hand jobs on.
+func (p *placement) promiseOf(st *step) int64 {
+	if p.s.options.Domain == "" || !st.spec.Lasting {
+		return 0
+	}
+	return st.job.promise()
 }
 
 // maxMoves is how often a job is moved. It never returns to a shard, which
@@ -113,6 +122,5 @@
 		return
 	}
 	delete(s.jobs, e.ID)
-	s.ended[e.ID] = s.now
-	s.emit(Log{Message: "job moved to another shard", Job: e.ID, Age: s.now.Sub(j.arrived)})
+	s.ended[e.ID] = s.now // a watch may deliver it once more
 }
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -40,7 +40,7 @@
 	p.rank()
 	for _, st := range s.steps {
 		p.seekAdvice(st)
-		before := st.job.promise()
+		before := p.promiseOf(st)
 		switch {
 		case p.isYielding(st):
 		case st.spec.Gang:
@@ -48,7 +48,7 @@
 		default:
 			p.placeStep(st)
 		}
-		p.promised += st.job.promise() - before
+		p.promised += p.promiseOf(st) - before
 	}
 }
 
@@ -61,7 +61,7 @@
 	}
 	list := make([]ranked, len(s.steps))
 	for i, st := range s.steps {
-		st.exceeds = p.mayExceed(st)
+		st.mayExceed = p.mayExceedLimit(st)
 		list[i] = ranked{st, st.work()}
 	}
 	slices.SortFunc(list, func(a, b ranked) int { return ranker.Compare(s.now, &a.work, &b.work) })
--- a/internal/job/dispatcher/yield.go
+++ b/internal/job/dispatcher/yield.go
@@ -34,7 +34,7 @@
 	switch {
 	case st.job.moving:
 		return true
-	case !st.spec.Lasting || st.exceeds:
+	case !st.spec.Lasting || st.mayExceed:
 		return false
 	case p.s.options.Domain != "":
 		return p.isToMove(st.job)
@@ -42,9 +42,9 @@
 	return p.lasting+st.needs.lasting > p.limit
 }
 
-// mayExceed reports whether tasks of the step may start above the limit: they
+// mayExceedLimit reports whether tasks of the step may start above the limit: they
 // have yielded for yieldTime and there is more room than one of them needs.
-func (p *placement) mayExceed(st *step) bool {
+func (p *placement) mayExceedLimit(st *step) bool {
 	if !st.spec.Lasting || p.lasting+st.needs.lasting <= p.limit {
 		return false
 	}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -327,7 +327,7 @@
 			Put: []storer.Write{{Key: recorder.LoadKey(o.target.name), Value: recorder.Encode(load)}},
 		})
 		if err != nil {
-			o.log.Debug().Err(err).Msg("load not published")
+			o.log.Warn().Err(err).Msg("load not published")
 		}
 	})
 }
