state/holder: a shard that is released is not claimed again by its own owner

Cause: after an outage the owner's records are written again under the new lease; for a shard in release this could land after its removal, and a failed removal of the late record was not repeated.

--- a/internal/state/holder/seat.go
+++ b/internal/state/holder/seat.go
@@ -234,10 +234,10 @@
 // tryReassert returns true when it is known whether the shard is still owned.
 func (h *Holder) tryReassert(ctx context.Context, s *seat) bool {
 	h.mu.Lock()
-	gone := h.seats[s.shard] != s
+	gone := h.seats[s.shard] != s || s.phase == releasing
 	h.mu.Unlock()
 	if gone {
-		return true // released or lost in the meantime
+		return true // a new record would only keep others from claiming
 	}
 	lease, err := h.lease.Acquire(ctx)
 	if err != nil {
@@ -250,7 +250,8 @@
 		gone = h.seats[s.shard] != s
 		h.mu.Unlock()
 		if gone {
-			return h.leave(ctx, s.shard, revision)
+			h.repeat(func(ctx context.Context) bool { return h.leave(ctx, s.shard, revision) })
+			return true
 		}
 		err = s.ledger.Check(ctx)
 	}
