--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -65,7 +65,7 @@
 	Workers []string // that may have runs of an earlier ownership
 
 	Released  bool                // the predecessor has stopped as planned
-	Leftovers []recorder.Leftover // after such a stop: the same workers
+	Leftovers []recorder.Leftover // after such a stop: Workers, with the time that their leases have left
 
 	Lease       time.Duration // granted to everything that runs on a worker with each renewal
 	OutageLimit time.Duration // how long an owner that can't reach the store goes on
@@ -90,7 +90,7 @@
 	unnamed bool             // a worker that answers is not named yet
 	harm    *learner.Learner // how fillers disturb serving tasks, by image
 	beliefs beliefs
-	ending  time.Time // when a task last started that ends and counts
+	ending  time.Time // when a task last started that reserves room and does not last
 
 	inherited map[string]time.Time // workers that may have runs of an earlier ownership: when these have lapsed
 	listed    bool                 // the registered workers are known
--- a/internal/job/dispatcher/move.go
+++ b/internal/job/dispatcher/move.go
@@ -23,7 +23,8 @@
 func (MoveJob) effect() {}
 func (JobMoved) event() {}
 
-// movedAtOnce is how many jobs are on their way to other shards at once.
+// movedAtOnce is how many jobs are on their way to other shards at once. Each
+// takes a write through the fence, for which the ends of tasks wait too.
 const movedAtOnce = 16
 
 // moveExcess hands on lasting jobs that many hosts have accepted for this shard
@@ -70,7 +71,8 @@
 	return p.promised+j.lasting() > p.limit && j.isMovable() && p.s.now.Sub(j.arrived) < moveTime
 }
 
-// moveTime is how long a job that may be moved starts nothing above the limit.
+// moveTime is how long a job that may be moved starts nothing above the limit;
+// other shards may open a few seconds later than this one.
 const moveTime = 4 * time.Second
 
 // promise is the CPU that the lasting tasks of a job that can't be moved any
--- a/internal/job/dispatcher/yield.go
+++ b/internal/job/dispatcher/yield.go
@@ -7,10 +7,10 @@
 
 // Bounds of yielding.
 const (
-	lastingShare = 0.9             // of the workers' CPU that lasting tasks may reserve
-	endingMemory = time.Minute     // for which their limit stands after a task that ends has started
-	yieldTime    = 4 * time.Second // for which a yielding task leaves all room to others
-	yieldPlaces  = 2               // places for it that have to be free before it takes one after that
+	lastingShare = 0.9             // of the workers' CPU that lasting tasks may reserve; the rest is for tasks that end
+	endingMemory = time.Minute     // for which their limit stands after a task that ends has started: bursts come back
+	yieldTime    = 4 * time.Second // for which a yielding task leaves all room to others; users notice a longer gap
+	yieldPlaces  = 2               // places for it that have to be free before it takes one after that, so that one is left
 )
 
 // lastingLimit is the CPU that lasting tasks may reserve out of capacity, both
@@ -28,8 +28,9 @@
 }
 
 // isYielding reports whether the step's tasks last, would take more than their
-// limit, and so leave the room to others for now. In one shard of several only
-// jobs that may be moved do; for all others this shard is the only one.
+// limit, and so leave the room to others for now. Where a service has several
+// shards, only jobs that may still be moved yield: the others can run nowhere
+// else, and the shard does not know whether another has room.
 func (p *placement) isYielding(st *step) bool {
 	switch {
 	case st.job.moving:
