job/dispatcher: a task taken over waits after a failure for all workers' ends

Cause, by the code: the successor had the fourth run in an inventory, which marked the task as located; on its failure it counted one and started it, while three failures stood in inventories that it had not read yet. A spec of this order failed before the change. Ruled out: the leases left behind by a planned stop; such a worker is still waited for.

--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -212,7 +212,7 @@
 		return
 	}
 	r.task = t
-	t.located, t.watched = true, true
+	t.located, t.watched, t.adopted = true, true, true
 	t.step.waiting--
 	t.step.job.begun = true
 	if a.Checkpoint != "" {
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -58,6 +58,7 @@
 	since      time.Time // when it last began to wait
 	located    bool      // no earlier owner can have a run of it that is not known here
 	watched    bool      // a run of it was active under this owner
+	adopted    bool      // an earlier owner started one of its runs, and others may have failed
 }
 
 func (t *task) id() specifier.TaskID {
@@ -263,6 +264,10 @@
 	if slices.Contains(t.failed, run) {
 		return
 	}
+	if t.adopted && !t.step.spec.Lasting && !s.isSettled() {
+		// Workers that have not answered may tell of more failures.
+		t.located = false
+	}
 	j := t.step.job
 	t.last = w.reg.ID
 	if t.step.spec.Lasting {
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -132,6 +132,31 @@
 		Expect(taken[StartRun](d)).To(HaveLen(1), "nobody can have started the step after it")
 	})
 
+	It("starts a task that failed under it only when it knows of all earlier failures", func() {
+		two := specifier.Queue{Name: "menus", Slack: 2, Attempts: 2}
+		s := New(Options{Name: "desk", Lease: worldLease, OutageLimit: worldOutage, Epoch: 1, Workers: []string{"w1", "w2"}}, epoch)
+		d := &desk{Shard: s}
+		room := describer.Resources{CPU: 4000, Memory: 1000}
+		d.do(Configured{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{two}}}, JobLoaded{Job: oneStep(1, nil)},
+			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Born: 1, Capacity: room}, {ID: "w2", Born: 1, Capacity: room}, {ID: "w3", Born: 1, Capacity: room}}})
+		d.do(Held{Worker: "w3", Sent: d.now, Inventory: specifier.Inventory{Born: 1, Clock: time.Minute}})
+		d.do(Held{Worker: "w2", Sent: d.now, Inventory: specifier.Inventory{
+			Born: 1, Clock: time.Minute, Active: []specifier.Run{{Task: first, Number: 2}},
+		}})
+		d.pass(time.Second)
+		failed := func(number, run int64) specifier.Inventory {
+			return specifier.Inventory{Born: 1, Clock: 2 * time.Minute, Ended: []specifier.End{
+				{Number: number, Task: first, Run: run, Outcome: specifier.Faulty},
+			}}
+		}
+		d.do(Held{Worker: "w2", Sent: d.now, Inventory: failed(1, 2)})
+		d.pass(time.Second)
+		Expect(taken[StartRun](d)).To(BeEmpty(), "w1 may tell of the first failure")
+		d.do(Held{Worker: "w1", Sent: d.now, Inventory: failed(1, 1)})
+		Expect(taken[StartRun](d)).To(BeEmpty())
+		Expect(d.ended).To(HaveKey(first.Job), "it has failed too often")
+	})
+
 	It("counts a failure once, also when its end is listed again", func() {
 		d := newDesk(queue, "w1")
 		d.do(JobLoaded{Job: oneStep(1, nil), Progress: recorder.Progress{Tasks: []recorder.Task{{Failed: []int64{1}}}}})
