--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -255,17 +255,27 @@
 	}
 }
 
-func (s *Shard) startAnswered(e StartAnswered) {
+// answeredRun returns the run that the answer to an order is about, or nil if
+// the run is no longer in the phase that it was ordered in.
+func (s *Shard) answeredRun(e StartAnswered, phase runPhase) *run {
 	w := s.workers[e.Worker]
 	if w == nil {
-		return
+		return nil
 	}
 	if e.Fault == Fenced {
 		s.resign(w)
-		return
+		return nil
 	}
 	r := w.runs[e.Task]
-	if r == nil || r.number != e.Run || e.Born != w.reg.Born || r.phase != starting {
+	if r == nil || r.number != e.Run || r.phase != phase || e.Born != w.reg.Born {
+		return nil
+	}
+	return r
+}
+
+func (s *Shard) startAnswered(e StartAnswered) {
+	r := s.answeredRun(e, starting)
+	if r == nil {
 		return
 	}
 	if e.Fault == NoFault {
@@ -281,6 +291,7 @@
 		r.settled = s.now
 		return
 	}
+	w := r.worker
 	r.task.later = s.now.Add(orderRetry)
 	w.avoided = s.now.Add(refusedWait)
 	s.drop(r)
@@ -290,16 +301,8 @@
 }
 
 func (s *Shard) stopAnswered(e StopAnswered) {
-	w := s.workers[e.Worker]
-	if w == nil {
-		return
-	}
-	if e.Fault == Fenced {
-		s.resign(w)
-		return
-	}
-	r := w.runs[e.Task]
-	if r == nil || r.number != e.Run || r.phase != stopping || e.Born != w.reg.Born {
+	r := s.answeredRun(StartAnswered(e), stopping)
+	if r == nil {
 		return
 	}
 	if e.Fault == NoFault || e.Fault == Stale {
