--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -110,9 +110,11 @@
 	batchWorkers []string // worker list in the last commit
 	lastCommit   time.Time
 	lastPublish  time.Time
-	dirtyJobs    []*job // jobs with changes that aren't committed yet
-	fillersWait  bool   // fillers were waiting in the last placement
-	placementDue bool   // waiting work or free room has changed since the last placement
+	lastReport   time.Time         // when waiting tasks were last reported
+	reported     [WaitReasons]bool // the last report had tasks that wait for the reason
+	dirtyJobs    []*job            // jobs with changes that aren't committed yet
+	fillersWait  bool              // fillers were waiting in the last placement
+	placementDue bool              // waiting work or free room has changed since the last placement
 }
 
 // New returns the state of a shard that was claimed at now.
@@ -264,6 +266,7 @@
 		s.moveExcess(&load)
 		s.forgetEnded()
 	}
+	s.reportWaiting()
 	s.placementDue = true
 }
 
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -178,6 +178,9 @@
 // Publish replaces the shard's load summary in the store.
 type Publish struct{ Load recorder.Load }
 
+// ReportWaiting reports the long-running tasks that have waited for long.
+type ReportWaiting struct{ Waits []Wait }
+
 // Log is a log line about a decision.
 type Log struct {
 	Message string
@@ -193,11 +196,12 @@
 // another daemon owns the shard.
 type Resign struct{ Worker string }
 
-func (StartRun) effect()   {}
-func (StopRun) effect()    {}
-func (PaceRun) effect()    {}
-func (PollWorker) effect() {}
-func (Commit) effect()     {}
-func (Publish) effect()    {}
-func (Log) effect()        {}
-func (Resign) effect()     {}
+func (StartRun) effect()      {}
+func (StopRun) effect()       {}
+func (PaceRun) effect()       {}
+func (PollWorker) effect()    {}
+func (Commit) effect()        {}
+func (Publish) effect()       {}
+func (ReportWaiting) effect() {}
+func (Log) effect()           {}
+func (Resign) effect()        {}
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -374,18 +374,9 @@
 
 // hasRoom reports whether another allowed worker has room for the run's task.
 func (s *Shard) hasRoom(r *run, allowed func(*worker) bool) bool {
-	st := r.task.step
-	request := st.request()
-	for _, w := range s.sortedWorkers {
-		if w == r.worker || !w.isUsable(s.now) || !w.reg.HasLabel(st.spec.Label) {
-			continue
-		}
-		candidate := w.candidate()
-		if request.Fits(&candidate) && (st.spec.MaxPerWorker == 0 || w.perStep[st] < st.spec.MaxPerWorker) && allowed(w) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool {
+		return w != r.worker && w.isUsable(s.now) && w.hasRoomFor(r.task.step) && allowed(w)
+	})
 }
 
 func anyWorker(*worker) bool { return true }
--- /dev/null
+++ b/internal/job/dispatcher/wait.go
@@ -0,0 +1,109 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+const (
+	reportDelay    = 3 * time.Second // waiting time after which a long-running task is reported
+	reportInterval = 2 * time.Second // minimum time between reports
+)
+
+// WaitReason is why a long-running task has no run.
+type WaitReason uint8
+
+// Reasons, in the order in which they are checked.
+const (
+	WaitUnconfirmed WaitReason = iota // the store hasn't confirmed the ownership, so nothing starts
+	WaitEarlierRuns                   // workers may have a run by an earlier owner
+	WaitMove                          // the job may be moved to another shard
+	WaitLimit                         // long-running tasks have their share of the CPU
+	WaitReserved                      // a worker has room, but it is kept for tasks that rank higher
+	WaitUnusable                      // only workers that are avoided or don't answer have room
+	WaitNoRoom                        // no worker of the shard has room
+	WaitReasons                       // number of reasons
+)
+
+// String returns the text of the reason in logs and metrics.
+func (r WaitReason) String() string {
+	return [...]string{"unconfirmed", "earlier-runs", "move", "limit", "reserved", "unusable", "no-room"}[r]
+}
+
+// Wait is the long-running tasks that wait for the same reason.
+type Wait struct {
+	Reason WaitReason
+	Tasks  int              // number of tasks, 0 if none wait
+	Oldest specifier.TaskID // the one that has waited longest
+	Age    time.Duration    // how long it has waited
+	CPU    int64            // CPU that it needs, millicores
+	Free   int64            // most free CPU on one usable worker, millicores
+}
+
+// reportWaiting reports why long-running tasks wait, at most one Wait for each
+// reason. Reasons that don't apply any more are reported once without tasks.
+func (s *Shard) reportWaiting() {
+	if s.now.Sub(s.lastReport) < reportInterval {
+		return
+	}
+	s.lastReport = s.now
+	var waits [WaitReasons]Wait
+	p := s.newPlacement()
+	for _, st := range s.waitingSteps {
+		if t := st.oldestWaiting(); t != nil && st.spec.LongRunning && s.now.Sub(t.waitingSince) >= reportDelay {
+			p.addWait(&waits, t)
+		}
+	}
+	var report ReportWaiting
+	for reason, w := range waits {
+		w.Reason = WaitReason(reason)
+		if w.Tasks > 0 || s.reported[reason] {
+			report.Waits = append(report.Waits, w)
+		}
+		s.reported[reason] = w.Tasks > 0
+	}
+	if len(report.Waits) > 0 {
+		s.emit(report)
+	}
+}
+
+// addWait counts the waiting tasks of a step, of which t has waited longest.
+func (p *placement) addWait(waits *[WaitReasons]Wait, t *task) {
+	w := &waits[p.waitReason(t)]
+	w.Tasks += t.step.waiting
+	if age := p.shard.now.Sub(t.waitingSince); age > w.Age {
+		w.Oldest, w.Age = t.id(), age
+		w.CPU, w.Free = t.step.needs.reserved.CPU, p.largest.Free.CPU
+	}
+}
+
+// waitReason returns why the task has no run. p is a round in which nothing has
+// been placed.
+func (p *placement) waitReason(t *task) WaitReason {
+	s, st := p.shard, t.step
+	switch {
+	case !s.mayAct() || !s.workersListed:
+		return WaitUnconfirmed
+	case !p.inheritedKnown && !t.allRunsKnown:
+		return WaitEarlierRuns
+	case st.job.moving || s.options.Divided && p.isMovePending(st.job):
+		return WaitMove
+	case p.isDeferred(st):
+		return WaitLimit
+	case p.chooseWorker(st, t, st.request(), false) >= 0:
+		return WaitReserved
+	case slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool { return !w.isUsable(s.now) && w.hasRoomFor(st) }):
+		return WaitUnusable
+	}
+	return WaitNoRoom
+}
+
+// hasRoomFor reports whether the worker has room for a task of the step, whether
+// it is usable or not.
+func (w *worker) hasRoomFor(st *step) bool {
+	request, candidate := st.request(), w.candidate()
+	isAllowed := w.reg.HasLabel(st.spec.Label) && (st.spec.MaxPerWorker == 0 || w.perStep[st] < st.spec.MaxPerWorker)
+	return isAllowed && request.Fits(&candidate)
+}
--- a/internal/job/manager/metrics.go
+++ b/internal/job/manager/metrics.go
@@ -67,3 +67,11 @@
 		scope.Tagged(map[string]string{"queue": q.Queue}).Gauge("queue_pending").Update(float64(q.Pending))
 	}
 }
+
+// setWaiting updates the gauges of the long-running tasks of a shard that wait for
+// one reason.
+func (m *metrics) setWaiting(shard string, w dispatcher.Wait) {
+	scope := m.scope.Tagged(map[string]string{"shard": shard, "reason": w.Reason.String()})
+	scope.Gauge("longrunning_waiting").Update(float64(w.Tasks))
+	scope.Gauge("longrunning_waiting_seconds").Update(w.Age.Seconds())
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -217,6 +217,8 @@
 		o.giveUp("worker " + e.Worker + " has seen a higher fencing token")
 	case dispatcher.Publish:
 		o.publish(ctx, e.Load)
+	case dispatcher.ReportWaiting:
+		o.reportWaiting(e.Waits)
 	case dispatcher.RequestAdvice:
 		o.calls.Go(func() { o.post(o.manager.advise(ctx, e)) })
 	case dispatcher.Commit:
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -247,6 +247,7 @@
 	}
 	delete(m.owned, o.spec.Name)
 	m.metrics.lostShards.Inc(1)
+	m.metrics.clearWaiting(o.spec.Name)
 	m.log.Warn().Str("shard", o.spec.Name).Str("reason", reason).Msg("shard lost")
 }
 
--- /dev/null
+++ b/internal/job/manager/waiting.go
@@ -0,0 +1,41 @@
+package manager
+
+import "dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+
+// reportWaiting logs and counts the long-running tasks that wait for a worker.
+func (o *ownedShard) reportWaiting(waits []dispatcher.Wait) {
+	elsewhere, shard := o.manager.freeElsewhere(o.spec)
+	for _, w := range waits {
+		o.manager.metrics.setWaiting(o.spec.Name, w)
+		if w.Tasks == 0 {
+			continue
+		}
+		o.log.Info().Str("reason", w.Reason.String()).Int("tasks", w.Tasks).
+			Str("job", w.Oldest.Job).Str("task", w.Oldest.String()).Dur("age", w.Age).
+			Int64("needs", w.CPU).Int64("free", w.Free).Int64("elsewhere", elsewhere).Str("to", shard).
+			Msg("long-running tasks waiting")
+	}
+}
+
+// freeElsewhere returns the free CPU of the service's other shard that has most,
+// in millicores, and that shard's name. The name is empty if there is no other.
+func (m *Manager) freeElsewhere(from shardSpec) (free int64, shard string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, view := range m.view.Shards {
+		if name == from.Name || view.Load.Service != from.service {
+			continue
+		}
+		if shard == "" || view.Load.Free.CPU > free {
+			free, shard = view.Load.Free.CPU, name
+		}
+	}
+	return free, shard
+}
+
+// clearWaiting resets the gauges of a shard that isn't owned any more.
+func (m *metrics) clearWaiting(shard string) {
+	for reason := range dispatcher.WaitReasons {
+		m.setWaiting(shard, dispatcher.Wait{Reason: reason})
+	}
+}
