--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -63,20 +63,30 @@
 	return w, err
 }
 
+// registration returns the registration of a worker.
+func (f *fleet) registration(id string) specifier.Worker {
+	return specifier.Worker{
+		ID: id, Incarnation: 1, Service: "desk", Domain: cmp.Or(f.domain[id], "bne"), Address: id,
+		Labels: []string{"r-" + id}, Capacity: describer.Resources{CPU: 4000, Memory: 1000},
+	}
+}
+
 // register writes the registrations of the workers to the store.
 func (f *fleet) register(ctx context.Context, store *faker.Client) {
 	for _, id := range f.ids {
-		value, err := json.Marshal(specifier.Worker{
-			ID: id, Incarnation: 1, Service: "desk", Domain: cmp.Or(f.domain[id], "bne"), Address: id,
-			Labels: []string{"r-" + id}, Capacity: describer.Resources{CPU: 4000, Memory: 1000},
-		})
-		if err != nil {
-			panic(err)
-		}
-		tx := storer.Transaction{Put: []storer.Write{{Key: registrationPrefix + id, Value: value}}}
-		if _, err := store.Commit(ctx, tx); err != nil {
-			panic(err)
-		}
+		putWorker(ctx, store, f.registration(id))
+	}
+}
+
+// putWorker writes the registration of a worker to the store.
+func putWorker(ctx context.Context, store *faker.Client, w specifier.Worker) {
+	value, err := json.Marshal(w)
+	if err != nil {
+		panic(err)
+	}
+	tx := storer.Transaction{Put: []storer.Write{{Key: registrationPrefix + w.ID, Value: value}}}
+	if _, err := store.Commit(ctx, tx); err != nil {
+		panic(err)
 	}
 }
 
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -1,6 +1,7 @@
 package manager_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +22,27 @@
 	}}
 }
 
+// writeLayout writes a layout of the shards desk@bne and desk@gc with the given racks.
+func writeLayout(g Gomega, store *faker.Client, bne, gc []string) {
+	layout := recorder.Layout{Shards: []recorder.ShardLayout{
+		{Name: "desk@bne", Domain: "bne", Racks: bne, Workers: len(bne)},
+		{Name: "desk@gc", Domain: "gc", Racks: gc, Workers: len(gc)},
+	}}
+	commit(g, store, storer.Write{Key: recorder.LayoutKey("desk"), Value: recorder.Encode(layout)})
+}
+
+// acceptJob writes what a receiver writes for an accepted job.
+func acceptJob(g Gomega, store *faker.Client, shard string, job specifier.Job) {
+	entry := recorder.IndexEntry{Shard: shard, Queue: job.Queue, State: specifier.Queued}
+	commit(g, store, storer.Write{Key: recorder.IndexKey(job.ID), Value: recorder.Encode(entry)},
+		storer.Write{Key: recorder.JobKey(shard, job.ID), Value: recorder.Encode(job)})
+}
+
+func commit(g Gomega, store *faker.Client, puts ...storer.Write) {
+	_, err := store.Commit(context.Background(), storer.Transaction{Put: puts})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // TestExcessIsHandedOn accepts four long-running jobs for a shard with room for
 // two, as happens when several hosts decide based on the same load summary. Two
 // of the jobs must move to the other shard.
@@ -31,24 +53,14 @@
 		workers.domain = map[string]string{"w2": "gc"}
 		workers.runTime = time.Hour
 		operator := store.Client("operator")
-		commit := func(puts ...storer.Write) {
-			_, err := operator.Commit(t.Context(), storer.Transaction{Put: puts})
-			g.Expect(err).NotTo(HaveOccurred())
-		}
-		commit(storer.Write{Key: recorder.LayoutKey("desk"), Value: recorder.Encode(recorder.Layout{Shards: []recorder.ShardLayout{
-			{Name: "desk@bne", Domain: "bne", Racks: []string{"bne/r-w1"}, Workers: 1},
-			{Name: "desk@gc", Domain: "gc", Racks: []string{"gc/r-w2"}, Workers: 1},
-		}})})
+		writeLayout(g, operator, []string{"bne/r-w1"}, []string{"gc/r-w2"})
 		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
 		defer a.Close()
 		defer b.Close()
 		time.Sleep(10 * time.Second) // until both shards are claimed
 		const jobs = 4
 		for n := range jobs {
-			record := longRunningJob(n)
-			entry := recorder.IndexEntry{Shard: "desk@bne", Queue: record.Queue, State: specifier.Queued}
-			commit(storer.Write{Key: recorder.IndexKey(record.ID), Value: recorder.Encode(entry)},
-				storer.Write{Key: recorder.JobKey("desk@bne", record.ID), Value: recorder.Encode(record)})
+			acceptJob(g, operator, "desk@bne", longRunningJob(n))
 		}
 		time.Sleep(5 * time.Second)
 
@@ -67,3 +79,61 @@
 		g.Expect(workers.active["w2"]).To(BeEmpty())
 	})
 }
+
+// TestLongRunningTaskWaitsBesideRoomInAnotherShard has a worker leave whose
+// long-running tasks have failed. Their shard has no room for them, another has.
+func TestLongRunningTaskWaitsBesideRoomInAnotherShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers := faker.New(), newFleet("w1", "w2", "w3")
+		workers.domain = map[string]string{"w3": "gc"}
+		workers.runTime = time.Hour
+		operator := store.Client("operator")
+		writeLayout(g, operator, []string{"bne/r-w1", "bne/r-w2"}, []string{"gc/r-w3"})
+		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
+		defer a.Close()
+		defer b.Close()
+		time.Sleep(10 * time.Second) // until both shards are claimed
+		const jobs = 4
+		for n := range jobs {
+			acceptJob(g, operator, "desk@bne", longRunningJob(n))
+		}
+		time.Sleep(2 * time.Second)
+		g.Expect(workers.active["w1"]).To(HaveLen(2))
+		g.Expect(workers.active["w2"]).To(HaveLen(2))
+
+		workers.mu.Lock()
+		for task := range workers.active["w1"] {
+			workers.endRun("w1", task, specifier.OutcomeFailed)
+		}
+		workers.mu.Unlock()
+		w1 := workers.registration("w1")
+		w1.Draining = true
+		putWorker(t.Context(), operator, w1)
+		time.Sleep(maxLongRunningWait)
+		g.Expect(workers.active["w1"]).To(BeEmpty())
+		g.Expect(workers.active["w2"]).To(HaveLen(2))
+		g.Expect(workers.active["w3"]).To(HaveLen(2))
+
+		for n := range jobs {
+			g.Expect(b.state(g, n)).To(Equal(specifier.Running))
+			g.Expect(a.receiver.Cancel(t.Context(), job(n).ID)).To(Succeed())
+		}
+		time.Sleep(maxCancelTime)
+		for id, runs := range workers.active {
+			g.Expect(runs).To(BeEmpty(), id)
+		}
+		for n := range jobs {
+			g.Expect(b.state(g, n)).To(Equal(specifier.Cancelled))
+		}
+		for _, shard := range []string{"desk@bne", "desk@gc"} {
+			g.Expect(store.Items(recorder.ShardPrefix(shard))).To(HaveLen(1), "only the claim")
+			g.Expect(store.Items(recorder.ProgressPrefix(shard))).To(BeEmpty())
+		}
+	})
+}
+
+const (
+	maxLongRunningWait = 6 * time.Second // of a long-running task for a new run if there is room for it
+	maxCancelTime      = 3 * time.Second // until the runs of a cancelled job have ended
+)
