--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -48,11 +48,12 @@
 	LongRunningCPU   int64         // millicores that long-running tasks reserve or wait for
 	LongRunningLimit int64         // upper bound of LongRunningCPU, millicores
 	Free             describer.Resources
-	FiniteCPU        int64 // millicores held by finite tasks, which end by themselves
-	UnusedCPU        int64 // millicores that fillers may still take
-	FillerCPU        int64 // millicores that running fillers use
-	ReservedBacklog  int64 // waiting work of equal or higher priority that reserves capacity, millicore-seconds
-	FillerBacklog    int64 // waiting work of fillers of equal or higher priority, millicore-seconds
+	MaxFree          describer.Resources // part of Free on the worker with the most free CPU
+	FiniteCPU        int64               // millicores held by finite tasks, which end by themselves
+	UnusedCPU        int64               // millicores that fillers may still take
+	FillerCPU        int64               // millicores that running fillers use
+	ReservedBacklog  int64               // waiting work of equal or higher priority that reserves capacity, millicore-seconds
+	FillerBacklog    int64               // waiting work of fillers of equal or higher priority, millicore-seconds
 	Fillers          []FillerLoad
 	HasRack          bool // whether it contains the rack of the job's data
 	HasLabel         bool // whether it has workers with every label that the job requires
--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -10,30 +10,79 @@
 // commit emits a commit of changed jobs and the worker list. At most one commit
 // is in progress at a time.
 func (s *Shard) commit() {
-	if s.committing || len(s.dirtyJobs) == 0 && !s.hasUnrecorded || s.now.Sub(s.lastCommit) < commitInterval {
+	isClean := len(s.dirtyJobs) == 0 && len(s.staleTransfers) == 0 && len(s.staleCancels) == 0
+	if s.committing || isClean && !s.hasUnrecorded || s.now.Sub(s.lastCommit) < commitInterval {
 		return
 	}
-	n := min(len(s.dirtyJobs), maxCommitJobs)
-	changes := make([]Change, 0, n)
+	s.batch++
+	commit := Commit{Batch: s.batch}
+	s.addChanges(&commit)
+	s.committing = true
+	s.lastCommit = s.now
+	s.updateWorkerList()
+	commit.Workers = s.batchWorkers
+	s.emit(commit)
+}
+
+// addChanges fills a commit with changed jobs and stale records.
+func (s *Shard) addChanges(c *Commit) {
+	c.StaleTransfers, s.staleTransfers = takeUpTo(s.staleTransfers, maxStaleEntries)
+	c.StaleCancels, s.staleCancels = takeUpTo(s.staleCancels, maxStaleEntries-len(c.StaleTransfers))
+	left := maxCommitEntries - len(c.StaleTransfers) - len(c.StaleCancels)
 	s.batchJobs = s.batchJobs[:0]
-	for _, j := range s.dirtyJobs[:n] {
-		j.dirty = false
-		j.sent = j.version
-		change := Change{ID: j.spec.ID, Queue: j.spec.Queue, State: j.state()}
-		if j.final != "" {
-			change.State = j.final
-		} else {
-			change.Progress = j.progress()
+	var unfinished []*job
+	n := 0
+	for _, j := range s.dirtyJobs {
+		if left -= j.commitEntries(); left < 0 {
+			break
 		}
-		changes = append(changes, change)
+		n++
+		change, complete := s.newChange(j)
+		c.Changes = append(c.Changes, change)
 		s.batchJobs = append(s.batchJobs, j)
+		if !complete {
+			unfinished = append(unfinished, j)
+		}
 	}
 	s.dirtyJobs = slices.Delete(s.dirtyJobs, 0, n)
-	s.batch++
-	s.committing = true
-	s.lastCommit = s.now
-	s.updateWorkerList()
-	s.emit(Commit{Batch: s.batch, Changes: changes, Workers: s.batchWorkers})
+	for _, j := range unfinished {
+		s.markDirty(j)
+	}
+}
+
+// takeUpTo divides a list after at most n elements.
+func takeUpTo[T any](list []T, n int) (taken, rest []T) {
+	n = min(n, len(list))
+	return list[:n:n], list[n:]
+}
+
+// commitEntries returns the maximum number of entries for the job in a transaction.
+func (j *job) commitEntries() int {
+	if j.final != "" && (len(j.otherShards) > 0 || len(j.transferRecords()) > 0) {
+		return jobEntries + maxCleanupEntries
+	}
+	return jobEntries + len(j.handovers)
+}
+
+// newChange returns the change of a job for a commit. complete is false if the job
+// has ended and needs another one.
+func (s *Shard) newChange(j *job) (change Change, complete bool) {
+	j.dirty = false
+	change = Change{ID: j.spec.ID, Queue: j.spec.Queue, State: j.state(), Part: s.isPart(j), OtherShards: j.otherShards}
+	if j.final == "" {
+		j.sent = j.version
+		change.Handovers, j.handovers = j.handovers, nil
+		change.Progress = j.progress()
+		return change, true
+	}
+	j.handovers = nil
+	if complete = j.takeCleanup(&change); complete {
+		j.sent = j.version
+		change.State = j.final
+	} else {
+		change.Progress = j.progress()
+	}
+	return change, complete
 }
 
 // batchCommitted handles the confirmation of a commit: jobs with a final state
@@ -46,9 +95,10 @@
 	s.confirmedAt = s.now
 	for _, j := range s.batchJobs {
 		j.durable = j.sent
+		s.placementDue = s.placementDue || j.otherShards != nil || s.isPart(j)
 		if j.final != "" && !j.dirty {
 			delete(s.jobs, j.spec.ID)
-			s.endedAt[j.spec.ID] = s.now
+			s.ended[j.spec.ID] = endedJob{s.now, s.isPart(j)}
 		}
 	}
 	for _, id := range s.batchWorkers {
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -53,7 +53,8 @@
 	commitInterval   = 40 * time.Millisecond  // minimum time between commits
 	publishInterval  = 700 * time.Millisecond // minimum time between load summaries
 	paceInterval     = 500 * time.Millisecond // minimum time between pace changes on a worker
-	maxCommitJobs    = 7                      // a job takes up to 4 entries of a transaction
+	maxCommitEntries = 28                     // entries of a transaction for changes of jobs
+	jobEntries       = 4                      // entries for one job, without transfers
 	runsPerEpoch     = 1000                   // run numbers available to one ownership for each task
 	maxClockDrift    = 0.03                   // fraction by which a worker's monotonic clock may run slow
 	expiryMargin     = 200 * time.Millisecond // added to the computed expiry of a lease
@@ -88,7 +89,8 @@
 	effects   []Effect // of the current Reduce
 
 	jobs            map[string]*job
-	endedAt         map[string]time.Time // jobs whose end is durable, by id
+	ended           map[string]endedJob  // jobs whose end is durable, by id
+	movedAt         map[string]time.Time // jobs that were moved to other shards, by id
 	earlyCancels    map[string]time.Time // cancellations that came before their jobs, by job id
 	waitingSteps    []*step              // steps with waiting tasks, unordered
 	workers         map[string]*worker
@@ -113,8 +115,12 @@
 	lastReport   time.Time         // when waiting tasks were last reported
 	reported     [WaitReasons]bool // the last report had tasks that wait for the reason
 	dirtyJobs    []*job            // jobs with changes that aren't committed yet
-	fillersWait  bool              // fillers were waiting in the last placement
-	placementDue bool              // waiting work or free room has changed since the last placement
+
+	staleTransfers []specifier.TaskID // transfer records to delete, of jobs that have ended
+	staleCancels   []string           // cancellations to delete, of unknown jobs, by job id
+
+	fillersWait  bool // fillers were waiting in the last placement
+	placementDue bool // waiting work or free room has changed since the last placement
 }
 
 // New returns the state of a shard that was claimed at now.
@@ -125,7 +131,8 @@
 		claimedAt:       now,
 		catalog:         &specifier.Catalog{},
 		jobs:            make(map[string]*job),
-		endedAt:         make(map[string]time.Time),
+		ended:           make(map[string]endedJob),
+		movedAt:         make(map[string]time.Time),
 		earlyCancels:    make(map[string]time.Time),
 		workers:         make(map[string]*worker),
 		interference:    newInterferenceLearner(),
@@ -206,6 +213,10 @@
 		s.paceAnswered(e)
 	case JobMoved:
 		s.jobMoved(e)
+	case ShardFound:
+		s.shardFound(e)
+	case TaskArrived:
+		s.taskArrived(e)
 	case Committed:
 		s.batchCommitted(e.Batch)
 	case OwnershipChecked:
@@ -264,12 +275,19 @@
 		load := s.summarize()
 		s.emit(Publish{Load: load})
 		s.moveExcess(&load)
+		s.requestTransfers()
 		s.forgetEnded()
 	}
 	s.reportWaiting()
 	s.placementDue = true
 }
 
+// endedJob is a job whose end is durable.
+type endedJob struct {
+	at      time.Time
+	wasPart bool // see Shard.isPart
+}
+
 // endedRetention is how long the ids of ended jobs are remembered. A delayed
 // watch, or a list read before the end, may still deliver their records.
 const endedRetention = 2 * time.Minute
@@ -277,8 +295,15 @@
 // forgetEnded forgets old ids of ended jobs and of early cancellations.
 func (s *Shard) forgetEnded() {
 	isOld := func(_ string, at time.Time) bool { return s.now.Sub(at) > endedRetention }
-	maps.DeleteFunc(s.endedAt, isOld)
-	maps.DeleteFunc(s.earlyCancels, isOld)
+	maps.DeleteFunc(s.ended, func(id string, e endedJob) bool { return isOld(id, e.at) })
+	maps.DeleteFunc(s.movedAt, isOld)
+	maps.DeleteFunc(s.earlyCancels, func(id string, at time.Time) bool {
+		if !isOld(id, at) {
+			return false
+		}
+		s.staleCancels = append(s.staleCancels, id)
+		return true
+	})
 }
 
 // expireInherited forgets inherited workers whose leases have expired, unless
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -165,6 +165,9 @@
 	Batch   int64 // number of the commit, returned in Committed
 	Changes []Change
 	Workers []string // ids of workers that may have runs of this shard
+
+	StaleTransfers []specifier.TaskID // transfer records to delete
+	StaleCancels   []string           // cancellations to delete, by job id
 }
 
 // Change is the new durable state of one job.
@@ -173,6 +176,12 @@
 	Queue    string
 	State    specifier.State
 	Progress recorder.Progress // empty if State is final
+
+	Part            bool               // another shard keeps the job's state and index entry
+	OtherShards     []string           // shards that have or had tasks of the job
+	Handovers       []Handover         // tasks transferred to other shards
+	RemoveTransfers []specifier.TaskID // transfer records to delete
+	CancelIn        []string           // shards in which the job's tasks are to be cancelled
 }
 
 // Publish replaces the shard's load summary in the store.
--- /dev/null
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -0,0 +1,317 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/admitter"
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+// owner is one ownership of the shard.
+type owner struct {
+	sim          *simulation
+	home         *simShard
+	shard        *Shard
+	token        int64
+	alive        bool
+	paused       bool
+	unreachable  map[*fakeWorker]bool
+	reachesStore bool // can reach the store
+	queuedEvents []Event
+	heard        map[string]time.Time // when it first received a cancellation, by job id
+}
+
+// tick sends the regular events every 50 ms while the owner is alive.
+func (o *owner) tick() {
+	if !o.alive {
+		return
+	}
+	if !o.paused {
+		if o.reachesStore && o.home.owner == o {
+			o.reduce(OwnershipChecked{Confirmed: true}, WorkersListed{Workers: o.home.registrations()})
+		}
+		o.reduce(Tick{})
+	}
+	o.sim.schedule(50*time.Millisecond, o.tick)
+}
+
+// post delivers an event; a paused owner processes it when it resumes.
+func (o *owner) post(event Event) {
+	switch {
+	case !o.alive:
+	case o.paused:
+		o.queuedEvents = append(o.queuedEvents, event)
+	default:
+		o.reduce(event)
+	}
+}
+
+// resume ends a pause.
+func (o *owner) resume() {
+	if !o.alive {
+		return
+	}
+	o.paused = false
+	events := o.queuedEvents
+	o.queuedEvents = nil
+	o.reduce(events...)
+}
+
+func (o *owner) reduce(events ...Event) {
+	for _, effect := range o.shard.Reduce(o.sim.now, events...) {
+		o.execute(effect)
+	}
+}
+
+func (o *owner) execute(effect Effect) {
+	s := o.sim
+	switch e := effect.(type) {
+	case Log:
+		s.logf("owner %d: %s %s %s run %d %s", o.token, e.Message, e.Task+e.Job, e.Worker, e.Run, e.Reason)
+	case Resign:
+		o.alive = false
+	case Commit:
+		s.schedule(s.delay(), func() { o.commit(e) })
+	case FindShard:
+		o.findShard(e)
+	case MoveJob:
+		s.schedule(s.delay(), func() { o.moveJob(e) })
+	case StartRun:
+		o.callWorker(e.Worker, func(w *fakeWorker) Event {
+			return StartAnswered{Worker: w.id, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: w.start(o.token, e)}
+		}, StartAnswered{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: OutcomeUnknown})
+	case StopRun:
+		o.callWorker(e.Worker, func(w *fakeWorker) Event {
+			return StopAnswered{Worker: w.id, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: w.stop(o.token, e.Task, e.Run)}
+		}, StopAnswered{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: OutcomeUnknown})
+	case PaceRun:
+	case PollWorker:
+		sent := s.now
+		o.callWorker(e.Worker, func(w *fakeWorker) Event {
+			inventory, fault := w.poll(o.token, e)
+			if fault != NoFault {
+				return PollFailed{Worker: w.id, Incarnation: e.Worker.Incarnation, Fault: fault}
+			}
+			return PollAnswered{Worker: w.id, Sent: sent, Inventory: inventory}
+		}, PollFailed{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Fault: OutcomeUnknown})
+	}
+}
+
+// callWorker executes an order at a worker and posts its answer, or lost if
+// there is none.
+func (o *owner) callWorker(reg specifier.Worker, do func(*fakeWorker) Event, lost Event) {
+	s := o.sim
+	w := s.worker(reg.ID)
+	timeout := time.Second
+	roll := s.random.Float64()
+	switch {
+	case roll < s.lateCallRate:
+		s.schedule(time.Duration(2000+s.random.IntN(10000))*time.Millisecond, func() {
+			if w.isUp() && w.incarnation == reg.Incarnation {
+				do(w)
+			}
+		})
+		s.schedule(timeout, func() { o.post(lost) })
+	case roll < s.lateCallRate+s.lostAnswerRate:
+		s.schedule(s.delay(), func() {
+			if w.isUp() && !o.unreachable[w] && w.incarnation == reg.Incarnation {
+				do(w)
+			}
+		})
+		s.schedule(timeout, func() { o.post(lost) })
+	default:
+		s.schedule(s.delay(), func() {
+			if !w.isUp() || o.unreachable[w] || w.incarnation != reg.Incarnation {
+				s.schedule(timeout, func() { o.post(lost) })
+				return
+			}
+			answer := do(w)
+			s.schedule(s.delay(), func() { o.post(answer) })
+		})
+	}
+}
+
+// commit makes changes durable, unless another owner has claimed the shard.
+func (o *owner) commit(e Commit) {
+	if !o.canWrite(func() { o.commit(e) }) {
+		return
+	}
+	s, sh := o.sim, o.home
+	switch o.takeCommitFault(e) {
+	case commitLost:
+		s.logf("owner %d crashes before its commit", o.token)
+		o.alive = false
+		s.schedule(sh.faultLength/8, sh.claimFrom(o))
+	case commitUnheard:
+		s.logf("owner %d crashes after its commit", o.token)
+		o.alive = false
+		sh.apply(e)
+		s.schedule(sh.faultLength/8, sh.claimFrom(o))
+	case commitLate:
+		s.logf("owner %d hears of its commit in %s", o.token, sh.faultLength)
+		sh.apply(e)
+		s.schedule(sh.faultLength, func() { o.post(Committed{Batch: e.Batch}) })
+	default:
+		sh.apply(e)
+		s.schedule(s.delay(), func() { o.post(Committed{Batch: e.Batch}) })
+	}
+}
+
+// canWrite reports whether the owner can write to the store now. If it doesn't
+// reach the store, retry follows later.
+func (o *owner) canWrite(retry func()) bool {
+	switch {
+	case !o.alive:
+		return false
+	case !o.reachesStore:
+		o.sim.schedule(200*time.Millisecond, retry)
+		return false
+	case o.home.owner != o:
+		o.alive = false
+		return false
+	}
+	return true
+}
+
+// takeCommitFault returns what happens to the owner at a commit.
+func (o *owner) takeCommitFault(e Commit) commitFault {
+	sh := o.home
+	isShared := slices.ContainsFunc(e.Changes, func(c Change) bool { return len(c.Handovers)+len(c.CancelIn)+len(c.RemoveTransfers) > 0 })
+	if sh.needsSharing && !isShared {
+		return noCommitFault
+	}
+	fault := sh.commitFault
+	sh.commitFault = noCommitFault
+	return fault
+}
+
+// receive handles a record that the owner's watch delivers.
+func (o *owner) receive(event Event) {
+	if !o.reachesStore {
+		o.sim.schedule(200*time.Millisecond, func() { o.receive(event) })
+		return
+	}
+	if cancelled, ok := event.(JobCancelled); ok {
+		o.postCancel(cancelled.ID)
+		return
+	}
+	o.post(event)
+}
+
+// postCancel delivers a cancellation to the owner.
+func (o *owner) postCancel(id string) {
+	o.post(JobCancelled{ID: id})
+	if o.alive && !o.paused {
+		o.hear(id)
+	}
+}
+
+// hear records when the owner has first received a cancellation.
+func (o *owner) hear(id string) {
+	if o.heard[id].IsZero() {
+		o.heard[id] = o.sim.now
+		o.sim.store[id].partHeardAt = o.sim.now
+	}
+}
+
+// hearLoaded records the cancellations that a new owner has loaded.
+func (o *owner) hearLoaded() {
+	for id := range o.home.cancels {
+		o.hear(id)
+	}
+}
+
+// findShard answers FindShard after a while, by the room that the workers of other
+// shards had a while ago. Some answers are wrong.
+func (o *owner) findShard(e FindShard) {
+	s := o.sim
+	s.schedule(time.Duration(s.random.IntN(300))*time.Millisecond, func() {
+		found := o.chooseRoom(e)
+		delay := s.delay()
+		if s.random.Float64() < s.wrongRoomRate {
+			found = o.wrongRoom(e)
+			delay = time.Duration(s.random.IntN(3000)) * time.Millisecond
+		}
+		s.schedule(delay, func() { o.post(found) })
+	})
+}
+
+// chooseRoom chooses a shard by the room that its workers have now.
+func (o *owner) chooseRoom(e FindShard) ShardFound {
+	found := ShardFound{Task: e.Task}
+	if !o.reachesStore {
+		return found
+	}
+	var shards []admitter.Shard
+	for _, sh := range o.sim.shards {
+		if sh != o.home && sh.owner.alive && !slices.Contains(e.Tried, sh.name) {
+			shards = append(shards, sh.room())
+		}
+	}
+	found.Shard, found.Tasks = admitter.ChooseRoom(e.Needs, e.Tasks, shards, o.sim.random)
+	return found
+}
+
+// wrongRoom chooses any other shard, or none.
+func (o *owner) wrongRoom(e FindShard) ShardFound {
+	sh := o.sim.shards[o.sim.random.IntN(len(o.sim.shards))]
+	if sh == o.home {
+		return ShardFound{Task: e.Task}
+	}
+	return ShardFound{Task: e.Task, Shard: sh.name, Tasks: e.Tasks}
+}
+
+// room returns the free room of the shard's workers.
+func (sh *simShard) room() admitter.Shard {
+	out := admitter.Shard{Name: sh.name, HasLabel: true}
+	for _, w := range sh.workers {
+		if !w.registered || w.crashed {
+			continue
+		}
+		free := w.free()
+		out.Free = out.Free.Add(free)
+		if free.CPU > out.MaxFree.CPU {
+			out.MaxFree = free
+		}
+	}
+	return out
+}
+
+// free returns the resources that the worker's runs don't need.
+func (w *fakeWorker) free() describer.Resources {
+	free := w.registration().Capacity
+	for _, r := range w.runs {
+		free = free.Sub(r.step.Needs)
+	}
+	return free
+}
+
+// moveJob moves a job to another shard in one transaction, unless it is being
+// cancelled.
+func (o *owner) moveJob(e MoveJob) {
+	if !o.canWrite(func() { o.moveJob(e) }) {
+		return
+	}
+	s := o.sim
+	r, to := s.store[e.Job.ID], o.moveTarget(e)
+	moved := to != nil && !r.cancelled
+	if moved {
+		s.logf("%s: job %s moves to %s", o.home.name, e.Job.ID, to.name)
+		r.job.FormerShards = append(slices.Clone(r.job.FormerShards), o.home.name)
+		r.home = to
+		to.deliver(JobArrived{Job: r.job}, 1500*time.Millisecond)
+	}
+	s.schedule(s.delay(), func() { o.post(JobMoved{ID: e.Job.ID, OK: moved}) })
+}
+
+// moveTarget returns a shard with room to which the job may move, or nil.
+func (o *owner) moveTarget(e MoveJob) *simShard {
+	for _, sh := range o.sim.shards {
+		if sh != o.home && !slices.Contains(e.Job.FormerShards, sh.name) && sh.owner.alive && sh.room().Free.CPU >= e.LongRunningCPU {
+			return sh
+		}
+	}
+	return nil
+}
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -226,10 +226,7 @@
 	if !step.LongRunning && s.invariants.ackedFailures[e.Task] >= simAttempts {
 		s.fail("%s starts on %s after %d acknowledged failures", e.Task, w.id, s.invariants.ackedFailures[e.Task])
 	}
-	// A late call is executed less than 12 s after its owner gave the order.
-	if cancelledAt := s.store[e.Task.Job].cancelHeardAt; !cancelledAt.IsZero() && s.now.Sub(cancelledAt) > 13*time.Second {
-		s.fail("%s starts on %s %s after its owner received the cancellation", e.Task, w.id, s.now.Sub(cancelledAt))
-	}
+	s.checkCancelled(w, e.Task)
 	for _, other := range s.workers {
 		if r := other.runs[e.Task]; other != w && r != nil {
 			s.fail("%s run %d starts on %s while run %d is on %s", e.Task, e.Run, w.id, r.number, other.id)
@@ -243,18 +240,57 @@
 			}
 		}
 	}
+	s.checkRoom(w, e.Task, step)
+	s.checkNumber(e)
+}
+
+// checkRoom checks that a worker has room for another run of a step.
+func (s *simulation) checkRoom(w *fakeWorker, task specifier.TaskID, step *specifier.Step) {
 	used := step.Needs.CPU
 	beside := 0
 	for id, r := range w.runs {
 		used += r.step.Needs.CPU
-		if id.Job == e.Task.Job && id.Step == e.Task.Step && id.Occurrence == e.Task.Occurrence {
+		if id.Job == task.Job && id.Step == task.Step && id.Occurrence == task.Occurrence {
 			beside++
 		}
 	}
 	if used > workerCPU {
-		s.fail("%s exceeds the capacity of %s: %d of %d millicores", e.Task, w.id, used, workerCPU)
+		s.fail("%s exceeds the capacity of %s: %d of %d millicores", task, w.id, used, workerCPU)
 	}
 	if step.MaxPerWorker > 0 && beside >= step.MaxPerWorker {
-		s.fail("%s is task %d of its step on %s, more than allowed", e.Task, beside+1, w.id)
+		s.fail("%s is task %d of its step on %s, more than allowed", task, beside+1, w.id)
+	}
+}
+
+// checkCancelled checks that the owners of all shards that have the job haven't
+// received its cancellation long ago. A late call is executed less than 12 s after
+// its owner gave the order.
+func (s *simulation) checkCancelled(w *fakeWorker, task specifier.TaskID) {
+	r := s.store[task.Job]
+	last := r.cancelHeardAt
+	if last.IsZero() && len(s.shards) > 1 {
+		last = r.finalAt
+	}
+	if last.IsZero() {
+		return
+	}
+	for _, sh := range s.shards {
+		if sh.hasPart(task.Job) && sh.owner.heard[task.Job].IsZero() {
+			return
+		}
+	}
+	if r.partHeardAt.After(last) {
+		last = r.partHeardAt
+	}
+	if s.now.Sub(last) > 13*time.Second {
+		s.fail("%s starts on %s %s after its owner received the cancellation", task, w.id, s.now.Sub(last))
+	}
+}
+
+// checkNumber checks that the run numbers of a task rise over shards and owners.
+func (s *simulation) checkNumber(e StartRun) {
+	if last := s.invariants.lastRun[e.Task]; len(s.shards) > 1 && e.Run <= last {
+		s.fail("%s starts run %d after run %d", e.Task, e.Run, last)
 	}
+	s.invariants.lastRun[e.Task] = e.Run
 }
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -215,7 +215,7 @@
 	} else {
 		r.unknown = true
 	}
-	if t == nil || t.done || t.worker != nil {
+	if t == nil || t.done || t.elsewhere || t.worker != nil {
 		w.addRun(r)
 		s.stopRun(r, "task needs no run")
 		return
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -12,14 +12,17 @@
 type job struct {
 	spec           specifier.Job
 	queue          specifier.Queue
-	steps          []*step   // ordered by occurrence, then by step number
-	remainingSteps int       // number of steps that haven't completed
-	started        bool      // a task of the job has started
-	moving         bool      // being moved to another shard; none of its tasks may start
-	arrivedAt      time.Time // zero if the job was loaded from an earlier ownership
-	lastEnd        time.Time // when a run of its tasks last ended
-	objective      time.Time // when the job should have completed
-	graceEnd       time.Time // after it, completing the job has no value any more
+	steps          []*step    // ordered by occurrence, then by step number
+	remainingSteps int        // number of steps that haven't completed
+	started        bool       // a task of the job has started
+	moving         bool       // being moved to another shard; none of its tasks may start
+	arrivedAt      time.Time  // zero if the job was loaded from an earlier ownership
+	home           string     // shard that keeps the job's state; another one if this is a part
+	otherShards    []string   // shards that got tasks of it from this one
+	handovers      []Handover // transfers for the next commit
+	lastEnd        time.Time  // when a run of its tasks last ended
+	objective      time.Time  // when the job should have completed
+	graceEnd       time.Time  // after it, completing the job has no value any more
 
 	final   specifier.State // final state, empty until the job ends
 	version int64           // increases with each change of the durable state
@@ -30,37 +33,47 @@
 
 // step is one step of one occurrence of a job.
 type step struct {
-	job            *job
-	spec           *specifier.Step
-	occurrence     int
-	number         int
-	tasks          []*task
-	completed      int       // number of completed tasks
-	waiting        int       // number of tasks that have no run and haven't completed
-	ready          bool      // due, and the steps that it depends on have completed
-	queued         bool      // listed in Shard.waitingSteps
-	mayExceedLimit bool      // its long-running tasks may exceed the limit in this placement round
-	due            time.Time // zero for jobs that don't repeat
-	needs          need
-	path           time.Duration // estimated time from its start to the end of the job
-	advice         advice
+	job              *job
+	spec             *specifier.Step
+	occurrence       int
+	number           int
+	tasks            []*task
+	completed        int       // number of completed tasks
+	waiting          int       // number of tasks that have no run and haven't completed
+	elsewhere        int       // number of tasks that other shards have
+	findingShard     bool      // a FindShard for it isn't answered yet
+	shardRequestedAt time.Time // time of the last FindShard
+	ready            bool      // due, and the steps that it depends on have completed
+	queued           bool      // listed in Shard.waitingSteps
+	mayExceedLimit   bool      // its long-running tasks may exceed the limit in this placement round
+	due              time.Time // zero for jobs that don't repeat
+	needs            need
+	path             time.Duration // estimated time from its start to the end of the job
+	advice           advice
 }
 
 // task is one task of a step.
 type task struct {
-	step         *step
-	index        int
-	done         bool
-	worker       *worker // worker that has or may have a run of it; nil without one
-	lastRun      int64   // highest known number of its runs
-	failed       []int64 // numbers of the failed runs
-	checkpoint   string
-	lastFailedOn string    // id of the worker of the last failed or stalled run
-	notBefore    time.Time // no start before this time
-	waitingSince time.Time // when it began to wait for a run
-	allRunsKnown bool      // no run of it by an earlier owner can exist that isn't known here
-	seenActive   bool      // a run of it was active during this ownership
-	adopted      bool      // has a run of an earlier owner, of which others may have failed
+	step           *step
+	index          int
+	done           bool
+	worker         *worker   // worker that has or may have a run of it; nil without one
+	lastRun        int64     // highest known number of its runs
+	runOffset      int64     // its runs in other shards have no higher numbers
+	elsewhere      bool      // another shard has the task
+	hop            int       // how often it was transferred, as far as known here
+	hasRecord      bool      // this shard has a transfer record of it
+	triedShards    []string  // shards in which it has waited since its last run, while it is transferred
+	transferAfter  time.Time // it isn't transferred before this time
+	arrivalVersion int64     // version of the job that has to be durable before it starts
+	failed         []int64   // numbers of the failed runs
+	checkpoint     string
+	lastFailedOn   string    // id of the worker of the last failed or stalled run
+	notBefore      time.Time // no start before this time
+	waitingSince   time.Time // when it began to wait for a run
+	allRunsKnown   bool      // no run of it by an earlier owner can exist that isn't known here
+	seenActive     bool      // a run of it was active during this ownership
+	adopted        bool      // has a run of an earlier owner, of which others may have failed
 }
 
 func (t *task) id() specifier.TaskID {
@@ -80,7 +93,7 @@
 
 // newJob creates the steps and tasks of a job.
 func (s *Shard) newJob(spec specifier.Job) *job {
-	j := &job{spec: spec}
+	j := &job{spec: spec, home: s.options.Name}
 	j.queue, _ = s.catalog.Queue(spec.Queue)
 	target := time.Duration(float64(spec.CriticalPath())*j.queue.Slack) + j.queue.Completion
 	j.objective = spec.Accepted.Add(target)
@@ -109,7 +122,8 @@
 
 // addJob adds a newly accepted job, unless it is known or has ended.
 func (s *Shard) addJob(spec specifier.Job) {
-	if _, ended := s.endedAt[spec.ID]; ended || s.jobs[spec.ID] != nil {
+	_, ended := s.ended[spec.ID]
+	if _, moved := s.movedAt[spec.ID]; moved || ended || s.jobs[spec.ID] != nil {
 		return
 	}
 	j := s.newJob(spec)
@@ -136,10 +150,18 @@
 	j := s.newJob(e.Job)
 	j.started = e.Started
 	s.jobs[e.Job.ID] = j
-	for _, p := range e.Progress.Tasks {
+	s.restore(j, e.Progress)
+	s.openReadySteps(j)
+	s.placementDue = true
+}
+
+// restore applies durable progress to a job.
+func (s *Shard) restore(j *job, progress recorder.Progress) {
+	j.otherShards = progress.Shards
+	for _, p := range progress.Tasks {
 		t := j.task(specifier.TaskID{Occurrence: p.Occurrence, Step: p.Step, Index: p.Index})
 		if t == nil {
-			s.emit(Log{Message: "progress of unknown task ignored", Job: e.Job.ID})
+			s.emit(Log{Message: "progress of unknown task ignored", Job: j.spec.ID})
 			continue
 		}
 		t.failed = p.Failed
@@ -147,9 +169,17 @@
 		if p.Done {
 			s.markDone(t)
 		}
+		t.hop = p.Hop
+		switch {
+		case p.Away && !t.elsewhere:
+			t.elsewhere = true
+			t.step.elsewhere++
+			t.step.waiting--
+		case p.Hop > 0 && !p.Away && t.elsewhere:
+			s.takeBack(t)
+			t.waitingSince = s.now
+		}
 	}
-	s.openReadySteps(j)
-	s.placementDue = true
 }
 
 // task returns the task with an id, ignoring id.Job, or nil if there is none.
@@ -298,7 +328,14 @@
 	if j == nil {
 		// The cancellation may come before the job: a list contains cancellations
 		// before jobs, and separate watches have no common order.
-		s.earlyCancels[id] = s.now
+		e, ended := s.ended[id]
+		switch {
+		case !ended:
+			s.earlyCancels[id] = s.now
+		case e.wasPart:
+			// The caller's cancellation and that of the home come one after the other.
+			s.staleCancels = append(s.staleCancels, id)
+		}
 		return
 	}
 	if j.final == "" {
@@ -336,13 +373,14 @@
 
 // progress returns the job's state for the store.
 func (j *job) progress() recorder.Progress {
-	var p recorder.Progress
+	p := recorder.Progress{Shards: j.otherShards}
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.done || len(t.failed) > 0 || t.checkpoint != "" {
+			if t.done || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 {
 				p.Tasks = append(p.Tasks, recorder.TaskProgress{
 					Occurrence: st.occurrence, Step: st.number, Index: t.index,
 					Done: t.done, Failed: t.failed, Checkpoint: t.checkpointToStore(),
+					Hop: t.hop, Away: t.hop > 0 && t.elsewhere,
 				})
 			}
 		}
--- a/internal/job/dispatcher/load.go
+++ b/internal/job/dispatcher/load.go
@@ -16,6 +16,9 @@
 			continue
 		}
 		candidate := w.candidate()
+		if candidate.Free.CPU > l.MaxFree.CPU {
+			l.MaxFree = candidate.Free
+		}
 		l.Workers++
 		l.Capacity = l.Capacity.Add(w.reg.Capacity)
 		l.Free = l.Free.Add(candidate.Free)
--- a/internal/job/dispatcher/move.go
+++ b/internal/job/dispatcher/move.go
@@ -47,7 +47,8 @@
 		}
 		j := s.jobs[id]
 		cpu := j.longRunningCPU()
-		if cpu == 0 || !j.isMovable() || s.now.Sub(j.arrivedAt) < publishInterval {
+		age := s.now.Sub(j.arrivedAt)
+		if cpu == 0 || !j.isMovable() || age < publishInterval || age >= moveWait {
 			continue
 		}
 		j.moving = true
@@ -57,12 +58,12 @@
 	}
 }
 
-// longRunningCPU returns the CPU that the job's long-running tasks reserve, in
-// millicores, whether they run or not.
+// longRunningCPU returns the CPU that the job's long-running tasks in this shard
+// reserve, in millicores, whether they run or not.
 func (j *job) longRunningCPU() int64 {
 	total := int64(0)
 	for _, st := range j.steps {
-		total += st.needs.longRunning * int64(len(st.tasks))
+		total += st.needs.longRunning * int64(len(st.tasks)-st.elsewhere)
 	}
 	return total
 }
@@ -74,7 +75,8 @@
 }
 
 // moveWait is how long a movable job above the limit waits for a move. Other
-// shards may get an owner a few seconds later than this one.
+// shards may get an owner a few seconds later than this one. After that it starts
+// here, and tasks without room are transferred one by one.
 const moveWait = 4 * time.Second
 
 // pinnedCPU returns the job's longRunningCPU if it can't be moved any more,
@@ -103,7 +105,7 @@
 // isMovable reports whether no task of the job can have run anywhere, and the
 // job may be moved once more.
 func (j *job) isMovable() bool {
-	if j.started || j.moving || j.final != "" || len(j.spec.FormerShards) >= maxMoves || j.arrivedAt.IsZero() {
+	if j.started || j.moving || j.final != "" || len(j.spec.FormerShards) >= maxMoves || j.arrivedAt.IsZero() || len(j.otherShards) > 0 {
 		return false
 	}
 	for _, st := range j.steps {
@@ -128,5 +130,5 @@
 		return
 	}
 	delete(s.jobs, e.ID)
-	s.endedAt[e.ID] = s.now // a delayed watch may deliver the job once more
+	s.movedAt[e.ID] = s.now // a delayed watch may deliver the job once more
 }
--- a/internal/job/dispatcher/pacing_test.go
+++ b/internal/job/dispatcher/pacing_test.go
@@ -82,13 +82,13 @@
 		}
 		c.run(25 * time.Second)
 		for _, h := range jobs {
-			end, ok := c.endedAt[h.job.ID]
+			end, ok := c.ended[h.job.ID]
 			switch {
 			case !h.accepted:
 				result.refused++
 			case !ok:
 				result.undone++
-			case end.Sub(h.job.Accepted) <= h.objective:
+			case end.at.Sub(h.job.Accepted) <= h.objective:
 				result.inTime++
 			default:
 				result.late++
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -113,7 +113,7 @@
 func (st *step) oldestWaiting() *task {
 	var first *task
 	for _, t := range st.tasks {
-		if !t.done && t.worker == nil && (first == nil || t.waitingSince.Before(first.waitingSince)) {
+		if t.isWaiting() && (first == nil || t.waitingSince.Before(first.waitingSince)) {
 			first = t
 		}
 	}
@@ -209,7 +209,7 @@
 		if st.waiting == 0 {
 			return
 		}
-		if t.done || t.worker != nil || p.shard.now.Before(t.notBefore) || !p.inheritedKnown && !t.allRunsKnown {
+		if !t.mayStart(p.shard.now) || !p.inheritedKnown && !t.allRunsKnown {
 			continue
 		}
 		i := p.chooseWorker(st, t, request, mayDisturb)
@@ -237,6 +237,12 @@
 	}
 }
 
+// mayStart reports whether the task waits for a run and needn't wait for anything
+// but a worker.
+func (t *task) mayStart(now time.Time) bool {
+	return t.isWaiting() && !now.Before(t.notBefore) && t.step.job.durable >= t.arrivalVersion
+}
+
 // Limits of room reservations.
 const (
 	reservationDelay = 700 * time.Millisecond // waiting time after which room is reserved
@@ -341,13 +347,14 @@
 }
 
 // nextRun returns the number of the task's next run. It is higher than that of
-// any earlier run, also under earlier owners.
-func (t *task) nextRun(epoch int64) int64 { return max(t.lastRun, epoch*runsPerEpoch) + 1 }
+// any earlier run, also under earlier owners and in other shards.
+func (t *task) nextRun(epoch int64) int64 { return max(t.lastRun, t.runOffset+epoch*runsPerEpoch) + 1 }
 
 // startRun orders a worker to start a run of a task.
 func (s *Shard) startRun(t *task, w *worker, number int64) *run {
 	t.lastRun = number
 	t.allRunsKnown, t.seenActive = true, true
+	t.triedShards = nil
 	t.step.waiting--
 	if !t.step.spec.LongRunning && t.step.needs.reserved.CPU > 0 {
 		s.lastFiniteStart = s.now
--- a/internal/job/dispatcher/placefiller.go
+++ b/internal/job/dispatcher/placefiller.go
@@ -87,7 +87,7 @@
 
 // hasRuns reports whether a task of the job has a run.
 func (j *job) hasRuns() bool {
-	return slices.ContainsFunc(j.steps, func(st *step) bool { return st.waiting+st.completed < len(st.tasks) })
+	return slices.ContainsFunc(j.steps, func(st *step) bool { return st.waiting+st.completed+st.elsewhere < len(st.tasks) })
 }
 
 const (
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -31,8 +31,8 @@
 }
 
 // drawJob draws a job of up to three steps, each after the previous one unless
-// that is long-running.
-func drawJob(t *rapid.T, id string) specifier.Job {
+// that is long-running. Of ten steps about longRunning are.
+func drawJob(t *rapid.T, id string, longRunning int) specifier.Job {
 	job := specifier.Job{ID: id}
 	for i := range rapid.IntRange(1, 3).Draw(t, "steps of job") {
 		step := specifier.Step{
@@ -41,7 +41,7 @@
 			Estimate:     time.Duration(rapid.IntRange(50, 3000).Draw(t, "ms")) * time.Millisecond,
 			Checkpoint:   rapid.Bool().Draw(t, "checkpoint"),
 			MaxPerWorker: rapid.IntRange(0, 2).Draw(t, "spread"),
-			LongRunning:  rapid.IntRange(0, 9).Draw(t, "lasting") == 0,
+			LongRunning:  rapid.IntRange(0, 9).Draw(t, "lasting") < longRunning,
 		}
 		if i > 0 && !job.Steps[i-1].LongRunning {
 			step.After = []int{i - 1}
@@ -53,22 +53,37 @@
 
 // randomStep submits a job, or with a lower probability causes a fault.
 func (s *simulation) randomStep(t *rapid.T, i int) {
+	sh := s.shards[0]
 	length := time.Duration(rapid.IntRange(200, 14000).Draw(t, "length")) * time.Millisecond
-	w := s.workers[rapid.IntRange(0, len(s.workers)-1).Draw(t, "worker")]
-	o := s.owner
-	switch rapid.IntRange(0, 16).Draw(t, "what") {
+	w := sh.workers[rapid.IntRange(0, len(sh.workers)-1).Draw(t, "worker")]
+	switch what := rapid.IntRange(0, 16).Draw(t, "what"); what {
 	case 0, 1, 2, 3, 4:
-		s.submit(drawJob(t, fmt.Sprintf("%016x", i)))
+		s.submit(drawJob(t, fmt.Sprintf("%016x", i), 1))
 	case 5:
 		s.cancel(fmt.Sprintf("%016x", max(i-2, 0)))
+	default:
+		sh.causeFault(t, what, w, length)
+	}
+}
+
+// Range of the faults of causeFault.
+const (
+	firstFault = 6
+	lastFault  = 16
+)
+
+// causeFault causes one of the faults from firstFault to lastFault.
+func (sh *simShard) causeFault(t *rapid.T, what int, w *fakeWorker, length time.Duration) {
+	s, o := sh.sim, sh.owner
+	switch what {
 	case 6:
 		s.logf("owner %d crashes", o.token)
 		o.alive = false
-		s.schedule(length/8, s.claim)
+		s.schedule(length/8, sh.claim)
 	case 7:
 		s.logf("owner %d pauses for %s", o.token, length)
 		o.paused = true
-		s.schedule(min(length, 3*time.Second), s.claimFrom(o))
+		s.schedule(min(length, 3*time.Second), sh.claimFrom(o))
 		s.schedule(length, o.resume)
 	case 8:
 		s.logf("owner %d is cut off from %s for %s", o.token, w.id, length)
@@ -78,7 +93,7 @@
 		s.logf("owner %d is cut off from the store for %s", o.token, length)
 		o.reachesStore = false
 		if rapid.Bool().Draw(t, "replaced") {
-			s.schedule(3*time.Second, s.claimFrom(o))
+			s.schedule(3*time.Second, sh.claimFrom(o))
 		}
 		s.schedule(length, func() { o.reachesStore = true })
 	case 10:
@@ -100,7 +115,7 @@
 		w.stalled = true
 		s.schedule(length, func() { w.stalled = false })
 	case 16:
-		s.release()
+		sh.release()
 	case 14:
 		s.logf("%s is unregistered and cut off from the owner for %s", w.id, length)
 		w.registered = false
@@ -110,30 +125,40 @@
 }
 
 // claimFrom returns a function that claims the shard if o still owns it.
-func (s *simulation) claimFrom(o *owner) func() {
+func (sh *simShard) claimFrom(o *owner) func() {
 	return func() {
-		if s.owner == o {
-			s.claim()
+		if sh.owner == o {
+			sh.claim()
 		}
 	}
 }
 
-// endFaults ends all faults.
+// endFaults ends all faults, and all jobs that would never end.
 func (s *simulation) endFaults() {
+	s.stopFaults()
+	s.cancelLongRunning()
+}
+
+// stopFaults ends all faults.
+func (s *simulation) stopFaults() {
+	for _, sh := range s.shards {
+		sh.commitFault = noCommitFault
+	}
 	s.advance(15 * time.Second)
-	s.lostAnswerRate, s.lateCallRate, s.failureRate = 0, 0, 0
+	s.lostAnswerRate, s.lateCallRate, s.failureRate, s.wrongRoomRate = 0, 0, 0, 0
 	for _, w := range s.workers {
 		w.registered, w.stalled = true, false
 		if w.crashed {
 			w.restart()
 		}
 	}
-	if !s.owner.alive {
-		s.claim()
+	for _, sh := range s.shards {
+		if !sh.owner.alive {
+			sh.claim()
+		}
+		sh.owner.reachesStore, sh.owner.paused = true, false
+		clear(sh.owner.unreachable)
 	}
-	s.owner.reachesStore, s.owner.paused = true, false
-	clear(s.owner.unreachable)
-	s.cancelLongRunning()
 }
 
 // cancelLongRunning cancels the jobs with long-running tasks, which would never
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -4,11 +4,9 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
-	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -26,46 +24,47 @@
 	Fatalf(format string, args ...any)
 }
 
-// simulation runs the owners, workers and store of one shard in virtual time.
-// Calls to workers are delayed, lost or executed late, as its rates say.
+// simulation runs the owners, workers and store of the shards of one service in
+// virtual time. Calls to workers are delayed, lost or executed late, as its rates
+// say.
 type simulation struct {
 	t          reporter
 	random     *rand.Rand
 	now        time.Time
 	timeline   timeline
 	eventCount int
-	workers    []*fakeWorker
-	owner      *owner
-	epoch      int64
-	token      int64
+	workers    []*fakeWorker // of all shards
+	shards     []*simShard
+	token      int64 // last fencing token of any shard
 	catalog    *specifier.Catalog
 
-	store           map[string]*storedJob  // jobs by id
-	recordedWorkers []string               // workers named by the last commit
-	released        bool                   // the last owner released the shard
-	workerLeases    []recorder.WorkerLease // left by the last owner if released
-	lostAnswerRate  float64                // fraction of calls whose answer is lost
-	lateCallRate    float64                // fraction of calls that are executed seconds later, unanswered
-	failureRate     float64                // fraction of runs that fail
-	invariants      invariants
-	history         []string
+	store          map[string]*storedJob // jobs by id
+	lostAnswerRate float64               // fraction of calls whose answer is lost
+	lateCallRate   float64               // fraction of calls that are executed seconds later, unanswered
+	failureRate    float64               // fraction of runs that fail
+	wrongRoomRate  float64               // fraction of FindShard answers that are made up
+	invariants     invariants
+	history        []string
 }
 
-// storedJob is a job in the store.
+// storedJob is a job in the store, with its index entry.
 type storedJob struct {
 	job           specifier.Job
-	progress      recorder.Progress
-	started       bool
+	home          *simShard
 	state         specifier.State
+	finalAt       time.Time // when state became final
 	cancelled     bool
-	cancelHeardAt time.Time // when the owner received the cancellation
+	parts         []string  // other shards with tasks of the job, by its index entry
+	cancelHeardAt time.Time // when the owner of its home received the cancellation
+	partHeardAt   time.Time // when the last owner of a part received it first
 }
 
 // invariants tracks what the workers did, to check each start against it.
 type invariants struct {
-	acked         map[specifier.TaskID]bool // completed and acknowledged
-	completed     map[specifier.TaskID]bool // completed, acknowledged or not
-	ackedFailures map[specifier.TaskID]int  // number of acknowledged failures
+	acked         map[specifier.TaskID]bool  // completed and acknowledged
+	completed     map[specifier.TaskID]bool  // completed, acknowledged or not
+	ackedFailures map[specifier.TaskID]int   // number of acknowledged failures
+	lastRun       map[specifier.TaskID]int64 // highest number of a started run
 }
 
 // timelineEvent is something scheduled for a time; sequence breaks ties.
@@ -96,9 +95,15 @@
 	return e
 }
 
-// newSimulation returns a simulation with workers w0, w1 and so on, and an
-// owner.
+// newSimulation returns a simulation of a service with one shard, which has workers
+// w0, w1 and so on, and an owner.
 func newSimulation(t reporter, seed uint64, workers int) *simulation {
+	return newServiceSimulation(t, seed, workers)
+}
+
+// newServiceSimulation returns a simulation of a service with a shard for each
+// number of workers.
+func newServiceSimulation(t reporter, seed uint64, workers ...int) *simulation {
 	s := &simulation{
 		t: t, random: rand.New(rand.NewPCG(seed, 1)), now: epoch, store: make(map[string]*storedJob),
 		catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{
@@ -106,14 +111,19 @@
 		}},
 		invariants: invariants{
 			acked: make(map[specifier.TaskID]bool), completed: make(map[specifier.TaskID]bool), ackedFailures: make(map[specifier.TaskID]int),
+			lastRun: make(map[specifier.TaskID]int64),
 		},
 	}
-	for i := range workers {
-		w := &fakeWorker{sim: s, id: fmt.Sprintf("w%d", i), registered: true}
-		w.restart()
-		s.workers = append(s.workers, w)
+	for number, n := range workers {
+		name := "desk"
+		if len(workers) > 1 {
+			name = fmt.Sprintf("desk-%d", number)
+		}
+		s.shards = append(s.shards, newSimShard(s, name, n))
+	}
+	for _, sh := range s.shards {
+		sh.claim()
 	}
-	s.claim()
 	return s
 }
 
@@ -153,179 +163,6 @@
 	return time.Duration(1+s.random.IntN(20)) * time.Millisecond
 }
 
-// owner is one ownership of the shard.
-type owner struct {
-	sim          *simulation
-	shard        *Shard
-	token        int64
-	alive        bool
-	paused       bool
-	unreachable  map[*fakeWorker]bool
-	reachesStore bool // can reach the store
-	queuedEvents []Event
-}
-
-// claim creates a new owner, which loads the durable state.
-func (s *simulation) claim() {
-	s.token++
-	o := &owner{sim: s, token: s.token, alive: true, reachesStore: true, unreachable: make(map[*fakeWorker]bool)}
-	o.shard = New(Options{
-		Name: "desk", Service: "desk", Epoch: s.epoch, Workers: slices.Clone(s.recordedWorkers),
-		Released: s.released, WorkerLeases: s.workerLeases,
-		Lease: simLease, OutageLimit: simOutageLimit, PollWait: 500 * time.Millisecond,
-	}, s.now)
-	s.epoch++
-	s.released, s.workerLeases = false, nil
-	s.owner = o
-	s.logf("claim %d", o.token)
-	events := []Event{CatalogUpdated{Catalog: s.catalog}}
-	ids := sortedKeys(s.store)
-	for _, id := range ids {
-		if r := s.store[id]; !r.state.IsFinal() {
-			events = append(events, JobLoaded{Job: r.job, Progress: r.progress, Started: r.started})
-		}
-	}
-	for _, id := range ids {
-		if r := s.store[id]; r.cancelled && !r.state.IsFinal() {
-			events = append(events, JobCancelled{ID: id})
-		}
-	}
-	o.reduce(append(events, WorkersListed{Workers: s.registrations()})...)
-	o.tick()
-}
-
-// release ends the current ownership by a planned shutdown.
-func (s *simulation) release() {
-	o := s.owner
-	if !o.alive || o.paused || !o.reachesStore {
-		return
-	}
-	s.logf("owner %d shuts down", o.token)
-	o.alive = false
-	s.workerLeases, s.released = o.shard.WorkerLeases(s.now), true
-	s.recordedWorkers = nil
-	for _, lease := range s.workerLeases {
-		s.recordedWorkers = append(s.recordedWorkers, lease.Worker)
-	}
-	s.schedule(s.delay(), s.claim)
-}
-
-func (s *simulation) registrations() []specifier.Worker {
-	var out []specifier.Worker
-	for _, w := range s.workers {
-		if w.registered {
-			out = append(out, w.registration())
-		}
-	}
-	return out
-}
-
-// tick sends the regular events every 50 ms while the owner is alive.
-func (o *owner) tick() {
-	if !o.alive {
-		return
-	}
-	if !o.paused {
-		if o.reachesStore && o.sim.owner == o {
-			o.reduce(OwnershipChecked{Confirmed: true}, WorkersListed{Workers: o.sim.registrations()})
-		}
-		o.reduce(Tick{})
-	}
-	o.sim.schedule(50*time.Millisecond, o.tick)
-}
-
-// post delivers an event; a paused owner processes it when it resumes.
-func (o *owner) post(event Event) {
-	switch {
-	case !o.alive:
-	case o.paused:
-		o.queuedEvents = append(o.queuedEvents, event)
-	default:
-		o.reduce(event)
-	}
-}
-
-// resume ends a pause.
-func (o *owner) resume() {
-	if !o.alive {
-		return
-	}
-	o.paused = false
-	events := o.queuedEvents
-	o.queuedEvents = nil
-	o.reduce(events...)
-}
-
-func (o *owner) reduce(events ...Event) {
-	for _, effect := range o.shard.Reduce(o.sim.now, events...) {
-		o.execute(effect)
-	}
-}
-
-func (o *owner) execute(effect Effect) {
-	s := o.sim
-	switch e := effect.(type) {
-	case Log:
-		s.logf("owner %d: %s %s %s run %d %s", o.token, e.Message, e.Task+e.Job, e.Worker, e.Run, e.Reason)
-	case Resign:
-		o.alive = false
-	case Commit:
-		s.schedule(s.delay(), func() { o.commit(e) })
-	case StartRun:
-		o.callWorker(e.Worker, func(w *fakeWorker) Event {
-			return StartAnswered{Worker: w.id, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: w.start(o.token, e)}
-		}, StartAnswered{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: OutcomeUnknown})
-	case StopRun:
-		o.callWorker(e.Worker, func(w *fakeWorker) Event {
-			return StopAnswered{Worker: w.id, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: w.stop(o.token, e.Task, e.Run)}
-		}, StopAnswered{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: OutcomeUnknown})
-	case PaceRun:
-	case PollWorker:
-		sent := s.now
-		o.callWorker(e.Worker, func(w *fakeWorker) Event {
-			inventory, fault := w.poll(o.token, e)
-			if fault != NoFault {
-				return PollFailed{Worker: w.id, Incarnation: e.Worker.Incarnation, Fault: fault}
-			}
-			return PollAnswered{Worker: w.id, Sent: sent, Inventory: inventory}
-		}, PollFailed{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Fault: OutcomeUnknown})
-	}
-}
-
-// callWorker executes an order at a worker and posts its answer, or lost if
-// there is none.
-func (o *owner) callWorker(reg specifier.Worker, do func(*fakeWorker) Event, lost Event) {
-	s := o.sim
-	w := s.worker(reg.ID)
-	timeout := time.Second
-	roll := s.random.Float64()
-	switch {
-	case roll < s.lateCallRate:
-		s.schedule(time.Duration(2000+s.random.IntN(10000))*time.Millisecond, func() {
-			if w.isUp() && w.incarnation == reg.Incarnation {
-				do(w)
-			}
-		})
-		s.schedule(timeout, func() { o.post(lost) })
-	case roll < s.lateCallRate+s.lostAnswerRate:
-		s.schedule(s.delay(), func() {
-			if w.isUp() && !o.unreachable[w] && w.incarnation == reg.Incarnation {
-				do(w)
-			}
-		})
-		s.schedule(timeout, func() { o.post(lost) })
-	default:
-		s.schedule(s.delay(), func() {
-			if !w.isUp() || o.unreachable[w] || w.incarnation != reg.Incarnation {
-				s.schedule(timeout, func() { o.post(lost) })
-				return
-			}
-			answer := do(w)
-			s.schedule(s.delay(), func() { o.post(answer) })
-		})
-	}
-}
-
 func (s *simulation) worker(id string) *fakeWorker {
 	for _, w := range s.workers {
 		if w.id == id {
@@ -335,56 +172,25 @@
 	return nil
 }
 
-// commit makes changes durable, unless another owner has claimed the shard.
-func (o *owner) commit(e Commit) {
-	s := o.sim
-	if !o.alive {
-		return
-	}
-	if !o.reachesStore {
-		s.schedule(200*time.Millisecond, func() { o.commit(e) })
-		return
-	}
-	if s.owner != o {
-		o.alive = false
-		return
-	}
-	for _, change := range e.Changes {
-		r := s.store[change.ID]
-		if r.state.IsFinal() {
-			continue
-		}
-		r.state = change.State
-		if !change.State.IsFinal() {
-			r.progress, r.started = change.Progress, true
-		}
-	}
-	s.recordedWorkers = e.Workers
-	s.schedule(s.delay(), func() { o.post(Committed{Batch: e.Batch}) })
-}
-
-// submit stores a job and delivers it to the owner twice.
-func (s *simulation) submit(job specifier.Job) {
-	job.Queue = "menus"
-	job.Accepted = s.now
-	s.store[job.ID] = &storedJob{job: job, state: specifier.Queued}
-	o := s.owner
-	// After an interrupted watch, a list delivers jobs in any order.
-	s.schedule(time.Duration(s.random.IntN(1500))*time.Millisecond, func() { o.post(JobArrived{Job: job}) })
-	// A delayed watch delivers the job again.
-	s.schedule(time.Duration(s.random.IntN(4000))*time.Millisecond, func() { o.post(JobArrived{Job: job}) })
-}
+// submit stores a job in the first shard and delivers it to the owner twice.
+func (s *simulation) submit(job specifier.Job) { s.shards[0].submit(job) }
 
-// cancel stores a cancellation and delivers it to the owner.
+// cancel stores a cancellation in the job's home and in the shards with parts of it,
+// and delivers it to their owners.
 func (s *simulation) cancel(id string) {
 	r := s.store[id]
 	if r == nil || r.state.IsFinal() {
 		return
 	}
 	r.cancelled = true
-	o := s.owner
+	r.home.cancels[id] = s.now
+	for _, name := range r.parts {
+		s.shard(name).cancels[id] = s.now
+		s.shard(name).deliver(JobCancelled{ID: id}, 300*time.Millisecond)
+	}
+	o := r.home.owner
 	s.schedule(s.delay(), func() {
-		o.post(JobCancelled{ID: id})
+		o.postCancel(id)
 		if o.alive && !o.paused {
 			r.cancelHeardAt = s.now
 		}
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -154,7 +154,7 @@
 		Expect(takeEffects[StartRun](h)).To(BeEmpty(), "w1 may report an earlier failure")
 		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: failed(1, 1)})
 		Expect(takeEffects[StartRun](h)).To(BeEmpty())
-		Expect(h.endedAt).To(HaveKey(first.Job), "the job has failed after two failed runs")
+		Expect(h.ended).To(HaveKey(first.Job), "the job has failed after two failed runs")
 	})
 
 	It("counts a failed run once if its end is listed again", func() {
--- /dev/null
+++ b/internal/job/dispatcher/transfer.go
@@ -0,0 +1,277 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+// A long-running task that waits without room in its shard is transferred to a
+// shard of the service that has room, also when its job has other tasks running
+// here. The job's home shard keeps the job's state. Other shards hold parts of it:
+// the tasks that the home has transferred to them. A part without room gives its
+// tasks back, so that the home knows of all shards in which to cancel them.
+//
+// A transfer is one commit of the shard that gives the task away: it records that
+// the task is elsewhere and creates the transfer record in the other shard. Only
+// tasks of which no run can exist are transferred, so no task has two runs. The
+// hop number of a task increases with each transfer, so that a record that a watch
+// delivers late or again has no effect. The shard that gets the task records its
+// arrival before it starts a run, so that a new owner knows whether there can be one.
+
+// FindShard requests another shard of the service with room for tasks of a step.
+// The answer is ShardFound.
+type FindShard struct {
+	Task  specifier.TaskID // one of the tasks
+	Tasks int              // number of tasks to transfer
+	Needs describer.Resources
+	Label string   // label that the workers must have
+	Tried []string // shards in which the tasks have waited before
+}
+
+// ShardFound is the answer to FindShard.
+type ShardFound struct {
+	Task  specifier.TaskID // as in FindShard
+	Shard string           // empty if no shard has room
+	Tasks int              // maximum number of tasks to transfer there
+}
+
+// TaskArrived delivers a task that another shard has transferred to this one.
+type TaskArrived struct {
+	Task     specifier.TaskID
+	Transfer recorder.Transfer
+	Progress recorder.Progress // of the job in this shard; only if an earlier owner may have had it
+}
+
+// Handover is a task that a Commit transfers to another shard.
+type Handover struct {
+	Task     specifier.TaskID
+	Shard    string
+	Transfer recorder.Transfer
+}
+
+func (FindShard) effect()  {}
+func (ShardFound) event()  {}
+func (TaskArrived) event() {}
+
+const (
+	transferDelay     = 2 * time.Second         // waiting time after which a task may be transferred
+	transferPause     = 8 * time.Second         // the same after all shards with room have been tried
+	findShardInterval = 1400 * time.Millisecond // minimum time between requests for one step
+	maxJobTransfers   = 8                       // tasks of one job in one commit
+	maxCleanupEntries = 16                      // entries of a transaction for the records of an ended job
+	maxStaleEntries   = 8                       // entries of a transaction for stale records
+)
+
+// requestTransfers requests other shards for tasks that have waited for long.
+func (s *Shard) requestTransfers() {
+	if !s.options.Divided || !s.isOwnershipConfirmed() {
+		return
+	}
+	for _, st := range s.waitingSteps {
+		if st.findingShard || s.now.Sub(st.shardRequestedAt) < findShardInterval || !s.isTransferable(st) {
+			continue
+		}
+		tasks := s.transferableTasks(st, maxJobTransfers)
+		if len(tasks) == 0 {
+			continue
+		}
+		st.findingShard, st.shardRequestedAt = true, s.now
+		s.emit(FindShard{
+			Task: tasks[0].id(), Tasks: len(tasks), Needs: st.needs.reserved, Label: st.spec.Label, Tried: tasks[0].triedShards,
+		})
+	}
+}
+
+// isTransferable reports whether single tasks of the step may be transferred. A job
+// that has never run is moved as a whole if that is possible.
+func (s *Shard) isTransferable(st *step) bool {
+	j := st.job
+	awaitsMove := j.moving || j.isMovable() && s.now.Sub(j.arrivedAt) < moveWait
+	return st.spec.LongRunning && !st.spec.Gang && j.final == "" && !awaitsMove
+}
+
+// transferableTasks returns up to n tasks of the step that have waited for long and
+// of which no run can exist. All have tried the same shards.
+func (s *Shard) transferableTasks(st *step, n int) []*task {
+	known := s.knowsInheritedRuns()
+	var out []*task
+	for _, t := range st.tasks {
+		if len(out) == n {
+			break
+		}
+		mayGo := t.isWaiting() && (known || t.allRunsKnown) && s.now.Sub(t.waitingSince) >= transferDelay
+		if mayGo && !s.now.Before(t.transferAfter) && (out == nil || slices.Equal(t.triedShards, out[0].triedShards)) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// shardFound transfers tasks to the shard that was found, or back to the home of the
+// job.
+func (s *Shard) shardFound(e ShardFound) {
+	found := s.findTask(e.Task)
+	if found == nil {
+		return
+	}
+	st := found.step
+	st.findingShard = false
+	if !s.isTransferable(st) {
+		return
+	}
+	if e.Shard == "" {
+		s.pauseTransfers(st)
+		return
+	}
+	to := e.Shard
+	if s.isPart(st.job) {
+		to = st.job.home
+	}
+	left := maxJobTransfers - len(st.job.handovers)
+	for _, t := range s.transferableTasks(st, min(e.Tasks, left)) {
+		s.handOver(t, to)
+	}
+}
+
+// pauseTransfers makes tasks that have tried other shards wait before they try them
+// again: those seemed to have room, but not for these tasks.
+func (s *Shard) pauseTransfers(st *step) {
+	for _, t := range s.transferableTasks(st, len(st.tasks)) {
+		if len(t.triedShards) > 0 {
+			t.triedShards = nil
+			t.transferAfter = s.now.Add(transferPause)
+		}
+	}
+}
+
+// handOver transfers a waiting task to another shard with the next commit.
+func (s *Shard) handOver(t *task, shard string) {
+	st, j := t.step, t.step.job
+	waited := s.now.Sub(t.waitingSince)
+	t.triedShards = append(slices.Clone(t.triedShards), s.options.Name)
+	t.elsewhere = true
+	t.hop++
+	st.waiting--
+	st.elsewhere++
+	j.started = true
+	if !s.isPart(j) && !slices.Contains(j.otherShards, shard) {
+		j.otherShards = append(j.otherShards, shard)
+	}
+	j.handovers = append(j.handovers, Handover{Task: t.id(), Shard: shard, Transfer: recorder.Transfer{
+		Job: j.spec, Home: j.home, Hop: t.hop, LastRun: t.nextRun(s.options.Epoch) - 1, Waited: waited, Tried: t.triedShards, Checkpoint: t.checkpoint,
+	}})
+	s.markDirty(j)
+	s.emit(Log{Message: "task transferred", Task: t.id().String(), Job: j.spec.ID, Reason: "to " + shard, Age: waited})
+}
+
+// taskArrived adds a task that was transferred to this shard.
+func (s *Shard) taskArrived(e TaskArrived) {
+	j := s.jobs[e.Task.Job]
+	if j == nil {
+		j = s.addPart(e)
+	}
+	if j == nil {
+		return
+	}
+	t := j.task(e.Task)
+	if t == nil {
+		s.emit(Log{Message: "transfer of unknown task ignored", Task: e.Task.String(), Job: e.Task.Job})
+		return
+	}
+	t.hasRecord = true
+	t.runOffset = max(t.runOffset, e.Transfer.LastRun)
+	if j.final != "" {
+		s.markDirty(j) // the record has to go too
+		return
+	}
+	if e.Transfer.Hop <= t.hop {
+		return
+	}
+	if t.elsewhere {
+		s.takeBack(t)
+	}
+	t.hop = e.Transfer.Hop
+	t.checkpoint = e.Transfer.Checkpoint
+	t.triedShards, t.transferAfter = e.Transfer.Tried, time.Time{}
+	t.allRunsKnown = true // its arrival isn't durable here, so nobody has started it
+	t.waitingSince = s.now
+	if !s.isPart(j) {
+		t.waitingSince = s.now.Add(-e.Transfer.Waited)
+	}
+	s.markDirty(j)
+	t.arrivalVersion = j.version
+	s.emit(Log{Message: "task arrived", Task: e.Task.String(), Job: e.Task.Job, Age: e.Transfer.Waited})
+}
+
+// takeBack makes a task that was elsewhere wait in this shard.
+func (s *Shard) takeBack(t *task) {
+	t.elsewhere = false
+	t.step.elsewhere--
+	t.step.waiting++
+	t.step.ready = true
+	s.enqueue(t.step)
+	s.placementDue = true
+}
+
+// addPart adds a job of another shard without any tasks. It returns nil if the job
+// has ended here.
+func (s *Shard) addPart(e TaskArrived) *job {
+	if _, ended := s.ended[e.Task.Job]; ended || e.Transfer.Home == s.options.Name {
+		s.staleTransfers = append(s.staleTransfers, e.Task)
+		return nil
+	}
+	j := s.newJob(e.Transfer.Job)
+	j.home, j.started = e.Transfer.Home, true
+	for _, st := range j.steps {
+		st.waiting, st.elsewhere = 0, len(st.tasks)
+		for _, t := range st.tasks {
+			t.elsewhere = true
+		}
+	}
+	s.jobs[j.spec.ID] = j
+	s.restore(j, e.Progress)
+	if _, early := s.earlyCancels[j.spec.ID]; early {
+		delete(s.earlyCancels, j.spec.ID)
+		s.cancelJob(j.spec.ID)
+	}
+	return j
+}
+
+// isPart reports whether the job's home is another shard.
+func (s *Shard) isPart(j *job) bool { return j.home != s.options.Name }
+
+// isWaiting reports whether the task is in this shard and has no run.
+func (t *task) isWaiting() bool { return !t.done && !t.elsewhere && t.worker == nil }
+
+// takeCleanup moves the records of an ended job that have to go before or with its
+// final state from the job to the change. It reports whether none are left.
+func (j *job) takeCleanup(change *Change) bool {
+	change.CancelIn, j.otherShards = takeUpTo(j.otherShards, maxCleanupEntries)
+	left := maxCleanupEntries - len(change.CancelIn)
+	for _, t := range j.transferRecords() {
+		if left == 0 {
+			return false
+		}
+		left--
+		t.hasRecord = false
+		change.RemoveTransfers = append(change.RemoveTransfers, t.id())
+	}
+	return len(j.otherShards) == 0
+}
+
+// transferRecords returns the tasks of which this shard has transfer records.
+func (j *job) transferRecords() []*task {
+	var out []*task
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.hasRecord {
+				out = append(out, t)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/job/dispatcher/transfer_property_test.go
@@ -0,0 +1,189 @@
+package dispatcher
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+// TestTransferInvariants does the same as TestInvariants with a service of several
+// shards, which transfer long-running tasks to each other.
+func TestTransferInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		workers := rapid.SliceOfN(rapid.IntRange(1, 3), 2, 3).Draw(t, "workers")
+		s := newServiceSimulation(t, rapid.Uint64().Draw(t, "seed"), workers...)
+		s.advance(time.Second)
+		for i := range rapid.IntRange(5, 40).Draw(t, "steps") {
+			s.randomServiceStep(t, i)
+			s.advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pass")) * time.Millisecond)
+		}
+		s.stopFaults()
+		s.awaitFinite()
+		s.checkLongRunning()
+		for _, id := range sortedKeys(s.store) {
+			s.cancel(id)
+		}
+		s.advance(5 * time.Second)
+		s.checkNothingRuns()
+		s.checkRecords(endedRetention)
+		s.advance(endedRetention + 5*time.Second)
+		s.checkRecords(0)
+	})
+}
+
+// randomServiceStep submits a job to a shard, cancels one, or causes a fault.
+func (s *simulation) randomServiceStep(t *rapid.T, i int) {
+	sh := s.shards[rapid.IntRange(0, len(s.shards)-1).Draw(t, "shard")]
+	length := time.Duration(rapid.IntRange(200, 14000).Draw(t, "length")) * time.Millisecond
+	w := sh.workers[rapid.IntRange(0, len(sh.workers)-1).Draw(t, "worker")]
+	switch what := rapid.IntRange(-6, lastFault+3).Draw(t, "what"); {
+	case what < 4:
+		sh.submit(drawJob(t, fmt.Sprintf("%016x", i), 7))
+	case what < firstFault:
+		s.cancel(fmt.Sprintf("%016x", rapid.IntRange(0, i).Draw(t, "cancelled")))
+	case what <= lastFault:
+		sh.causeFault(t, what, w, length)
+	case what == lastFault+1:
+		s.wrongRoomRate = 0.5
+		s.schedule(length, func() { s.wrongRoomRate = 0 })
+	case what == lastFault+2:
+		s.logf("%s lists its records again", sh.name)
+		sh.listAgain(length)
+	default:
+		sh.commitFault = commitFault(rapid.IntRange(1, int(commitFaults)-1).Draw(t, "fault"))
+		sh.faultLength, sh.needsSharing = length, rapid.IntRange(0, 3).Draw(t, "any commit") > 0
+	}
+}
+
+// listAgain delivers the records of the shard as they are now once more, as after an
+// interrupted watch.
+func (sh *simShard) listAgain(limit time.Duration) {
+	for _, event := range sh.load() {
+		switch e := event.(type) {
+		case JobLoaded:
+			sh.deliver(JobArrived{Job: e.Job}, limit)
+		case TaskArrived:
+			sh.deliver(TaskArrived{Task: e.Task, Transfer: e.Transfer}, limit)
+		case JobCancelled:
+			sh.deliver(e, limit)
+		}
+	}
+}
+
+// awaitFinite waits until the leases of earlier owners have expired and no finite
+// task has run for as long, because these take room by turns.
+func (s *simulation) awaitFinite() {
+	const calm = 15*time.Second + simOutageLimit + simLease
+	end := s.now.Add(calm)
+	for range 300 {
+		if s.runsFinite() {
+			end = s.now.Add(calm)
+		}
+		if !s.now.Before(end) {
+			return
+		}
+		s.advance(time.Second)
+	}
+	s.fail("finite tasks still run")
+}
+
+// runsFinite reports whether a worker has a run of a finite task.
+func (s *simulation) runsFinite() bool {
+	for _, w := range s.workers {
+		for _, r := range w.runs {
+			if !r.step.LongRunning {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkLongRunning checks that every long-running task runs for which a worker of
+// any shard has room twice over.
+func (s *simulation) checkLongRunning() {
+	for _, id := range sortedKeys(s.store) {
+		r := s.store[id]
+		if r.state.IsFinal() || r.cancelled {
+			continue
+		}
+		for number := range r.job.Steps {
+			if r.job.Steps[number].LongRunning && s.isReady(r, number) {
+				s.checkStepRuns(r, number)
+			}
+		}
+	}
+}
+
+// isReady reports whether all steps before a step have completed.
+func (s *simulation) isReady(r *storedJob, number int) bool {
+	for _, earlier := range r.job.Steps[number].After {
+		for i := range r.job.Steps[earlier].Count {
+			if !s.invariants.completed[specifier.TaskID{Job: r.job.ID, Step: earlier, Index: i}] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// checkStepRuns checks that all tasks of a step run for which a worker has room
+// twice over.
+func (s *simulation) checkStepRuns(r *storedJob, number int) {
+	step := &r.job.Steps[number]
+	for i := range step.Count {
+		id := specifier.TaskID{Job: r.job.ID, Step: number, Index: i}
+		if slices.ContainsFunc(s.workers, func(w *fakeWorker) bool { return w.runs[id] != nil }) {
+			continue
+		}
+		for _, w := range s.workers {
+			if w.free().CPU >= 2*step.Needs.CPU && w.isSpread(id, step) {
+				s.fail("%s (%d millicores) doesn't run, but %s has %d free", id, step.Needs.CPU, w.id, w.free().CPU)
+			}
+		}
+	}
+}
+
+// isSpread reports whether another task of the step may run on the worker.
+func (w *fakeWorker) isSpread(id specifier.TaskID, step *specifier.Step) bool {
+	beside := 0
+	for other := range w.runs {
+		if other.Job == id.Job && other.Step == id.Step {
+			beside++
+		}
+	}
+	return step.MaxPerWorker == 0 || beside < step.MaxPerWorker
+}
+
+// checkNothingRuns checks that all jobs and runs have ended.
+func (s *simulation) checkNothingRuns() {
+	for _, w := range s.workers {
+		for _, id := range sortedFakeRuns(w.runs) {
+			s.fail("%s still runs on %s", id, w.id)
+		}
+	}
+	s.checkEnded()
+}
+
+// checkRecords checks that the store has no records of jobs any more, except
+// cancellations that are younger than retention.
+func (s *simulation) checkRecords(retention time.Duration) {
+	for _, sh := range s.shards {
+		for _, id := range sortedKeys(sh.progress) {
+			s.fail("%s still has progress of job %s", sh.name, id)
+		}
+		for _, id := range sh.arrivals() {
+			s.fail("%s still has a transfer record of %s", sh.name, id)
+		}
+		for _, id := range sortedKeys(sh.cancels) {
+			if age := s.now.Sub(sh.cancels[id]); age >= retention {
+				s.fail("%s still has a cancellation of job %s after %s", sh.name, id, age)
+			}
+		}
+	}
+}
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -94,12 +94,15 @@
 		return WaitLimit
 	case p.chooseWorker(st, t, st.request(), false) >= 0:
 		return WaitReserved
-	case slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool { return !w.isUsable(s.now) && w.hasRoomFor(st) }):
+	case slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool { return !w.isUsable(s.now) && w.stays() && w.hasRoomFor(st) }):
 		return WaitUnusable
 	}
 	return WaitNoRoom
 }
 
+// stays reports whether the worker is registered and isn't about to leave.
+func (w *worker) stays() bool { return w.unregisteredAt.IsZero() && !w.reg.Draining }
+
 // hasRoomFor reports whether the worker has room for a task of the step, whether
 // it is usable or not.
 func (w *worker) hasRoomFor(st *step) bool {
--- a/internal/job/manager/layout.go
+++ b/internal/job/manager/layout.go
@@ -202,6 +202,7 @@
 func (m *Manager) announce(ctx context.Context) {
 	record := recorder.Encode(recorder.Host{
 		Domain: m.options.Domain, Region: m.options.Regions[m.options.Domain], CPU: m.options.CPU, Link: m.options.Link,
+		Format: recorder.Format,
 	})
 	for ctx.Err() == nil {
 		if err := m.writeHost(ctx, record); err != nil {
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -102,14 +102,7 @@
 		g.Expect(workers.active["w1"]).To(HaveLen(2))
 		g.Expect(workers.active["w2"]).To(HaveLen(2))
 
-		workers.mu.Lock()
-		for task := range workers.active["w1"] {
-			workers.endRun("w1", task, specifier.OutcomeFailed)
-		}
-		workers.mu.Unlock()
-		w1 := workers.registration("w1")
-		w1.Draining = true
-		putWorker(t.Context(), operator, w1)
+		leave(g, operator, workers, "w1")
 		time.Sleep(maxLongRunningWait)
 		g.Expect(workers.active["w1"]).To(BeEmpty())
 		g.Expect(workers.active["w2"]).To(HaveLen(2))
@@ -133,6 +126,45 @@
 	})
 }
 
+// TestNoTransferBesideEarlierVersions has a daemon that doesn't know transfers, and
+// that may own the shard next.
+func TestNoTransferBesideEarlierVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers := faker.New(), newFleet("w1", "w2")
+		workers.domain = map[string]string{"w2": "gc"}
+		workers.runTime = time.Hour
+		operator := store.Client("operator")
+		writeLayout(g, operator, []string{"bne/r-w1"}, []string{"gc/r-w2"})
+		commit(g, operator, storer.Write{Key: recorder.HostKey("earlier"), Value: []byte(`{"domain":"bne"}`)})
+		a := newDaemon("a", store, workers)
+		defer a.Close()
+		time.Sleep(10 * time.Second) // until both shards are claimed
+		acceptJob(g, operator, "desk@bne", longRunningJob(1))
+		time.Sleep(2 * time.Second)
+		leave(g, operator, workers, "w1")
+		time.Sleep(maxLongRunningWait)
+		g.Expect(workers.active["w2"]).To(BeEmpty())
+
+		commit(g, operator, storer.Write{Key: recorder.HostKey("earlier"), Value: []byte(`{"domain":"bne","format":1}`)})
+		time.Sleep(maxLongRunningWait)
+		g.Expect(workers.active["w2"]).To(HaveLen(1))
+	})
+}
+
+// leave fails all runs of a worker that doesn't take any more.
+func leave(g Gomega, store *faker.Client, workers *fleet, id string) {
+	workers.mu.Lock()
+	g.Expect(workers.active[id]).NotTo(BeEmpty())
+	for task := range workers.active[id] {
+		workers.endRun(id, task, specifier.OutcomeFailed)
+	}
+	workers.mu.Unlock()
+	w := workers.registration(id)
+	w.Draining = true
+	putWorker(context.Background(), store, w)
+}
+
 const (
 	maxLongRunningWait = 6 * time.Second // of a long-running task for a new run if there is room for it
 	maxCancelTime      = 3 * time.Second // until the runs of a cancelled job have ended
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -195,16 +195,29 @@
 
 // decode converts a record below the shard's prefix into an event.
 func (o *ownedShard) decode(item storer.Item) (dispatcher.Event, error) {
-	id, isCancel, ok := recorder.ParseShardKey(o.spec.Name, item.Key)
-	if !ok {
-		return nil, fmt.Errorf("manager: unexpected key %q", item.Key)
-	}
-	if isCancel {
+	kind, id := recorder.ParseShardKey(o.spec.Name, item.Key)
+	switch kind {
+	case recorder.CancelRecord:
 		return dispatcher.JobCancelled{ID: id}, nil
+	case recorder.JobRecord:
+		var job specifier.Job
+		err := recorder.Decode(item.Value, &job)
+		return dispatcher.JobArrived{Job: job}, err
+	case recorder.TransferRecord:
+		return decodeTransfer(id, item)
 	}
-	var job specifier.Job
-	err := recorder.Decode(item.Value, &job)
-	return dispatcher.JobArrived{Job: job}, err
+	return nil, fmt.Errorf("manager: unexpected key %q", item.Key)
+}
+
+// decodeTransfer converts the transfer record of a task into an event.
+func decodeTransfer(id string, item storer.Item) (dispatcher.Event, error) {
+	task, err := specifier.ParseTaskID(id)
+	if err != nil {
+		return nil, err
+	}
+	var transfer recorder.Transfer
+	err = recorder.Decode(item.Value, &transfer)
+	return dispatcher.TaskArrived{Task: task, Transfer: transfer}, err
 }
 
 // execute performs one effect. Calls to workers and the store run in their own
@@ -223,6 +236,8 @@
 		o.calls.Go(func() { o.post(o.manager.advise(ctx, e)) })
 	case dispatcher.Commit:
 		o.calls.Go(func() { o.commit(ctx, e) })
+	case dispatcher.FindShard:
+		o.calls.Go(func() { o.post(o.manager.findShard(o.spec, e)) })
 	case dispatcher.MoveJob:
 		o.calls.Go(func() { o.moveJob(ctx, e) })
 	default:
@@ -292,20 +307,7 @@
 // The write is repeated until its outcome is known. If it fails before ctx ends,
 // the daemon stops owning the shard.
 func (o *ownedShard) commit(ctx context.Context, e dispatcher.Commit) {
-	var puts []storer.Write
-	var removes []string
-	shard := o.spec.Name
-	for _, change := range e.Changes {
-		entry := recorder.IndexEntry{Shard: shard, Queue: change.Queue, State: change.State}
-		if change.State.IsFinal() {
-			entry.Ended = time.Now()
-			removes = append(removes,
-				recorder.JobKey(shard, change.ID), recorder.CancelKey(shard, change.ID), recorder.ProgressKey(shard, change.ID))
-		} else {
-			puts = append(puts, storer.Write{Key: recorder.ProgressKey(shard, change.ID), Value: recorder.Encode(change.Progress)})
-		}
-		puts = append(puts, storer.Write{Key: recorder.IndexKey(change.ID), Value: recorder.Encode(entry)})
-	}
+	puts, removes := o.commitEntries(e)
 	began := time.Now()
 	err := o.fence.Write(ctx, e.Workers, puts, removes)
 	o.manager.metrics.commits.RecordDuration(time.Since(began))
@@ -320,6 +322,46 @@
 	}
 }
 
+// commitEntries returns the keys that a commit writes and deletes.
+func (o *ownedShard) commitEntries(e dispatcher.Commit) (puts []storer.Write, removes []string) {
+	shard := o.spec.Name
+	for _, task := range e.StaleTransfers {
+		removes = append(removes, recorder.TransferKey(shard, task))
+	}
+	for _, id := range e.StaleCancels {
+		removes = append(removes, recorder.CancelKey(shard, id))
+	}
+	for i := range e.Changes {
+		p, r := changeEntries(shard, &e.Changes[i])
+		puts, removes = append(puts, p...), append(removes, r...)
+	}
+	return puts, removes
+}
+
+// changeEntries returns the keys that the change of one job writes and deletes.
+func changeEntries(shard string, c *dispatcher.Change) (puts []storer.Write, removes []string) {
+	entry := recorder.IndexEntry{Shard: shard, Queue: c.Queue, State: c.State, Parts: c.OtherShards}
+	if c.State.IsFinal() {
+		entry.Ended = time.Now()
+		removes = append(removes, recorder.JobKey(shard, c.ID), recorder.CancelKey(shard, c.ID), recorder.ProgressKey(shard, c.ID))
+	} else {
+		puts = append(puts, storer.Write{Key: recorder.ProgressKey(shard, c.ID), Value: recorder.Encode(c.Progress)})
+	}
+	if !c.Part {
+		puts = append(puts, storer.Write{Key: recorder.IndexKey(c.ID), Value: recorder.Encode(entry)})
+	}
+	for _, h := range c.Handovers {
+		puts = append(puts, storer.Write{Key: recorder.TransferKey(h.Shard, h.Task), Value: recorder.Encode(h.Transfer)})
+	}
+	for _, other := range c.CancelIn {
+		puts = append(puts, storer.Write{Key: recorder.CancelKey(other, c.ID), Value: recorder.Encode(recorder.IndexEntry{Shard: other})})
+	}
+	for _, task := range c.RemoveTransfers {
+		removes = append(removes, recorder.TransferKey(shard, task))
+	}
+	return puts, removes
+}
+
 // publish replaces the load summary in the store if it has changed.
 func (o *ownedShard) publish(ctx context.Context, load recorder.Load) {
 	madeAt := load.MadeAt
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -204,13 +204,17 @@
 		if err != nil {
 			return nil, err
 		}
-		if arrived, ok := event.(dispatcher.JobArrived); ok {
-			p, started := progress[recorder.ProgressKey(spec.Name, arrived.Job.ID)]
-			event = dispatcher.JobLoaded{Job: arrived.Job, Progress: p, Started: started}
+		switch e := event.(type) {
+		case dispatcher.JobArrived:
+			p, started := progress[recorder.ProgressKey(spec.Name, e.Job.ID)]
+			event = dispatcher.JobLoaded{Job: e.Job, Progress: p, Started: started}
+		case dispatcher.TaskArrived:
+			e.Progress = progress[recorder.ProgressKey(spec.Name, e.Task.Job)]
+			event = e
 		}
 		o.initialEvents = append(o.initialEvents, event)
 	}
-	// Jobs go before their cancellations.
+	// Jobs go before their transferred tasks, and both before cancellations.
 	slices.SortStableFunc(o.initialEvents, func(a, b dispatcher.Event) int { return eventOrder(a) - eventOrder(b) })
 	return o, nil
 }
@@ -220,8 +224,10 @@
 	switch event.(type) {
 	case dispatcher.CatalogUpdated:
 		return 0
-	case dispatcher.JobCancelled:
+	case dispatcher.TaskArrived:
 		return 2
+	case dispatcher.JobCancelled:
+		return 3
 	}
 	return 1
 }
--- /dev/null
+++ b/internal/job/manager/transfer.go
@@ -0,0 +1,53 @@
+package manager
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/control/admitter"
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+)
+
+// maxViewAge is the maximum age of the view by which tasks are transferred.
+const maxViewAge = 3 * time.Second
+
+// knowTransfers reports whether the daemons of all hosts know transferred tasks. Any
+// of them may own the shard next.
+func (m *Manager) knowTransfers() bool {
+	for _, host := range m.view.hosts {
+		if host.Format < recorder.Format {
+			return false
+		}
+	}
+	return true
+}
+
+// findShard finds another shard of the service with room for waiting tasks. It
+// subtracts what they need from that shard's load in the view until the next
+// summary replaces it.
+func (m *Manager) findShard(from shardSpec, e dispatcher.FindShard) dispatcher.ShardFound {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if time.Since(m.view.ReadAt) > maxViewAge || !m.knowTransfers() {
+		return dispatcher.ShardFound{Task: e.Task}
+	}
+	var shards []admitter.Shard
+	for name, view := range m.view.Shards {
+		if name == from.Name || view.Load.Service != from.service || view.Owner == "" || slices.Contains(e.Tried, name) {
+			continue
+		}
+		shards = append(shards, admitter.Shard{
+			Name: name, Free: view.Load.Free, MaxFree: view.Load.MaxFree,
+			HasLabel: e.Label == "" || slices.Contains(view.Load.Labels, e.Label),
+		})
+	}
+	slices.SortFunc(shards, func(a, b admitter.Shard) int { return cmp.Compare(a.Name, b.Name) })
+	shard, tasks := admitter.ChooseRoom(e.Needs, e.Tasks, shards, m.options.Random)
+	if view, ok := m.view.Shards[shard]; ok {
+		view.Load.Free.CPU -= int64(tasks) * e.Needs.CPU
+		m.view.Shards[shard] = view
+	}
+	return dispatcher.ShardFound{Task: e.Task, Shard: shard, Tasks: tasks}
+}
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -284,7 +284,7 @@
 		}
 		_, err = r.store.Commit(ctx, storer.Transaction{
 			If:  []storer.Condition{{Key: recorder.IndexKey(id), Revision: revision}},
-			Put: []storer.Write{{Key: recorder.CancelKey(entry.Shard, id), Value: recorder.Encode(recorder.IndexEntry{Shard: entry.Shard})}},
+			Put: cancelWrites(id, &entry),
 		})
 		if err == nil {
 			r.log.Info().Str("job", id).Str("shard", entry.Shard).Msg("cancellation accepted")
@@ -301,6 +301,21 @@
 	return r.storeError(errors.New("receiver: cancellation attempts exhausted"))
 }
 
+// maxCancelledParts limits the entries of the transaction that cancels a job.
+const maxCancelledParts = storer.MaxEntries - 2
+
+// cancelWrites returns the cancellation of a job in its shard, and in those that
+// have tasks of it: they needn't wait for the owner of the job's shard, which cancels
+// the job there too.
+func cancelWrites(id string, entry *recorder.IndexEntry) []storer.Write {
+	shards := append([]string{entry.Shard}, entry.Parts[:min(len(entry.Parts), maxCancelledParts)]...)
+	writes := make([]storer.Write, len(shards))
+	for i, shard := range shards {
+		writes[i] = storer.Write{Key: recorder.CancelKey(shard, id), Value: recorder.Encode(recorder.IndexEntry{Shard: shard})}
+	}
+	return writes
+}
+
 // Pending returns the number of the queue's accepted jobs of which no task has
 // started, according to the load summaries.
 func (r *Receiver) Pending(queue string) int {
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -16,6 +16,7 @@
 //	shard/NAME/job/ID     Job       until the job has ended
 //	shard/NAME/cancel/ID            cancellation that the owner hasn't processed yet
 //	shard/NAME/claim      Claim     last claim, by which a replaced owner notices it
+//	shard/NAME/task/TASK  Transfer  task that another shard has transferred to this one
 //	progress/NAME/ID      Progress  progress of an unfinished job
 //	fence/NAME            Fence     epoch and last write of the owner
 //	view/owner/NAME       Owner     current owner; expires with the owner's lease
@@ -114,18 +115,40 @@
 	return OtherView, ""
 }
 
-// ParseShardKey returns the job id in a key below ShardPrefix and whether the
-// key is that of a cancellation. It returns ok false for other keys.
-func ParseShardKey(shard, key string) (id string, isCancel, ok bool) {
+// TransferKey returns the key of the record of a task that was transferred to the
+// shard.
+func TransferKey(shard string, task specifier.TaskID) string {
+	return ShardPrefix(shard) + "task/" + task.String()
+}
+
+// ShardKind is the type of record that a key below ShardPrefix holds.
+type ShardKind uint8
+
+// Kinds of keys below ShardPrefix.
+const (
+	OtherKey ShardKind = iota // any other key
+	JobRecord
+	CancelRecord
+	TransferRecord
+)
+
+func (k ShardKind) String() string {
+	return [...]string{"other", "job", "cancel", "task"}[k]
+}
+
+// ParseShardKey returns the kind of a key below ShardPrefix, and the id of its job
+// or task.
+func ParseShardKey(shard, key string) (ShardKind, string) {
 	rest, ok := strings.CutPrefix(key, ShardPrefix(shard))
 	if !ok {
-		return "", false, false
+		return OtherKey, ""
 	}
-	if id, ok := strings.CutPrefix(rest, "job/"); ok {
-		return id, false, true
+	for kind := JobRecord; kind <= TransferRecord; kind++ {
+		if id, ok := strings.CutPrefix(rest, kind.String()+"/"); ok {
+			return kind, id
+		}
 	}
-	id, ok = strings.CutPrefix(rest, "cancel/")
-	return id, true, ok
+	return OtherKey, ""
 }
 
 // IndexEntry maps a job's id to its shard and state.
@@ -133,12 +156,14 @@
 	Shard string          `json:"shard"`
 	Queue string          `json:"queue"`
 	State specifier.State `json:"state"`
+	Parts []string        `json:"parts,omitempty"` // other shards that have or had tasks of the job
 	Ended time.Time       `json:"ended,omitzero"`
 }
 
 // Progress is the part of a job's state that a new owner needs.
 type Progress struct {
-	Tasks []TaskProgress `json:"tasks"`
+	Tasks  []TaskProgress `json:"tasks"`
+	Shards []string       `json:"shards,omitempty"` // shards that got tasks of the job from this one
 }
 
 // TaskProgress is the progress of one task. Tasks without any are left out.
@@ -149,6 +174,21 @@
 	Done       bool    `json:"done,omitempty"`
 	Failed     []int64 `json:"failed,omitempty"`     // numbers of the failed runs
 	Checkpoint string  `json:"checkpoint,omitempty"` // checkpoint to resume from
+	Hop        int     `json:"hop,omitempty"`        // how often the task was transferred, as far as this shard knows
+	Away       bool    `json:"away,omitempty"`       // another shard has the task
+}
+
+// Transfer is a task that another shard has transferred to this one. The record
+// stays until the job has ended.
+type Transfer struct {
+	Job  specifier.Job `json:"job"`
+	Home string        `json:"home"` // shard that keeps the job's state
+	Hop  int           `json:"hop"`  // how often the task was transferred, with this time
+
+	LastRun    int64         `json:"run"`                  // the task has had no run with a higher number
+	Waited     time.Duration `json:"waited"`               // how long it has waited for a run
+	Tried      []string      `json:"tried"`                // shards in which it has waited meanwhile
+	Checkpoint string        `json:"checkpoint,omitempty"` // checkpoint to resume from
 }
 
 // Fence is replaced by every write of a shard's owner, so that only the current
@@ -203,8 +243,13 @@
 	Region string `json:"region,omitempty"`
 	CPU    int64  `json:"cpu,omitempty"`  // millicores; 0 if not known
 	Link   int64  `json:"link,omitempty"` // bandwidth of its link, kbit/s; 0 if not known
+	Format int    `json:"format"`         // version of the records that its daemon understands
 }
 
+// Format is the version of the records here. Version 0 has no transfers: its
+// daemons would run a task again that another shard has.
+const Format = 1
+
 // Load is an owner's summary of its shard. All hosts use it to decide on
 // submissions.
 type Load struct {
@@ -215,6 +260,7 @@
 	Capacity         describer.Resources `json:"capacity"`         // total of the usable workers
 	Free             describer.Resources `json:"free"`             // part of Capacity that isn't reserved
 	MaxCapacity      describer.Resources `json:"largest"`          // maximum capacity of a worker, for each resource
+	MaxFree          describer.Resources `json:"room"`             // part of Free on the worker with the most free CPU
 	FiniteCPU        int64               `json:"turning"`          // CPU reserved by running finite tasks, millicores
 	LongRunningCPU   int64               `json:"lasting"`          // CPU that long-running tasks reserve or wait for, millicores
 	LongRunningLimit int64               `json:"limit"`            // CPU that long-running tasks may reserve, millicores
--- a/internal/job/recorder/recorder_test.go
+++ b/internal/job/recorder/recorder_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
 var _ = Describe("keys", func() {
@@ -21,13 +22,17 @@
 		Expect(kind).To(Equal(recorder.OtherView))
 	})
 
-	It("distinguish jobs from cancellations", func() {
-		id, isCancel, ok := recorder.ParseShardKey("menus", recorder.JobKey("menus", "1"))
-		Expect([]any{id, isCancel, ok}).To(Equal([]any{"1", false, true}))
-		id, isCancel, ok = recorder.ParseShardKey("menus", recorder.CancelKey("menus", "1"))
-		Expect([]any{id, isCancel, ok}).To(Equal([]any{"1", true, true}))
-		_, _, ok = recorder.ParseShardKey("menus", recorder.JobKey("other", "1"))
-		Expect(ok).To(BeFalse())
+	It("distinguish jobs, cancellations and transfers", func() {
+		kind, id := recorder.ParseShardKey("menus", recorder.JobKey("menus", "1"))
+		Expect([]any{kind, id}).To(Equal([]any{recorder.JobRecord, "1"}))
+		kind, id = recorder.ParseShardKey("menus", recorder.CancelKey("menus", "1"))
+		Expect([]any{kind, id}).To(Equal([]any{recorder.CancelRecord, "1"}))
+		kind, id = recorder.ParseShardKey("menus", recorder.TransferKey("menus", specifier.TaskID{Job: "1", Index: 2}))
+		Expect([]any{kind, id}).To(Equal([]any{recorder.TransferRecord, "1.0.0.2"}))
+		for _, key := range []string{recorder.JobKey("other", "1"), recorder.ClaimKey("menus"), "elsewhere"} {
+			kind, _ = recorder.ParseShardKey("menus", key)
+			Expect(kind).To(Equal(recorder.OtherKey), key)
+		}
 	})
 })
 
