--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -418,3 +418,17 @@
 		d.Close()
 	})
 }
+
+// TestIdleServiceAcceptsJobs submits to a service whose load hasn't changed for long.
+func TestIdleServiceAcceptsJobs(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, _ *fleet) {
+		time.Sleep(40 * time.Second)
+		for n, d := range []*daemon{a, b} {
+			err := d.receiver.Submit(context.Background(), catalog.Queues[0], job(n))
+			if err != nil {
+				t.Errorf("%s: %v", d.store.Name, err)
+			}
+		}
+		time.Sleep(5 * time.Second)
+	})
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -31,6 +31,7 @@
 	stopOnce      sync.Once          // guards closing stop
 	calls         sync.WaitGroup     // goroutines started by run
 	lastLoad      recorder.Load      // load summary that was last published
+	publishedAt   time.Time          // when it was published
 
 	suspension suspension
 
@@ -362,21 +363,23 @@
 	return puts, removes
 }
 
-// publish replaces the load summary in the store if it has changed.
+// loadRefresh is the interval at which an unchanged load summary is published again.
+// Receivers don't rely on old ones, since the owner may be gone.
+const loadRefresh = 4 * time.Second
+
+// publish replaces the load summary in the store if it has changed or is old.
 func (o *ownedShard) publish(ctx context.Context, load recorder.Load) {
 	madeAt := load.MadeAt
 	load.MadeAt = o.lastLoad.MadeAt
-	if string(recorder.Encode(load)) == string(recorder.Encode(o.lastLoad)) {
+	isSame := string(recorder.Encode(load)) == string(recorder.Encode(o.lastLoad))
+	if isSame && time.Since(o.publishedAt) < loadRefresh {
 		return
 	}
 	load.MadeAt = madeAt
-	o.lastLoad = load
-	line := o.log.Info().Int("workers", load.Workers).Int64("free", load.Free.CPU).Int64("turning", load.FiniteCPU).
-		Int64("unused", load.UnusedCPU).Int64("fillers", load.FillerCPU).Int64("lasting", load.LongRunningCPU).Int64("limit", load.LongRunningLimit)
-	for _, b := range load.Backlog {
-		line = line.Int64(fmt.Sprintf("backlog%d", b.Priority), b.ReservedWork).Int64(fmt.Sprintf("fillers%d", b.Priority), b.FillerWork)
+	o.lastLoad, o.publishedAt = load, time.Now()
+	if !isSame {
+		o.logLoad(load)
 	}
-	line.Msg("load summary changed")
 	o.calls.Go(func() {
 		o.manager.updateLoad(o.spec.Name, load)
 		o.manager.metrics.setLoad(o.spec.Name, load)
@@ -391,6 +394,16 @@
 	})
 }
 
+// logLoad writes a log line about a changed load summary.
+func (o *ownedShard) logLoad(load recorder.Load) {
+	line := o.log.Info().Int("workers", load.Workers).Int64("free", load.Free.CPU).Int64("turning", load.FiniteCPU).
+		Int64("unused", load.UnusedCPU).Int64("fillers", load.FillerCPU).Int64("lasting", load.LongRunningCPU).Int64("limit", load.LongRunningLimit)
+	for _, b := range load.Backlog {
+		line = line.Int64(fmt.Sprintf("backlog%d", b.Priority), b.ReservedWork).Int64(fmt.Sprintf("fillers%d", b.Priority), b.FillerWork)
+	}
+	line.Msg("load summary changed")
+}
+
 // updateLoad updates the load of an owned shard in the view.
 func (m *Manager) updateLoad(shard string, load recorder.Load) {
 	m.mu.Lock()
