--- /dev/null
+++ b/internal/job/manager/load.go
@@ -0,0 +1,60 @@
+package manager
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+)
+
+// loadRefresh is the interval at which an unchanged load summary is published again.
+// Receivers don't rely on old ones, since the owner may be gone.
+const loadRefresh = 4 * time.Second
+
+// publish replaces the load summary in the store if it has changed or is old.
+func (o *ownedShard) publish(ctx context.Context, load recorder.Load) {
+	madeAt := load.MadeAt
+	load.MadeAt = o.lastLoad.MadeAt
+	isSame := string(recorder.Encode(load)) == string(recorder.Encode(o.lastLoad))
+	if isSame && time.Since(o.publishedAt) < loadRefresh {
+		return
+	}
+	load.MadeAt = madeAt
+	o.lastLoad, o.publishedAt = load, time.Now()
+	if !isSame {
+		o.logLoad(load)
+	}
+	o.calls.Go(func() {
+		o.manager.updateLoad(o.spec.Name, load)
+		o.manager.metrics.setLoad(o.spec.Name, load)
+		limited, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		_, err := o.manager.store.Commit(limited, storer.Transaction{
+			Put: []storer.Write{{Key: recorder.LoadKey(o.spec.Name), Value: recorder.Encode(load)}},
+		})
+		if err != nil {
+			o.log.Warn().Err(err).Msg("load publication failed")
+		}
+	})
+}
+
+// logLoad writes a log line about a changed load summary.
+func (o *ownedShard) logLoad(load recorder.Load) {
+	line := o.log.Info().Int("workers", load.Workers).Int64("free", load.Free.CPU).Int64("turning", load.FiniteCPU).
+		Int64("unused", load.UnusedCPU).Int64("fillers", load.FillerCPU).Int64("lasting", load.LongRunningCPU).Int64("limit", load.LongRunningLimit)
+	for _, b := range load.Backlog {
+		line = line.Int64(fmt.Sprintf("backlog%d", b.Priority), b.ReservedWork).Int64(fmt.Sprintf("fillers%d", b.Priority), b.FillerWork)
+	}
+	line.Msg("load summary changed")
+}
+
+// updateLoad updates the load of an owned shard in the view.
+func (m *Manager) updateLoad(shard string, load recorder.Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.view.Shards[shard]
+	s.Load, s.LoadReceived = load, time.Now()
+	m.view.Shards[shard] = s
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -304,115 +303,6 @@
 	}
 }
 
-// commit writes changes to the store and posts Committed once they are durable.
-// The write is repeated until its outcome is known. If it fails before ctx ends,
-// the daemon stops owning the shard.
-func (o *ownedShard) commit(ctx context.Context, e dispatcher.Commit) {
-	puts, removes := o.commitEntries(e)
-	began := time.Now()
-	err := o.fence.Write(ctx, e.Workers, puts, removes)
-	o.manager.metrics.commits.RecordDuration(time.Since(began))
-	switch {
-	case err == nil:
-		o.manager.recordContact()
-		o.post(dispatcher.Committed{Batch: e.Batch})
-	case errors.Is(err, fencer.ErrFenced):
-		o.giveUp("another owner has written to the store")
-	case ctx.Err() == nil:
-		o.giveUp("store write failed: " + err.Error())
-	}
-}
-
-// commitEntries returns the keys that a commit writes and deletes.
-func (o *ownedShard) commitEntries(e dispatcher.Commit) (puts []storer.Write, removes []string) {
-	shard := o.spec.Name
-	for _, task := range e.StaleTransfers {
-		removes = append(removes, recorder.TransferKey(shard, task))
-	}
-	for _, id := range e.StaleCancels {
-		removes = append(removes, recorder.CancelKey(shard, id))
-	}
-	for i := range e.Changes {
-		p, r := changeEntries(shard, &e.Changes[i])
-		puts, removes = append(puts, p...), append(removes, r...)
-	}
-	return puts, removes
-}
-
-// changeEntries returns the keys that the change of one job writes and deletes.
-func changeEntries(shard string, c *dispatcher.Change) (puts []storer.Write, removes []string) {
-	entry := recorder.IndexEntry{Shard: shard, Queue: c.Queue, State: c.State, Parts: c.OtherShards}
-	if c.State.IsFinal() {
-		entry.Ended = time.Now()
-		removes = append(removes, recorder.JobKey(shard, c.ID), recorder.CancelKey(shard, c.ID), recorder.ProgressKey(shard, c.ID))
-	} else {
-		puts = append(puts, storer.Write{Key: recorder.ProgressKey(shard, c.ID), Value: recorder.Encode(c.Progress)})
-	}
-	if !c.Part {
-		puts = append(puts, storer.Write{Key: recorder.IndexKey(c.ID), Value: recorder.Encode(entry)})
-	}
-	for _, h := range c.Handovers {
-		puts = append(puts, storer.Write{Key: recorder.TransferKey(h.Shard, h.Task), Value: recorder.Encode(h.Transfer)})
-	}
-	for _, other := range c.CancelIn {
-		puts = append(puts, storer.Write{Key: recorder.CancelKey(other, c.ID), Value: recorder.Encode(recorder.IndexEntry{Shard: other})})
-	}
-	for _, task := range c.RemoveTransfers {
-		removes = append(removes, recorder.TransferKey(shard, task))
-	}
-	return puts, removes
-}
-
-// loadRefresh is the interval at which an unchanged load summary is published again.
-// Receivers don't rely on old ones, since the owner may be gone.
-const loadRefresh = 4 * time.Second
-
-// publish replaces the load summary in the store if it has changed or is old.
-func (o *ownedShard) publish(ctx context.Context, load recorder.Load) {
-	madeAt := load.MadeAt
-	load.MadeAt = o.lastLoad.MadeAt
-	isSame := string(recorder.Encode(load)) == string(recorder.Encode(o.lastLoad))
-	if isSame && time.Since(o.publishedAt) < loadRefresh {
-		return
-	}
-	load.MadeAt = madeAt
-	o.lastLoad, o.publishedAt = load, time.Now()
-	if !isSame {
-		o.logLoad(load)
-	}
-	o.calls.Go(func() {
-		o.manager.updateLoad(o.spec.Name, load)
-		o.manager.metrics.setLoad(o.spec.Name, load)
-		limited, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		_, err := o.manager.store.Commit(limited, storer.Transaction{
-			Put: []storer.Write{{Key: recorder.LoadKey(o.spec.Name), Value: recorder.Encode(load)}},
-		})
-		if err != nil {
-			o.log.Warn().Err(err).Msg("load publication failed")
-		}
-	})
-}
-
-// logLoad writes a log line about a changed load summary.
-func (o *ownedShard) logLoad(load recorder.Load) {
-	line := o.log.Info().Int("workers", load.Workers).Int64("free", load.Free.CPU).Int64("turning", load.FiniteCPU).
-		Int64("unused", load.UnusedCPU).Int64("fillers", load.FillerCPU).Int64("lasting", load.LongRunningCPU).Int64("limit", load.LongRunningLimit)
-	for _, b := range load.Backlog {
-		line = line.Int64(fmt.Sprintf("backlog%d", b.Priority), b.ReservedWork).Int64(fmt.Sprintf("fillers%d", b.Priority), b.FillerWork)
-	}
-	line.Msg("load summary changed")
-}
-
-// updateLoad updates the load of an owned shard in the view.
-func (m *Manager) updateLoad(shard string, load recorder.Load) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.view.Shards[shard]
-	s.Load, s.LoadReceived = load, time.Now()
-	m.view.Shards[shard] = s
-}
-
 // writeLog writes a log line of the state machine.
 func (o *ownedShard) writeLog(e dispatcher.Log) {
 	line := o.log.Info()
