--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -65,7 +65,7 @@
 	Name    string
 	Service string
 	Domain  string // failure domain of the workers; empty if they are in several
-	Divided bool   // the service has several shards
+	Divided bool   // the service has several shards, see also WorkersListed
 
 	Epoch   int64    // number of earlier ownerships
 	Workers []string // ids of workers that may have runs of an earlier ownership
@@ -192,6 +192,7 @@
 	case CatalogUpdated:
 		s.applyCatalog(e.Catalog)
 	case WorkersListed:
+		s.options.Divided = s.options.Divided || e.Divided
 		s.listWorkers(e.Workers)
 	case JobLoaded:
 		s.loadJob(e)
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -17,7 +17,10 @@
 type CatalogUpdated struct{ Catalog *specifier.Catalog }
 
 // WorkersListed delivers the complete list of the shard's registered workers.
-type WorkersListed struct{ Workers []specifier.Worker }
+type WorkersListed struct {
+	Workers []specifier.Worker
+	Divided bool // the service has several shards now; it keeps them
+}
 
 // JobLoaded delivers a job that an earlier owner already had, with its durable
 // progress.
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -169,3 +169,29 @@
 	maxLongRunningWait = 6 * time.Second // of a long-running task for a new run if there is room for it
 	maxCancelTime      = 3 * time.Second // until the runs of a cancelled job have ended
 )
+
+// TestLongRunningTaskWaitsInFormerlyOnlyShard is the same after a second shard has
+// joined the only one of the service under its owner.
+func TestLongRunningTaskWaitsInFormerlyOnlyShard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers := faker.New(), newFleet("w1", "w2")
+		workers.domain = map[string]string{"w2": "gc"}
+		workers.runTime = time.Hour
+		operator := store.Client("operator")
+		only := recorder.ShardLayout{Name: "desk", Domain: "bne", Racks: []string{"bne/r-w1"}, Workers: 1}
+		commit(g, operator, storer.Write{Key: recorder.LayoutKey("desk"), Value: recorder.Encode(recorder.Layout{Shards: []recorder.ShardLayout{only}})})
+		a := newDaemon("a", store, workers)
+		defer a.Close()
+		time.Sleep(800 * time.Millisecond) // until the shard is claimed
+		g.Expect(a.View().Shards).To(HaveLen(1))
+		second := recorder.ShardLayout{Name: "desk@gc", Domain: "gc", Racks: []string{"gc/r-w2"}, Workers: 1}
+		commit(g, operator, storer.Write{Key: recorder.LayoutKey("desk"), Value: recorder.Encode(recorder.Layout{Shards: []recorder.ShardLayout{only, second}})})
+		time.Sleep(5 * time.Second)
+		acceptJob(g, operator, "desk", longRunningJob(1))
+		time.Sleep(2 * time.Second)
+		leave(g, operator, workers, "w1")
+		time.Sleep(maxLongRunningWait)
+		g.Expect(workers.active["w2"]).To(HaveLen(1))
+	})
+}
--- a/internal/job/manager/registry.go
+++ b/internal/job/manager/registry.go
@@ -89,6 +89,6 @@
 // postWorkers passes the registered workers on to an owned shard.
 func (m *Manager) postWorkers(o *ownedShard) {
 	if m.registry.isListed {
-		o.post(dispatcher.WorkersListed{Workers: o.members.workersOf(m.registry.list)})
+		o.post(dispatcher.WorkersListed{Workers: o.members.workersOf(m.registry.list), Divided: o.members.divided})
 	}
 }
