--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -216,7 +216,7 @@
 		if ready {
 			st.ready = true
 			for _, t := range st.tasks {
-				t.waitingSince = s.now
+				t.waitingSince = s.now.Add(-st.unknownWait())
 			}
 			s.enqueue(st)
 			opened = append(opened, st)
@@ -225,6 +225,15 @@
 	return opened
 }
 
+// unknownWait returns how long the step's tasks may have waited under earlier owners
+// when it opens. Each new owner would make long-running tasks wait anew otherwise.
+func (st *step) unknownWait() time.Duration {
+	if st.spec.LongRunning && st.job.arrivedAt.IsZero() {
+		return deferralLimit
+	}
+	return 0
+}
+
 // openDueSteps opens the steps of repeating jobs that have become due.
 func (s *Shard) openDueSteps() {
 	for _, j := range s.jobs {
--- a/internal/job/dispatcher/longrunning_test.go
+++ b/internal/job/dispatcher/longrunning_test.go
@@ -58,3 +58,33 @@
 	}
 	return n
 }
+
+// TestLongRunningTaskWaitsAnewUnderEachOwner replaces the owner while long-running
+// tasks wait above the limit, as planned restarts of all hosts do one after the other.
+func TestLongRunningTaskWaitsAnewUnderEachOwner(t *testing.T) {
+	g := NewWithT(t)
+	job := oneStep(19, func(s *specifier.Step) { s.LongRunning, s.Needs = true, resources(400) })
+	id := func(i int) specifier.TaskID { return specifier.TaskID{Job: job.ID, Index: i} }
+	var active []specifier.Run
+	for i := range 18 { // 7,200 millicores, the limit
+		active = append(active, specifier.Run{Task: id(i), Number: 1, ProgressPercent: full})
+	}
+	began := epoch
+	for owner := range 3 {
+		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: int64(owner) + 1, Released: true}, began)
+		h := &harness{Shard: s}
+		h.feed(CatalogUpdated{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{{Name: "menus", Slack: 2, Attempts: 2}}}},
+			JobLoaded{Job: job, Started: true},
+			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Incarnation: 1, Capacity: room}, {ID: "w2", Incarnation: 1, Capacity: room}}})
+		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute, Active: active[:9]}})
+		h.feed(PollAnswered{Worker: "w2", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute, Active: active[9:]}})
+		for range 20 { // 2 s
+			h.advance(100 * time.Millisecond)
+		}
+		if len(takeEffects[StartRun](h)) > 0 {
+			return
+		}
+		began = h.now
+	}
+	g.Expect(began.Sub(epoch)).To(BeNumerically("<", 6*time.Second), "waited under three owners")
+}
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -37,7 +37,7 @@
 	Reason WaitReason
 	Tasks  int              // number of tasks, 0 if none wait
 	Oldest specifier.TaskID // the one that has waited longest
-	Age    time.Duration    // how long it has waited
+	Age    time.Duration    // how long it has waited, or may have under a new owner
 	CPU    int64            // CPU that it needs, millicores
 	Free   int64            // most free CPU on one usable worker, millicores
 }
