--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -307,10 +307,12 @@
 		r.answeredAt = s.now
 		return
 	}
-	w := r.worker
-	r.task.notBefore = s.now.Add(orderRetryDelay)
+	w, t := r.worker, r.task
+	waitingSince := t.waitingSince
 	w.avoidUntil = s.now.Add(refusalBackoff)
 	s.removeRun(r)
+	t.notBefore = s.now.Add(orderRetryDelay)
+	t.waitingSince = waitingSince // no run has interrupted the wait
 	if e.Fault == WorkerRestarted {
 		w.reported = false
 	}
--- a/internal/job/dispatcher/longrunning_test.go
+++ b/internal/job/dispatcher/longrunning_test.go
@@ -88,3 +88,21 @@
 	}
 	g.Expect(began.Sub(epoch)).To(BeNumerically("<", 6*time.Second), "waited under three owners")
 }
+
+// TestLongRunningTaskWaitsAnewAfterARefusal has workers refuse the start of a task
+// that has waited for its turn.
+func TestLongRunningTaskWaitsAnewAfterARefusal(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(specifier.Queue{Name: "menus", Slack: 2, Attempts: 2}, "w1", "w2")
+	job := oneStep(19, func(s *specifier.Step) { s.LongRunning, s.Needs = true, resources(400) })
+	h.feed(JobArrived{Job: job}) // 18 tasks are the limit
+	for _, start := range takeEffects[StartRun](h) {
+		h.feed(StartAnswered{Worker: start.Worker.ID, Incarnation: 1, Task: start.Task, Run: start.Run})
+	}
+	g.Expect(h.jobs[job.ID].steps[0].waiting).To(Equal(1))
+	h.advance(deferralLimit)
+	start := takeEffects[StartRun](h)[0]
+	h.feed(StartAnswered{Worker: start.Worker.ID, Incarnation: 1, Task: start.Task, Run: start.Run, Fault: Unhealthy})
+	h.advance(refusalBackoff)
+	g.Expect(takeEffects[StartRun](h)).To(HaveLen(1), "started again %s after the refusal", refusalBackoff)
+}
