--- a/internal/job/manager/move.go
+++ b/internal/job/manager/move.go
@@ -58,7 +58,7 @@
 	defer m.mu.Unlock()
 	var shards []admitter.Shard
 	for name, view := range m.view.Shards {
-		if view.Load.Service != from.service || name == from.Name || slices.Contains(e.Job.FormerShards, name) {
+		if view.Load.Service != from.service || name == from.Name || view.Owner == "" || slices.Contains(e.Job.FormerShards, name) {
 			continue
 		}
 		shards = append(shards, admitter.Shard{
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -195,3 +195,28 @@
 		g.Expect(workers.active["w2"]).To(HaveLen(1))
 	})
 }
+
+// TestJobMovesToShardWithoutOwner has a job that exceeds its shard's limit, and a
+// shard with room that nobody owns.
+func TestJobMovesToShardWithoutOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers := faker.New(), newFleet("w1", "w2")
+		workers.runTime = time.Hour
+		operator := store.Client("operator")
+		writeLayout(g, operator, []string{"bne/r-w1", "bne/r-w2"}, []string{"gc/r-none"})
+		commit(g, operator,
+			storer.Write{Key: recorder.OwnerKey("desk@gc"), Value: recorder.Encode(recorder.Owner{Daemon: "other"})},
+			storer.Write{Key: recorder.LoadKey("desk@gone"), Value: recorder.Encode(recorder.Load{
+				Service: "desk", Workers: 10, LongRunningLimit: 100_000, Free: describer.Resources{CPU: 100_000},
+			})})
+		a := newDaemon("a", store, workers)
+		defer a.Close()
+		time.Sleep(10 * time.Second) // until the shard is claimed
+		for n := range 6 {
+			acceptJob(g, operator, "desk@bne", longRunningJob(n))
+		}
+		time.Sleep(5 * time.Second)
+		g.Expect(store.Items(recorder.ShardPrefix("desk@gone"))).To(BeEmpty())
+	})
+}
