--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -220,3 +220,31 @@
 		g.Expect(store.Items(recorder.ShardPrefix("desk@gone"))).To(BeEmpty())
 	})
 }
+
+// TestFiniteJobWaitsInShardWithoutWorkers has the only worker of a shard leave before
+// the last step of a job. Another shard is idle.
+func TestFiniteJobWaitsInShardWithoutWorkers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers := faker.New(), newFleet("w1", "w2")
+		workers.domain = map[string]string{"w2": "gc"}
+		operator := store.Client("operator")
+		writeLayout(g, operator, []string{"bne/r-w1"}, []string{"gc/r-w2"})
+		a := newDaemon("a", store, workers)
+		defer a.Close()
+		time.Sleep(10 * time.Second) // until both shards are claimed
+		finite := job(1)
+		finite.Queue, finite.Accepted = catalog.Queues[0].Name, time.Now()
+		acceptJob(g, operator, "desk@bne", finite)
+		time.Sleep(300 * time.Millisecond)
+		w1 := workers.registration("w1")
+		w1.Draining = true
+		putWorker(t.Context(), operator, w1)
+		time.Sleep(maxFiniteWait)
+		g.Expect(workers.starts).NotTo(BeEmpty())
+		g.Expect(a.state(g, 1)).To(Equal(specifier.Succeeded))
+	})
+}
+
+// maxFiniteWait is how long a finite job may be left undone while there is room.
+const maxFiniteWait = 14 * time.Second
