--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -74,6 +74,8 @@
 		o.alive = false
 	case Commit:
 		s.schedule(s.delay(), func() { o.commit(e) })
+	case Publish:
+		o.home.load = e.Load
 	case FindShard:
 		o.findShard(e)
 	case MoveJob:
@@ -267,7 +269,7 @@
 func (sh *simShard) room() admitter.Shard {
 	out := admitter.Shard{Name: sh.name, HasLabel: true}
 	for _, w := range sh.workers {
-		if !w.registered || w.crashed {
+		if !w.registered || w.crashed || w.draining {
 			continue
 		}
 		free := w.free()
@@ -306,12 +308,22 @@
 	s.schedule(s.delay(), func() { o.post(JobMoved{ID: e.Job.ID, OK: moved}) })
 }
 
-// moveTarget returns a shard with room to which the job may move, or nil.
+// moveTarget returns a shard to which the job may move by the last load summaries, or
+// nil.
 func (o *owner) moveTarget(e MoveJob) *simShard {
+	var shards []admitter.Shard
 	for _, sh := range o.sim.shards {
-		if sh != o.home && !slices.Contains(e.Job.FormerShards, sh.name) && sh.owner.alive && sh.room().Free.CPU >= e.LongRunningCPU {
-			return sh
+		if sh != o.home && !slices.Contains(e.Job.FormerShards, sh.name) {
+			shards = append(shards, admitter.Shard{
+				Name: sh.name, HasLabel: true, Workers: sh.load.Workers,
+				LongRunningCPU: sh.load.LongRunningCPU, LongRunningLimit: sh.load.LongRunningLimit,
+			})
 		}
 	}
-	return nil
+	work := admitter.Work{LongRunningCPU: e.LongRunningCPU, Spread: e.Job.Spread()}
+	to := admitter.ChooseLongRunning(work, shards, o.sim.random)
+	if to == "" {
+		return nil
+	}
+	return o.sim.shard(to)
 }
--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -17,6 +17,7 @@
 	workers []*fakeWorker
 	owner   *owner
 	epoch   int64
+	load    recorder.Load // last summary
 
 	recordedWorkers []string               // workers named by the last commit
 	released        bool                   // the last owner released the shard
@@ -73,14 +74,14 @@
 	sh.released, sh.workerLeases = false, nil
 	sh.owner = o
 	s.logf("%s: claim %d", sh.name, o.token)
-	events := append([]Event{CatalogUpdated{Catalog: s.catalog}}, sh.load()...)
+	events := append([]Event{CatalogUpdated{Catalog: s.catalog}}, sh.records()...)
 	o.reduce(append(events, WorkersListed{Workers: sh.registrations()})...)
 	o.hearLoaded()
 	o.tick()
 }
 
-// load returns the shard's records in the order in which a new owner gets them.
-func (sh *simShard) load() []Event {
+// records returns the shard's records in the order in which a new owner gets them.
+func (sh *simShard) records() []Event {
 	var events []Event
 	for _, id := range sortedKeys(sh.sim.store) {
 		if sh.hasJob(id) {
@@ -211,8 +212,13 @@
 		s.logf("%s: %s is in %s now, hop %d", sh.name, h.Task, h.Shard, h.Transfer.Hop)
 		to := s.shard(h.Shard)
 		to.transfers[h.Task] = h.Transfer
-		to.deliver(TaskArrived{Task: h.Task, Transfer: h.Transfer}, 300*time.Millisecond)
-		to.deliver(TaskArrived{Task: h.Task, Transfer: h.Transfer}, 4*time.Second)
+		arrived := TaskArrived{Task: h.Task, Transfer: h.Transfer}
+		limit := 300 * time.Millisecond
+		if s.random.IntN(4) == 0 {
+			limit = 3 * time.Second // after an interrupted watch, also behind cancellations
+		}
+		to.deliver(arrived, limit)
+		to.deliver(arrived, 4*time.Second)
 	}
 	for _, name := range c.CancelIn {
 		s.logf("%s: %s cancelled in %s", sh.name, c.ID, name)
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -54,8 +54,8 @@
 	state         specifier.State
 	finalAt       time.Time // when state became final
 	cancelled     bool
-	parts         []string  // other shards with tasks of the job, by its index entry
 	cancelHeardAt time.Time // when the owner of its home received the cancellation
+	parts         []string  // other shards with tasks of the job, by its index entry
 	partHeardAt   time.Time // when the last owner of a part received it first
 }
 
@@ -175,8 +175,7 @@
 // submit stores a job in the first shard and delivers it to the owner twice.
 func (s *simulation) submit(job specifier.Job) { s.shards[0].submit(job) }
 
-// cancel stores a cancellation in the job's home and in the shards with parts of it,
-// and delivers it to their owners.
+// cancel stores a cancellation and delivers it to the owner of the job's home.
 func (s *simulation) cancel(id string) {
 	r := s.store[id]
 	if r == nil || r.state.IsFinal() {
--- a/internal/job/dispatcher/transfer_property_test.go
+++ b/internal/job/dispatcher/transfer_property_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -41,7 +42,7 @@
 	sh := s.shards[rapid.IntRange(0, len(s.shards)-1).Draw(t, "shard")]
 	length := time.Duration(rapid.IntRange(200, 14000).Draw(t, "length")) * time.Millisecond
 	w := sh.workers[rapid.IntRange(0, len(sh.workers)-1).Draw(t, "worker")]
-	switch what := rapid.IntRange(-6, lastFault+3).Draw(t, "what"); {
+	switch what := rapid.IntRange(-6, lastFault+4).Draw(t, "what"); {
 	case what < 4:
 		sh.submit(drawJob(t, fmt.Sprintf("%016x", i), 7))
 	case what < firstFault:
@@ -54,6 +55,10 @@
 	case what == lastFault+2:
 		s.logf("%s lists its records again", sh.name)
 		sh.listAgain(length)
+	case what == lastFault+3:
+		s.logf("%s drains for %s", w.id, length)
+		w.draining = true
+		s.schedule(length, func() { w.draining = false })
 	default:
 		sh.commitFault = commitFault(rapid.IntRange(1, int(commitFaults)-1).Draw(t, "fault"))
 		sh.faultLength, sh.needsSharing = length, rapid.IntRange(0, 3).Draw(t, "any commit") > 0
@@ -63,7 +68,7 @@
 // listAgain delivers the records of the shard as they are now once more, as after an
 // interrupted watch.
 func (sh *simShard) listAgain(limit time.Duration) {
-	for _, event := range sh.load() {
+	for _, event := range sh.records() {
 		switch e := event.(type) {
 		case JobLoaded:
 			sh.deliver(JobArrived{Job: e.Job}, limit)
@@ -143,12 +148,35 @@
 		}
 		for _, w := range s.workers {
 			if w.free().CPU >= 2*step.Needs.CPU && w.isSpread(id, step) {
+				s.printHistory(id.Job)
 				s.fail("%s (%d millicores) doesn't run, but %s has %d free", id, step.Needs.CPU, w.id, w.free().CPU)
 			}
 		}
 	}
 }
 
+// printHistory prints what the history says about a job and what the shards know of
+// it.
+func (s *simulation) printHistory(job string) {
+	for _, line := range s.history {
+		if strings.Contains(line, job) || strings.Contains(line, "claim") {
+			fmt.Println(line)
+		}
+	}
+	for _, sh := range s.shards {
+		j := sh.owner.shard.jobs[job]
+		if j == nil {
+			continue
+		}
+		for _, st := range j.steps {
+			for _, t := range st.tasks {
+				fmt.Printf("%s: %s elsewhere %t, hop %d, has run %t, known %t, movable %t, spread %d\n",
+					sh.name, t.id(), t.elsewhere, t.hop, t.worker != nil, t.allRunsKnown, j.isMovable(), st.spec.MaxPerWorker)
+			}
+		}
+	}
+}
+
 // isSpread reports whether another task of the step may run on the worker.
 func (w *fakeWorker) isSpread(id specifier.TaskID, step *specifier.Step) bool {
 	beside := 0
