--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -155,33 +154,6 @@
 	s.placementDue = true
 }
 
-// restore applies durable progress to a job.
-func (s *Shard) restore(j *job, progress recorder.Progress) {
-	j.otherShards = progress.Shards
-	for _, p := range progress.Tasks {
-		t := j.task(specifier.TaskID{Occurrence: p.Occurrence, Step: p.Step, Index: p.Index})
-		if t == nil {
-			s.emit(Log{Message: "progress of unknown task ignored", Job: j.spec.ID})
-			continue
-		}
-		t.failed = p.Failed
-		t.checkpoint = p.Checkpoint
-		if p.Done {
-			s.markDone(t)
-		}
-		t.hop = p.Hop
-		switch {
-		case p.Away && !t.elsewhere:
-			t.elsewhere = true
-			t.step.elsewhere++
-			t.step.waiting--
-		case p.Hop > 0 && !p.Away && t.elsewhere:
-			s.takeBack(t)
-			t.waitingSince = s.now
-		}
-	}
-}
-
 // task returns the task with an id, ignoring id.Job, or nil if there is none.
 func (j *job) task(id specifier.TaskID) *task {
 	at := id.Occurrence*len(j.spec.Steps) + id.Step
@@ -370,37 +342,3 @@
 	}
 	s.placementDue = true
 }
-
-// markDirty schedules a commit of the job's state.
-func (s *Shard) markDirty(j *job) {
-	j.version++
-	if !j.dirty {
-		j.dirty = true
-		s.dirtyJobs = append(s.dirtyJobs, j)
-	}
-}
-
-// progress returns the job's state for the store.
-func (j *job) progress() recorder.Progress {
-	p := recorder.Progress{Shards: j.otherShards}
-	for _, st := range j.steps {
-		for _, t := range st.tasks {
-			if t.done || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 {
-				p.Tasks = append(p.Tasks, recorder.TaskProgress{
-					Occurrence: st.occurrence, Step: st.number, Index: t.index,
-					Done: t.done, Failed: t.failed, Checkpoint: t.checkpointToStore(),
-					Hop: t.hop, Away: t.hop > 0 && t.elsewhere,
-				})
-			}
-		}
-	}
-	return p
-}
-
-// checkpointToStore returns the checkpoint, or "" if the task has completed.
-func (t *task) checkpointToStore() string {
-	if t.done {
-		return ""
-	}
-	return t.checkpoint
-}
--- /dev/null
+++ b/internal/job/dispatcher/progress.go
@@ -0,0 +1,67 @@
+package dispatcher
+
+import (
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+)
+
+// restore applies durable progress to a job.
+func (s *Shard) restore(j *job, progress recorder.Progress) {
+	j.otherShards = progress.Shards
+	for _, p := range progress.Tasks {
+		t := j.task(specifier.TaskID{Occurrence: p.Occurrence, Step: p.Step, Index: p.Index})
+		if t == nil {
+			s.emit(Log{Message: "progress of unknown task ignored", Job: j.spec.ID})
+			continue
+		}
+		t.failed = p.Failed
+		t.checkpoint = p.Checkpoint
+		if p.Done {
+			s.markDone(t)
+		}
+		t.hop = p.Hop
+		switch {
+		case p.Away && !t.elsewhere:
+			t.elsewhere = true
+			t.step.elsewhere++
+			t.step.waiting--
+		case p.Hop > 0 && !p.Away && t.elsewhere:
+			s.takeBack(t)
+			t.waitingSince = s.now
+		}
+	}
+}
+
+// markDirty schedules a commit of the job's state.
+func (s *Shard) markDirty(j *job) {
+	j.version++
+	if !j.dirty {
+		j.dirty = true
+		s.dirtyJobs = append(s.dirtyJobs, j)
+	}
+}
+
+// progress returns the job's state for the store.
+func (j *job) progress() recorder.Progress {
+	p := recorder.Progress{Shards: j.otherShards}
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			if t.done || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 {
+				p.Tasks = append(p.Tasks, recorder.TaskProgress{
+					Occurrence: st.occurrence, Step: st.number, Index: t.index,
+					Done: t.done, Failed: t.failed, Checkpoint: t.checkpointToStore(),
+					Hop: t.hop, Away: t.hop > 0 && t.elsewhere,
+				})
+			}
+		}
+	}
+	return p
+}
+
+// checkpointToStore returns the checkpoint, or "" if the task has completed.
+func (t *task) checkpointToStore() string {
+	if t.done {
+		return ""
+	}
+	return t.checkpoint
+}
