--- a/internal/job/dispatcher/stall.go
+++ b/internal/job/dispatcher/stall.go
@@ -46,8 +46,11 @@
 			s.stopRun(r, "no progress")
 		}
 	}
-	if stalled >= stalledRunsThreshold {
-		w.avoidUntil = s.now.Add(stallAvoidTime)
+	if stalled < stalledRunsThreshold {
+		return
+	}
+	if !s.now.Before(w.avoidUntil) {
 		s.emit(Log{Message: "worker avoided after stalled runs", Worker: w.reg.ID, Age: stallAvoidTime})
 	}
+	w.avoidUntil = s.now.Add(stallAvoidTime)
 }
--- a/internal/job/dispatcher/wait_test.go
+++ b/internal/job/dispatcher/wait_test.go
@@ -92,3 +92,27 @@
 		Expect(wait(h).Reason).To(Equal(WaitUnconfirmed))
 	})
 })
+
+var _ = Describe("a worker with stalled runs", func() {
+	It("is logged once while it is avoided", func() {
+		h := newHarness(specifier.Queue{Name: "menus", Slack: 2, Attempts: 2}, "w1")
+		h.feed(JobArrived{Job: oneStep(stalledRunsThreshold, nil)})
+		var active []specifier.Run
+		for _, start := range takeEffects[StartRun](h) {
+			h.feed(StartAnswered{Worker: "w1", Incarnation: 1, Task: start.Task, Run: start.Run})
+			active = append(active, specifier.Run{Task: start.Task, Number: start.Run})
+		}
+		h.advance(minStallTime + time.Millisecond)
+		for range 100 {
+			h.now = h.now.Add(25 * time.Millisecond)
+			h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: h.now.Sub(epoch) + time.Minute, Active: active}})
+		}
+		lines := 0
+		for _, l := range takeEffects[Log](h) {
+			if l.Message == "worker avoided after stalled runs" {
+				lines++
+			}
+		}
+		Expect(lines).To(Equal(1))
+	})
+})
