--- a/internal/control/admitter/room.go
+++ b/internal/control/admitter/room.go
@@ -11,8 +11,8 @@
 const transferShare = 0.25
 
 // ChooseRoom chooses a shard for up to n waiting tasks that each need the given
-// resources. It answers a shortage of room in one shard only, such as after many of
-// its workers have left. It draws among the shards that have a worker with room
+// resources. It is meant for one full shard, for example after many of its workers
+// have left, while others have room. It draws among the shards that have a worker with room
 // for a task, with a probability proportional to the free CPU, and returns how many
 // tasks may go there, at least one. The name is empty if no shard has room.
 func ChooseRoom(needs describer.Resources, n int, shards []Shard, random *rand.Rand) (shard string, tasks int) {
--- a/internal/job/manager/load.go
+++ b/internal/job/manager/load.go
@@ -10,7 +10,7 @@
 )
 
 // loadRefresh is the interval at which an unchanged load summary is published again.
-// Receivers don't rely on old ones, since the owner may be gone.
+// Admission ignores old ones, since the owner may be gone.
 const loadRefresh = 4 * time.Second
 
 // publish replaces the load summary in the store if it has changed or is old.
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -432,3 +432,21 @@
 		time.Sleep(5 * time.Second)
 	})
 }
+
+// TestUnknownRecordsKeepShardFromLoading has records below a shard that this version
+// doesn't know.
+func TestUnknownRecordsKeepShardFromLoading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers := faker.New(), newFleet("w1")
+		prefix := recorder.ShardPrefix("desk")
+		commit(g, store.Client("operator"),
+			storer.Write{Key: prefix + "later/1", Value: []byte("{}")}, storer.Write{Key: prefix + "task/1.x", Value: []byte("{}")})
+		a := newDaemon("a", store, workers)
+		defer a.Close()
+		time.Sleep(6 * time.Second) // until the shard is claimed
+		a.submit(g, 1)
+		time.Sleep(5 * time.Second)
+		g.Expect(a.state(g, 1)).To(Equal(specifier.Succeeded))
+	})
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -152,8 +153,8 @@
 	o.manager.logRelease(o.fence, o.fence.Release(limited, recorder.OwnerKey(o.spec.Name), leases))
 }
 
-// followJobs watches the shard's prefix for new jobs, cancellations and claims
-// until ctx ends.
+// followJobs watches the shard's prefix for new jobs, transferred tasks,
+// cancellations and claims until ctx ends.
 func (o *ownedShard) followJobs(ctx context.Context) {
 	w := prefixWatcher{manager: o.manager, prefix: recorder.ShardPrefix(o.spec.Name), isListed: true, revision: o.revision}
 	w.run(ctx, func(items []storer.Item, _ bool) {
@@ -206,14 +207,17 @@
 	case recorder.TransferRecord:
 		return decodeTransfer(id, item)
 	}
-	return nil, fmt.Errorf("manager: unexpected key %q", item.Key)
+	return nil, fmt.Errorf("%w %q", errUnknownKey, item.Key)
 }
 
+// errUnknownKey is returned for a key that this version doesn't know.
+var errUnknownKey = errors.New("manager: unexpected key")
+
 // decodeTransfer converts the transfer record of a task into an event.
 func decodeTransfer(id string, item storer.Item) (dispatcher.Event, error) {
 	task, err := specifier.ParseTaskID(id)
 	if err != nil {
-		return nil, err
+		return nil, fmt.Errorf("%w %q: %w", errUnknownKey, item.Key, err)
 	}
 	var transfer recorder.Transfer
 	err = recorder.Decode(item.Value, &transfer)
@@ -231,7 +235,7 @@
 	case dispatcher.Publish:
 		o.publish(ctx, e.Load)
 	case dispatcher.ReportWaiting:
-		o.reportWaiting(e.Waits)
+		o.calls.Go(func() { o.reportWaiting(e.Waits) })
 	case dispatcher.RequestAdvice:
 		o.calls.Go(func() { o.post(o.manager.advise(ctx, e)) })
 	case dispatcher.Commit:
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -201,6 +201,10 @@
 			continue
 		}
 		event, err := o.decode(item)
+		if errors.Is(err, errUnknownKey) {
+			m.log.Error().Err(err).Str("shard", spec.Name).Msg("record decoding failed")
+			continue // the other records are needed all the same
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -236,8 +240,9 @@
 func (m *Manager) startShard(ctx context.Context, o *ownedShard) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.updateMembers(o)
 	if m.registry.isListed {
-		o.initialEvents = append(o.initialEvents, dispatcher.WorkersListed{Workers: o.spec.workersOf(m.registry.list)})
+		o.initialEvents = append(o.initialEvents, m.workersListed(o))
 	}
 	o.startedAt = time.Now()
 	m.owned[o.spec.Name] = o
--- a/internal/job/manager/registry.go
+++ b/internal/job/manager/registry.go
@@ -86,9 +86,15 @@
 	}
 }
 
+// workersListed returns the event that passes the registered workers on to an owned
+// shard.
+func (m *Manager) workersListed(o *ownedShard) dispatcher.WorkersListed {
+	return dispatcher.WorkersListed{Workers: o.members.workersOf(m.registry.list), Divided: o.members.divided}
+}
+
 // postWorkers passes the registered workers on to an owned shard.
 func (m *Manager) postWorkers(o *ownedShard) {
 	if m.registry.isListed {
-		o.post(dispatcher.WorkersListed{Workers: o.members.workersOf(m.registry.list), Divided: o.members.divided})
+		o.post(m.workersListed(o))
 	}
 }
--- a/internal/job/manager/transfer.go
+++ b/internal/job/manager/transfer.go
@@ -31,7 +31,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if time.Since(m.view.ReadAt) > maxViewAge || !m.knowTransfers() {
-		return dispatcher.ShardFound{Task: e.Task}
+		return dispatcher.ShardFound{Task: e.Task, Tried: e.Tried}
 	}
 	var shards []admitter.Shard
 	for name, view := range m.view.Shards {
@@ -49,5 +49,5 @@
 		view.Load.Free.CPU -= int64(tasks) * e.Needs.CPU
 		m.view.Shards[shard] = view
 	}
-	return dispatcher.ShardFound{Task: e.Task, Shard: shard, Tasks: tasks}
+	return dispatcher.ShardFound{Task: e.Task, Tried: e.Tried, Shard: shard, Tasks: tasks}
 }
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -110,12 +110,22 @@
 	m.view.layouts[service] = layout
 	for _, shard := range layout.Shards {
 		if o := m.owned[shard.Name]; o != nil {
-			o.members = newShardSpec(service, &layout.Layout, shard)
+			m.updateMembers(o)
 			m.postWorkers(o)
 		}
 	}
 }
 
+// updateMembers applies the layout of the service to an owned shard.
+func (m *Manager) updateMembers(o *ownedShard) {
+	layout := m.view.layouts[o.spec.service]
+	for _, shard := range layout.Shards {
+		if shard.Name == o.spec.Name {
+			o.members = newShardSpec(o.spec.service, &layout.Layout, shard)
+		}
+	}
+}
+
 // updateHost applies the record of an entry host to the view.
 func (m *Manager) updateHost(name string, item storer.Item) {
 	if item.Deleted {
--- a/internal/job/manager/waiting.go
+++ b/internal/job/manager/waiting.go
@@ -2,11 +2,18 @@
 
 import "dotterelcart.dev/dotterelcart/internal/job/dispatcher"
 
-// reportWaiting logs and counts the long-running tasks that wait for a worker.
+// reportWaiting logs and counts the long-running tasks that wait for a worker, as long
+// as the daemon owns the shard.
 func (o *ownedShard) reportWaiting(waits []dispatcher.Wait) {
-	elsewhere, shard := o.manager.freeElsewhere(o.spec)
+	m := o.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owned[o.spec.Name] != o {
+		return
+	}
+	elsewhere, shard := m.freeElsewhere(o.spec)
 	for _, w := range waits {
-		o.manager.metrics.setWaiting(o.spec.Name, w)
+		m.metrics.setWaiting(o.spec.Name, w)
 		if w.Tasks == 0 {
 			continue
 		}
@@ -17,11 +24,10 @@
 	}
 }
 
-// freeElsewhere returns the free CPU of the service's other shard that has most,
-// in millicores, and that shard's name. The name is empty if there is no other.
+// freeElsewhere returns the free CPU of the service's other shard that has most, in
+// millicores, and that shard's name. The name is empty if there is no other. The
+// caller holds m.mu.
 func (m *Manager) freeElsewhere(from shardSpec) (free int64, shard string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	for name, view := range m.view.Shards {
 		if name == from.Name || view.Load.Service != from.service {
 			continue
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -191,3 +191,21 @@
 		g.Expect(r.State(ctx, testJob().ID)).To(Equal(specifier.Succeeded))
 	})
 }
+
+// TestCancellationReachesAllParts cancels a job with tasks in other shards, whose
+// owners must not wait for the owner of the job's shard.
+func TestCancellationReachesAllParts(t *testing.T) {
+	inBubble(t, func(g Gomega, r *Receiver, _ *fakeShards, store *faker.Client) {
+		id := testJob().ID
+		entry := recorder.IndexEntry{Shard: "desk", State: specifier.Running, Parts: []string{"desk@bne", "desk@gc"}}
+		_, err := store.Commit(context.Background(), storer.Transaction{
+			Put: []storer.Write{{Key: recorder.IndexKey(id), Value: recorder.Encode(entry)}},
+		})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(r.Cancel(context.Background(), id)).To(Succeed())
+		for _, shard := range []string{"desk", "desk@bne", "desk@gc"} {
+			_, err := store.Get(context.Background(), recorder.CancelKey(shard, id))
+			g.Expect(err).NotTo(HaveOccurred(), shard)
+		}
+	})
+}
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -48,8 +48,8 @@
 // IndexKey returns the key of a job's index entry.
 func IndexKey(id string) string { return "index/" + id }
 
-// ShardPrefix returns the prefix that an owner watches for new jobs,
-// cancellations and claims.
+// ShardPrefix returns the prefix that an owner watches for new jobs, transferred
+// tasks, cancellations and claims.
 func ShardPrefix(shard string) string { return "shard/" + shard + "/" }
 
 // JobKey returns the key of a job's record.
@@ -186,7 +186,7 @@
 	Hop  int           `json:"hop"`  // how often the task was transferred, with this time
 
 	LastRun    int64         `json:"run"`                  // the task has had no run with a higher number
-	Waited     time.Duration `json:"waited"`               // how long it has waited for a run
+	Waited     time.Duration `json:"waited"`               // how long it has waited for a run, nanoseconds
 	Tried      []string      `json:"tried"`                // shards in which it has waited meanwhile
 	Checkpoint string        `json:"checkpoint,omitempty"` // checkpoint to resume from
 }
