--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -218,6 +218,8 @@
 		s.shardFound(e)
 	case TaskArrived:
 		s.taskArrived(e)
+	case EarlierOwnerResigned:
+		s.applyResignation(e)
 	case Committed:
 		s.batchCommitted(e.Batch)
 	case OwnershipChecked:
--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -21,6 +21,19 @@
 	reachesStore bool // can reach the store
 	queuedEvents []Event
 	heard        map[string]time.Time // when it first received a cancellation, by job id
+	epoch        int64
+}
+
+// resign ends an owner that was replaced, and tells its successor later.
+func (o *owner) resign() {
+	s, sh := o.sim, o.home
+	o.alive = false
+	resignation := o.shard.Resignation(s.now)
+	resignation.Epoch = o.epoch
+	s.schedule(time.Duration(s.random.IntN(2000))*time.Millisecond, func() {
+		sh.resignation = &resignation
+		sh.owner.post(EarlierOwnerResigned{Resignation: resignation, Received: s.now})
+	})
 }
 
 // tick sends the regular events every 50 ms while the owner is alive.
@@ -71,7 +84,7 @@
 	case Log:
 		s.logf("owner %d: %s %s %s run %d %s", o.token, e.Message, e.Task+e.Job, e.Worker, e.Run, e.Reason)
 	case Resign:
-		o.alive = false
+		o.resign()
 	case Commit:
 		s.schedule(s.delay(), func() { o.commit(e) })
 	case Publish:
@@ -171,7 +184,7 @@
 		o.sim.schedule(200*time.Millisecond, retry)
 		return false
 	case o.home.owner != o:
-		o.alive = false
+		o.resign()
 		return false
 	}
 	return true
--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -20,6 +20,7 @@
 	epoch   int64
 	load    recorder.Load // last summary
 
+	resignation     *recorder.Resignation  // the last one, or nil
 	recordedWorkers []string               // workers named by the last commit
 	released        bool                   // the last owner released the shard
 	workerLeases    []recorder.WorkerLease // left by the last owner if released
@@ -64,7 +65,7 @@
 	s.token++
 	o := &owner{
 		sim: s, home: sh, token: s.token, alive: true, reachesStore: true,
-		unreachable: make(map[*fakeWorker]bool), heard: make(map[string]time.Time),
+		unreachable: make(map[*fakeWorker]bool), heard: make(map[string]time.Time), epoch: sh.epoch,
 	}
 	o.shard = New(Options{
 		Name: sh.name, Service: "desk", Divided: len(s.shards) > 1, Epoch: sh.epoch, Workers: slices.Clone(sh.recordedWorkers),
@@ -76,6 +77,9 @@
 	sh.owner = o
 	s.logf("%s: claim %d", sh.name, o.token)
 	events := append([]Event{CatalogUpdated{Catalog: s.catalog}}, sh.records()...)
+	if sh.resignation != nil {
+		events = append(events, EarlierOwnerResigned{Resignation: *sh.resignation, Received: s.now})
+	}
 	o.reduce(append(events, WorkersListed{Workers: sh.registrations()})...)
 	o.hearLoaded()
 	o.tick()
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -450,3 +450,43 @@
 		g.Expect(a.state(g, 1)).To(Equal(specifier.Succeeded))
 	})
 }
+
+// TestTakeOverWaitsForWorkersThatHaveLeft has a worker leave for good just before the
+// store is out for longer than the owner's lease, so that another daemon takes the
+// shard over and finds the worker in the durable list.
+func TestTakeOverWaitsForWorkersThatHaveLeft(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		f.mu.Lock()
+		f.runTime = time.Hour
+		f.mu.Unlock()
+		acceptJob(g, owner.store, "desk", longRunningJob(1))
+		time.Sleep(time.Second)
+		var left string
+		f.mu.Lock()
+		for id, runs := range f.active {
+			if len(runs) > 0 {
+				left = id
+			}
+		}
+		f.maxToken = map[string]int64{left: 0}
+		f.mu.Unlock()
+		_, err := owner.store.Commit(t.Context(), storer.Transaction{Remove: []string{registrationPrefix + left}})
+		g.Expect(err).NotTo(HaveOccurred())
+		owner.store.SetDown(true)
+		time.Sleep(6 * time.Second)
+		owner.store.SetDown(false)
+		g.Expect(other.View().Shards["desk"].Owner).To(Equal(other.store.Name))
+		time.Sleep(maxLongRunningWait)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.active, left)
+		running := 0
+		for _, runs := range f.active {
+			running += len(runs)
+		}
+		if running != 1 {
+			t.Errorf("%d runs %s after the store came back", running, maxLongRunningWait)
+		}
+	})
+}
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -30,6 +30,7 @@
 	done          chan struct{}      // closed when run has returned
 	stopOnce      sync.Once          // guards closing stop
 	calls         sync.WaitGroup     // goroutines started by run
+	resigns       bool               // resign follows after run; set before stop is closed
 	lastLoad      recorder.Load      // load summary that was last published
 	publishedAt   time.Time          // when it was published
 
@@ -134,9 +135,15 @@
 	}
 }
 
-// giveUp ends the shard, for example because another daemon owns it now.
+// giveUp ends the shard, because another daemon owns it now or may own it soon.
 func (o *ownedShard) giveUp(reason string) {
+	o.end(reason, true)
+}
+
+// end ends the shard. resigns says whether the next owner has to be told about leases.
+func (o *ownedShard) end(reason string, resigns bool) {
 	o.stopOnce.Do(func() {
+		o.resigns = resigns
 		close(o.stop)
 		o.manager.removeShard(o, reason)
 	})
@@ -145,7 +152,7 @@
 // release ends the shard and removes its owner record, so that another daemon
 // can claim it at once.
 func (o *ownedShard) release(ctx context.Context, reason string) {
-	o.giveUp(reason)
+	o.end(reason, false)
 	<-o.done
 	leases := o.state.WorkerLeases(time.Now())
 	limited, cancel := context.WithTimeout(ctx, releaseTimeout)
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -241,12 +241,20 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.updateMembers(o)
+	if resigned, ok := m.view.resignations[o.spec.Name]; ok {
+		o.initialEvents = append(o.initialEvents, resigned)
+	}
 	if m.registry.isListed {
 		o.initialEvents = append(o.initialEvents, m.workersListed(o))
 	}
 	o.startedAt = time.Now()
 	m.owned[o.spec.Name] = o
-	m.background.Go(func() { o.run(ctx) })
+	m.background.Go(func() {
+		o.run(ctx)
+		if o.resigns {
+			o.resign(ctx)
+		}
+	})
 }
 
 // removeShard forgets a shard that isn't owned any more.
--- /dev/null
+++ b/internal/job/manager/resignation.go
@@ -0,0 +1,62 @@
+package manager
+
+import (
+	"context"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/waiter"
+)
+
+// resignationTimeout is the limit for writing a resignation. After it the leases have
+// expired anyway.
+const resignationTimeout = 8 * time.Second
+
+// resign tells the shard's next owner how long leases may remain valid. It follows the
+// last order. Without it the next owner has to assume the worst.
+func (o *ownedShard) resign(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, resignationTimeout)
+	defer cancel()
+	for limited.Err() == nil {
+		err := o.writeResignation(limited)
+		if err == nil {
+			o.log.Info().Int64("epoch", o.fence.Epoch).Msg("resignation written")
+			return
+		}
+		o.log.Warn().Err(err).Msg("resignation failed")
+		waiter.Sleep(limited, retryDelay)
+	}
+}
+
+// writeResignation writes the shard's resignation with the leases as they are now.
+func (o *ownedShard) writeResignation(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	resignation := o.state.Resignation(time.Now())
+	resignation.Epoch = o.fence.Epoch
+	_, err := o.manager.store.Commit(limited, storer.Transaction{
+		Put: []storer.Write{{Key: recorder.ResignationKey(o.spec.Name), Value: recorder.Encode(resignation)}},
+	})
+	return err
+}
+
+// updateResignation applies the resignation of a shard's earlier owner to the view
+// and to the shard, if this daemon owns it.
+func (m *Manager) updateResignation(shard string, item storer.Item) {
+	var resignation recorder.Resignation
+	if item.Deleted {
+		delete(m.view.resignations, shard)
+		return
+	}
+	if err := recorder.Decode(item.Value, &resignation); err != nil {
+		m.log.Warn().Err(err).Str("key", item.Key).Msg("record decoding failed")
+		return
+	}
+	received := dispatcher.EarlierOwnerResigned{Resignation: resignation, Received: time.Now()}
+	m.view.resignations[shard] = received
+	if o := m.owned[shard]; o != nil {
+		o.post(received)
+	}
+}
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/cenkalti/backoff/v5"
 
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/state/waiter"
@@ -20,6 +21,8 @@
 
 	layouts map[string]versionedLayout // by service
 	hosts   map[string]recorder.Host   // by name
+
+	resignations map[string]dispatcher.EarlierOwnerResigned // by shard
 }
 
 // ShardView is a daemon's knowledge of one shard.
@@ -61,6 +64,7 @@
 func newView() View {
 	return View{
 		Shards: make(map[string]ShardView), layouts: make(map[string]versionedLayout), hosts: make(map[string]recorder.Host),
+		resignations: make(map[string]dispatcher.EarlierOwnerResigned),
 	}
 }
 
@@ -89,6 +93,9 @@
 	case recorder.HostView:
 		m.updateHost(name, item)
 		return
+	case recorder.ResignationView:
+		m.updateResignation(name, item)
+		return
 	default:
 		return
 	}
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -21,6 +21,7 @@
 //	fence/NAME            Fence     epoch and last write of the owner
 //	view/owner/NAME       Owner     current owner; expires with the owner's lease
 //	view/load/NAME        Load      load summary, up to a few seconds old
+//	view/resigned/NAME    Resignation  how long leases of the last owner may remain valid
 //	view/layout/SERVICE   Layout    how the service's workers are divided into shards
 //	view/host/NAME        Host      an entry host and its capacity; expires with a lease
 package recorder
@@ -43,6 +44,8 @@
 	loadPrefix   = ViewPrefix + "load/"
 	layoutPrefix = ViewPrefix + "layout/"
 	hostPrefix   = ViewPrefix + "host/"
+
+	resignationPrefix = ViewPrefix + "resigned/"
 )
 
 // IndexKey returns the key of a job's index entry.
@@ -78,6 +81,9 @@
 // LoadKey returns the key of a shard's load summary.
 func LoadKey(shard string) string { return loadPrefix + shard }
 
+// ResignationKey returns the key of the resignation of a shard's last owner.
+func ResignationKey(shard string) string { return resignationPrefix + shard }
+
 // LayoutKey returns the key of a service's layout.
 func LayoutKey(service string) string { return layoutPrefix + service }
 
@@ -95,10 +101,11 @@
 	LoadView
 	LayoutView
 	HostView
+	ResignationView
 )
 
 func (k ViewKind) String() string {
-	return [...]string{"other", "owner", "load", "layout", "host"}[k]
+	return [...]string{"other", "owner", "load", "layout", "host", "resigned"}[k]
 }
 
 // ParseViewKey returns the kind of a key below ViewPrefix and the name of its
@@ -107,7 +114,7 @@
 	for _, kind := range [...]struct {
 		prefix string
 		kind   ViewKind
-	}{{ownerPrefix, OwnerView}, {loadPrefix, LoadView}, {layoutPrefix, LayoutView}, {hostPrefix, HostView}} {
+	}{{ownerPrefix, OwnerView}, {loadPrefix, LoadView}, {layoutPrefix, LayoutView}, {hostPrefix, HostView}, {resignationPrefix, ResignationView}} {
 		if name, ok := strings.CutPrefix(key, kind.prefix); ok {
 			return kind.kind, name
 		}
@@ -211,6 +218,14 @@
 	Remaining time.Duration `json:"lapse"` // time from the shutdown until all leases there have expired
 }
 
+// Resignation is written by an owner that lost its shard, after its last order. It
+// says how long leases may remain valid from then on.
+type Resignation struct {
+	Epoch     int64         `json:"epoch"`            // of the owner that resigned
+	Remaining time.Duration `json:"lapse"`            // of the leases on workers that aren't in Silent, nanoseconds
+	Silent    []WorkerLease `json:"silent,omitempty"` // workers that didn't answer the owner
+}
+
 // Claim identifies one ownership of a shard.
 type Claim struct {
 	Daemon string `json:"daemon"`
