--- a/internal/job/manager/waiting.go
+++ b/internal/job/manager/waiting.go
@@ -17,10 +17,10 @@
 		if w.Tasks == 0 {
 			continue
 		}
-		o.log.Info().Str("reason", w.Reason.String()).Int("tasks", w.Tasks).
-			Str("job", w.Oldest.Job).Str("task", w.Oldest.String()).Dur("age", w.Age).
-			Int64("needs", w.CPU).Int64("free", w.Free).Int64("elsewhere", elsewhere).Str("to", shard).
-			Msg("long-running tasks waiting")
+		line := o.log.Info().Str("reason", w.Reason.String()).Int("tasks", w.Tasks).
+			Str("job", w.Oldest.Job).Str("task", w.Oldest.String()).Dur("age", w.Age)
+		line = line.Int64("needs", w.CPU).Int64("free", w.Free).Int64("elsewhere", elsewhere).Str("to", shard)
+		line.Msg("long-running tasks waiting")
 	}
 }
 
