--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -177,7 +177,7 @@
 // taskArrived adds a task that was transferred to this shard.
 func (s *Shard) taskArrived(e TaskArrived) {
 	j := s.jobs[e.Task.Job]
-	if j != nil && j.home != e.Transfer.Home {
+	if j != nil && j.moving && j.home != e.Transfer.Home {
 		// The job has moved, but the answer of the write has not come yet.
 		s.forgetMoved(j)
 		j = nil
@@ -189,7 +189,7 @@
 		return
 	}
 	t := j.task(e.Task)
-	if t == nil {
+	if t == nil || j.home != e.Transfer.Home {
 		s.emit(Log{Message: "transfer of unknown task ignored", Task: e.Task.String(), Job: e.Task.Job})
 		return
 	}
--- a/internal/job/dispatcher/transferfault_test.go
+++ b/internal/job/dispatcher/transferfault_test.go
@@ -92,5 +92,10 @@
 		h.feed(TaskArrived{Task: specifier.TaskID{Job: job.ID, Index: 1}, Transfer: transfer})
 		h.feed(TaskArrived{Task: specifier.TaskID{Job: "0000000000000001"}, Transfer: transfer})
 		Expect(h.jobs).To(BeEmpty())
+
+		h.feed(JobArrived{Job: job})
+		h.feed(TaskArrived{Task: specifier.TaskID{Job: job.ID}, Transfer: transfer})
+		Expect(h.jobs[job.ID].home).To(Equal("desk"), "the job is at home here and isn't moving")
+		Expect(takeEffects[StartRun](h)).To(HaveLen(1))
 	})
 })
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,13 +23,32 @@
 	}}
 }
 
-// writeLayout writes a layout of the shards desk@bne and desk@gc with the given racks.
-func writeLayout(g Gomega, store *faker.Client, bne, gc []string) {
-	layout := recorder.Layout{Shards: []recorder.ShardLayout{
-		{Name: "desk@bne", Domain: "bne", Racks: bne, Workers: len(bne)},
-		{Name: "desk@gc", Domain: "gc", Racks: gc, Workers: len(gc)},
-	}}
-	commit(g, store, storer.Write{Key: recorder.LayoutKey("desk"), Value: recorder.Encode(layout)})
+// newService returns workers in the shards desk@bne and desk@gc, whose tasks run for
+// an hour, and a store that has the layout.
+func newService(g Gomega, bne, gc []string) (store *faker.Store, workers *fleet, operator *faker.Client) {
+	store, workers = faker.New(), newFleet(append(slices.Clone(bne), gc...)...)
+	workers.runTime = time.Hour
+	workers.domain = make(map[string]string)
+	for _, id := range gc {
+		workers.domain[id] = "gc"
+	}
+	operator = store.Client("operator")
+	layout := recorder.Layout{Shards: []recorder.ShardLayout{shardOf("bne", bne), shardOf("gc", gc)}}
+	commit(g, operator, storer.Write{Key: recorder.LayoutKey("desk"), Value: recorder.Encode(layout)})
+	return store, workers, operator
+}
+
+// shardOf returns the shard of a failure domain with the given workers, or with a rack
+// that has none.
+func shardOf(domain string, workers []string) recorder.ShardLayout {
+	s := recorder.ShardLayout{Name: "desk@" + domain, Domain: domain, Workers: len(workers)}
+	for _, id := range workers {
+		s.Racks = append(s.Racks, domain+"/r-"+id)
+	}
+	if len(workers) == 0 {
+		s.Racks = []string{domain + "/r-none"}
+	}
+	return s
 }
 
 // acceptJob writes what a receiver writes for an accepted job.
@@ -49,11 +69,7 @@
 func TestExcessIsHandedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store, workers := faker.New(), newFleet("w1", "w2")
-		workers.domain = map[string]string{"w2": "gc"}
-		workers.runTime = time.Hour
-		operator := store.Client("operator")
-		writeLayout(g, operator, []string{"bne/r-w1"}, []string{"gc/r-w2"})
+		store, workers, operator := newService(g, []string{"w1"}, []string{"w2"})
 		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
 		defer a.Close()
 		defer b.Close()
@@ -85,11 +101,7 @@
 func TestLongRunningTaskWaitsBesideRoomInAnotherShard(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store, workers := faker.New(), newFleet("w1", "w2", "w3")
-		workers.domain = map[string]string{"w3": "gc"}
-		workers.runTime = time.Hour
-		operator := store.Client("operator")
-		writeLayout(g, operator, []string{"bne/r-w1", "bne/r-w2"}, []string{"gc/r-w3"})
+		store, workers, operator := newService(g, []string{"w1", "w2"}, []string{"w3"})
 		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
 		defer a.Close()
 		defer b.Close()
@@ -131,11 +143,7 @@
 func TestNoTransferBesideEarlierVersions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store, workers := faker.New(), newFleet("w1", "w2")
-		workers.domain = map[string]string{"w2": "gc"}
-		workers.runTime = time.Hour
-		operator := store.Client("operator")
-		writeLayout(g, operator, []string{"bne/r-w1"}, []string{"gc/r-w2"})
+		store, workers, operator := newService(g, []string{"w1"}, []string{"w2"})
 		commit(g, operator, storer.Write{Key: recorder.HostKey("earlier"), Value: []byte(`{"domain":"bne"}`)})
 		a := newDaemon("a", store, workers)
 		defer a.Close()
@@ -201,10 +209,7 @@
 func TestJobMovesToShardWithoutOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store, workers := faker.New(), newFleet("w1", "w2")
-		workers.runTime = time.Hour
-		operator := store.Client("operator")
-		writeLayout(g, operator, []string{"bne/r-w1", "bne/r-w2"}, []string{"gc/r-none"})
+		store, workers, operator := newService(g, []string{"w1", "w2"}, nil)
 		commit(g, operator,
 			storer.Write{Key: recorder.OwnerKey("desk@gc"), Value: recorder.Encode(recorder.Owner{Daemon: "other"})},
 			storer.Write{Key: recorder.LoadKey("desk@gone"), Value: recorder.Encode(recorder.Load{
@@ -226,10 +231,8 @@
 func TestFiniteJobWaitsInShardWithoutWorkers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store, workers := faker.New(), newFleet("w1", "w2")
-		workers.domain = map[string]string{"w2": "gc"}
-		operator := store.Client("operator")
-		writeLayout(g, operator, []string{"bne/r-w1"}, []string{"gc/r-w2"})
+		store, workers, operator := newService(g, []string{"w1"}, []string{"w2"})
+		workers.runTime = 500 * time.Millisecond
 		a := newDaemon("a", store, workers)
 		defer a.Close()
 		time.Sleep(10 * time.Second) // until both shards are claimed
