job/dispatcher: say why runs are lost with their worker

A run that was lost with its worker left no line: only 'worker removed', which names no run, or 'worker restarted'. Each such run now has the line 'run lost with its worker' with its age and whether the worker has restarted, has left, is no longer registered or is only silent, and the counter runs_lost has the cause.

--- a/internal/job/dispatcher/move_test.go
+++ b/internal/job/dispatcher/move_test.go
@@ -46,7 +46,7 @@
 	It("starts no task of a job that is being moved, and keeps a job that no shard has room for", func() {
 		h.advance(publishInterval)
 		move := takeEffects[MoveJob](h)[0]
-		h.removeRuns(h.workers["w1"])
+		h.loseRuns(h.workers["w1"], LossSilence)
 		h.advance(100 * time.Millisecond)
 		for _, start := range takeEffects[StartRun](h) {
 			Expect(start.Task.Job).NotTo(Equal(move.Job.ID))
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -152,7 +152,7 @@
 // old one have ended.
 func (s *Shard) resetWorker(w *worker, incarnation int64) {
 	s.emit(Log{Message: "worker restarted", Worker: w.reg.ID})
-	s.removeRuns(w)
+	s.loseRuns(w, LossRestart)
 	w.reg.Incarnation = incarnation
 	w.reported, w.polledAt, w.polledClock, w.leaseExpiry = false, time.Time{}, 0, time.Time{}
 	w.lastEnd, w.ackedEnd, w.pendingEnds = 0, 0, nil
@@ -161,13 +161,6 @@
 	s.poll(w)
 }
 
-// removeRuns removes all runs of a worker and requeues their tasks.
-func (s *Shard) removeRuns(w *worker) {
-	for _, id := range sortedTasks(w.runs) {
-		s.removeRun(w.runs[id])
-	}
-}
-
 // removeRun forgets a run that has ended and requeues its task.
 func (s *Shard) removeRun(r *run) {
 	w := r.worker
@@ -225,14 +218,14 @@
 	s.retryStops(w)
 	_, inherited := s.inheritedExpiry[w.reg.ID]
 	if !w.unregisteredAt.IsZero() && !w.polling && !inherited && (len(w.runs) == 0 || s.haveLeasesExpired(w)) {
-		s.removeRuns(w)
+		s.loseRuns(w, w.lossCause())
 		s.removeWorker(w)
 		s.emit(Log{Message: "worker removed", Worker: w.reg.ID})
 		return
 	}
 	if w.failedPolls > 0 && len(w.runs) > 0 && s.haveLeasesExpired(w) && s.isSilent(w) {
 		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID})
-		s.removeRuns(w)
+		s.loseRuns(w, w.lossCause())
 	}
 	s.evacuate(w)
 	s.poll(w)
--- a/internal/job/manager/metrics.go
+++ b/internal/job/manager/metrics.go
@@ -57,6 +57,11 @@
 	counter.Inc(1)
 }
 
+// countLostRuns counts runs that were lost with their worker.
+func (m *metrics) countLostRuns(e dispatcher.RunsLost) {
+	m.scope.Tagged(map[string]string{"cause": e.Cause.String()}).Counter("runs_lost").Inc(int64(e.Runs))
+}
+
 // setLoad updates the gauges of a shard.
 func (m *metrics) setLoad(shard string, load recorder.Load) {
 	scope := m.scope.Tagged(map[string]string{"shard": shard})
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -241,6 +241,8 @@
 		o.giveUp("worker " + e.Worker + " has seen a higher fencing token")
 	case dispatcher.Publish:
 		o.publish(ctx, e.Load)
+	case dispatcher.RunsLost:
+		o.manager.metrics.countLostRuns(e)
 	case dispatcher.ReportWaiting:
 		o.calls.Go(func() { o.reportWaiting(e.Waits) })
 	case dispatcher.RequestAdvice:
