job/dispatcher: TestTaskCrashesWorkerAfterWorker, TestCrashCountSurvivesOwners, known red

A task that crashes the workers that start it is started without limit: runs that are lost with their worker aren't counted. Both fail on each run.

--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -115,6 +115,9 @@
 	s.checkStart(w, e, step)
 	r := &fakeRun{number: e.Run, step: step, startedAt: s.now}
 	w.runs[e.Task] = r
+	if d := s.deadly[e.Task]; d != nil {
+		d.started(w)
+	}
 	if step.LongRunning {
 		return NoFault
 	}
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -45,6 +45,7 @@
 	wrongRoomRate  float64               // fraction of FindShard answers that are made up
 	invariants     invariants
 	history        []string
+	deadly         map[specifier.TaskID]*deadlyTask
 }
 
 // storedJob is a job in the store, with its index entry.
