control/ranker: finish jobs that have begun while their end is of use

Cause: each job begins just before its objective, and its second task is late then and goes behind all newer jobs.

--- a/internal/control/ranker/ranker.go
+++ b/internal/control/ranker/ranker.go
@@ -6,7 +6,9 @@
 // more urgent priority always goes first. Within a priority, work that can
 // still meet its objective goes before work that is already late, and that
 // before work whose end is of no use any more; otherwise a burst would make
-// all of it a little late. Among equals the earliest objective goes first, so
+// all of it a little late. Work of a job that has begun counts as being in time
+// for as long as its end is of use; otherwise a lasting overload would begin many
+// jobs and end few of them. Among equals the earliest objective goes first, so
 // nothing starves that can still be served.
 package ranker
 
@@ -20,7 +22,7 @@
 
 // Degrees of lateness, in the order in which work is served.
 const (
-	OnTime  Lateness = iota // expected to meet its objective
+	OnTime  Lateness = iota // expected to meet its objective, or begun and not overdue
 	Late                    // expected after its objective but within its grace period
 	Overdue                 // expected after its grace period, when its result is of no use
 )
@@ -37,6 +39,7 @@
 	GraceEnd   time.Time     // latest end that is still of use
 	Remaining  time.Duration // estimated time from its start to its end
 	Accepted   time.Time
+	Begun      bool   // a part of its job has been started, so that work would be lost
 	NoDeadline bool   // always OnTime, as for serving tasks, which are of use for as long as they run
 	ID         string // breaks ties
 }
@@ -49,10 +52,12 @@
 		return OnTime
 	case !end.After(w.Objective):
 		return OnTime
-	case !end.After(w.GraceEnd):
-		return Late
+	case end.After(w.GraceEnd):
+		return Overdue
+	case w.Begun:
+		return OnTime
 	}
-	return Overdue
+	return Late
 }
 
 // Compare returns a negative number if a goes before b, a positive one if b
--- a/internal/control/ranker/ranker_test.go
+++ b/internal/control/ranker/ranker_test.go
@@ -42,6 +42,14 @@
 		)).To(Equal([]string{"on time", "late", "overdue"}))
 	})
 
+	It("puts begun work that is late beside work on time, but not overdue work", func() {
+		begun := work("begun", 0, time.Second, time.Minute, 2*time.Second)
+		overdue := work("overdue", 0, -10*time.Second, -time.Second, time.Second)
+		begun.Begun, overdue.Begun = true, true
+		Expect(order(overdue, work("on time", 0, 3*time.Second, time.Minute, 2*time.Second), begun)).
+			To(Equal([]string{"begun", "on time", "overdue"}))
+	})
+
 	It("puts the earlier objective first among equals", func() {
 		Expect(order(
 			work("later", 0, 9*time.Second, time.Minute, 0),
--- a/internal/job/dispatcher/longrunning_test.go
+++ b/internal/job/dispatcher/longrunning_test.go
@@ -46,6 +46,30 @@
 	g.Expect(s.running(longRunning)).To(Equal(16))
 }
 
+// TestBegunJobsNeverEnd has two slots and twice the jobs that fit, each of two tasks:
+// most of the tasks that are done belong to jobs that end.
+func TestBegunJobsNeverEnd(t *testing.T) {
+	for seed := range uint64(8) {
+		s := newSimulation(t, seed, 1)
+		const jobs = 80
+		for i := range jobs {
+			s.submit(specifier.Job{ID: fmt.Sprintf("%016x", i), Steps: []specifier.Step{
+				{Count: 2, Needs: resources(2000), Estimate: 500 * time.Millisecond},
+			}})
+			s.advance(250 * time.Millisecond)
+		}
+		ended := 0
+		for _, r := range s.store {
+			if r.state == specifier.Succeeded {
+				ended++
+			}
+		}
+		if done := len(s.invariants.completed); 2*ended < done*4/5 {
+			t.Errorf("seed %d: %d tasks are done, but only %d jobs of two tasks", seed, done, ended)
+		}
+	}
+}
+
 // running returns the number of runs of a job.
 func (s *simulation) running(job string) int {
 	n := 0
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -81,7 +81,7 @@
 	j := st.job
 	w := ranker.Work{
 		Priority: j.queue.Priority, Objective: j.objective, GraceEnd: j.graceEnd,
-		Remaining: st.path, Accepted: j.spec.Accepted, ID: j.spec.ID,
+		Remaining: st.path, Accepted: j.spec.Accepted, ID: j.spec.ID, Begun: j.started,
 	}
 	if !st.due.IsZero() {
 		shift := st.due.Sub(j.spec.Accepted)
