job/dispatcher: give up a task that crashes worker after worker

Cause: an attempt was counted only if its worker reported the end. A worker that crashes reports nothing, so the most harmful way to fail was the only one that cost nothing.

A run that is lost with its worker is now a loss of its task, kept in the job's progress and in transfer records. Starts of a task with losses are durable before they are ordered; when a worker stops answering, its runs are recorded; and a new owner suspects what waits if a worker of the earlier one is gone. So a count is not lost with an owner. After two losses a task runs in isolation, after two losses in isolation its job fails. Which run was to blame isn't known otherwise: a sound task beside a deadly one completes in isolation.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -110,6 +110,7 @@
 	for _, w := range s.workers {
 		w.acknowledge()
 	}
+	s.orderPrepared()
 }
 
 // updateWorkerList sets the worker list of the next commit. Runs are started
--- a/internal/job/dispatcher/crash_test.go
+++ b/internal/job/dispatcher/crash_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -88,3 +90,59 @@
 		})
 	}
 }
+
+// TestDeadlyTasks runs deadly tasks beside sound ones through the faults of
+// TestInvariants. No deadly task is started too often, and no job fails without cause.
+func TestDeadlyTasks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "workers"))
+		s.advance(time.Second)
+		for i := range rapid.IntRange(5, 40).Draw(t, "steps") {
+			if rapid.IntRange(0, 7).Draw(t, "deadly") == 0 {
+				s.submitDeadly(t, 100+i)
+			}
+			s.randomStep(t, i)
+			s.advance(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pass")) * time.Millisecond)
+		}
+		s.endFaults()
+		s.advance(3 * time.Minute)
+		s.checkFailed()
+	})
+}
+
+// submitDeadly submits a job with one deadly task.
+func (s *simulation) submitDeadly(t *rapid.T, number int) {
+	job := drawJob(t, fmt.Sprintf("%016x", number), 1)
+	step := rapid.IntRange(0, len(job.Steps)-1).Draw(t, "deadly step")
+	s.addDeadly(&deadlyTask{
+		id:      specifier.TaskID{Job: job.ID, Step: step, Index: rapid.IntRange(0, job.Steps[step].Count-1).Draw(t, "deadly task")},
+		delay:   time.Duration(rapid.IntRange(1, 400).Draw(t, "deadly after")) * time.Millisecond,
+		down:    time.Duration(rapid.IntRange(1000, 12000).Draw(t, "down")) * time.Millisecond,
+		renames: rapid.Bool().Draw(t, "renames"),
+	})
+	s.submit(job)
+}
+
+// checkFailed checks that each job that failed has a deadly task, or one that has failed
+// as often as it may.
+func (s *simulation) checkFailed() {
+	for _, id := range sortedKeys(s.store) {
+		if s.store[id].state == specifier.Failed && !s.hasCause(id) {
+			s.fail("job %s has failed without cause", id)
+		}
+	}
+}
+
+func (s *simulation) hasCause(job string) bool {
+	for id, d := range s.deadly {
+		if id.Job == job && d.crashes >= 2 {
+			return true
+		}
+	}
+	for id, n := range s.invariants.failures {
+		if id.Job == job && n >= simAttempts {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -89,10 +89,12 @@
 	effects   []Effect // of the current Reduce
 
 	jobs            map[string]*job
-	ended           map[string]endedJob  // jobs whose end is durable, by id
-	movedAt         map[string]time.Time // jobs that were moved to other shards, by id
-	earlyCancels    map[string]time.Time // cancellations that came before their jobs, by job id
-	waitingSteps    []*step              // steps with waiting tasks, unordered
+	ended           map[string]endedJob        // jobs whose end is durable, by id
+	movedAt         map[string]time.Time       // jobs that were moved to other shards, by id
+	earlyCancels    map[string]time.Time       // cancellations that came before their jobs, by job id
+	waitingSteps    []*step                    // steps with waiting tasks, unordered
+	suspects        map[specifier.TaskID]*task // tasks with losses
+	preparing       []*run                     // runs that aren't ordered before they are durable
 	workers         map[string]*worker
 	sortedWorkers   []*worker        // the values of workers, sorted by id
 	hasUnrecorded   bool             // a worker that answers isn't in the durable worker list
@@ -134,6 +136,7 @@
 		ended:           make(map[string]endedJob),
 		movedAt:         make(map[string]time.Time),
 		earlyCancels:    make(map[string]time.Time),
+		suspects:        make(map[specifier.TaskID]*task),
 		workers:         make(map[string]*worker),
 		interference:    newInterferenceLearner(),
 		inheritedExpiry: make(map[string]time.Time),
@@ -270,6 +273,7 @@
 	s.congestion.ticked(s.now)
 	s.expireInherited()
 	s.openDueSteps()
+	s.reviewSuspects()
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		s.reviewWorker(w)
 	}
@@ -320,6 +324,7 @@
 		if s.now.After(expiry) && (w == nil || s.isSilent(w)) {
 			s.emit(Log{Message: "inherited leases expired", Worker: id})
 			delete(s.inheritedExpiry, id)
+			s.inferLosses(id)
 			s.placementDue = true
 		}
 	}
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -149,8 +149,11 @@
 	w.lastEnd++
 	w.sim.logf("%s ends %s run %d: %s", w.id, id, r.number, outcome)
 	w.pendingEnds = append(w.pendingEnds, specifier.End{Number: w.lastEnd, Task: id, Run: r.number, Outcome: outcome})
-	if outcome == specifier.OutcomeDone {
+	switch outcome {
+	case specifier.OutcomeDone:
 		w.sim.invariants.completed[id] = true
+	case specifier.OutcomeFailed:
+		w.sim.invariants.failures[id]++
 	}
 }
 
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -33,6 +33,9 @@
 	if w.failedPolls > 0 {
 		s.emit(Log{Message: "worker poll recovered", Worker: e.Worker})
 	}
+	if w.failedPolls > 0 || !w.reported {
+		s.refuteLosses(w, e.Inventory.Clock)
+	}
 	w.failedPolls = 0
 	w.reported = true
 	s.hasUnrecorded = s.hasUnrecorded || !w.recorded
@@ -43,6 +46,9 @@
 	if _, wasInherited := s.inheritedExpiry[w.reg.ID]; wasInherited {
 		delete(s.inheritedExpiry, w.reg.ID)
 		s.placementDue = true
+		if e.Inventory.Clock < recentStart {
+			s.inferLosses(w.reg.ID)
+		}
 	}
 	w.acknowledge()
 	w.nextPoll = s.now
@@ -75,6 +81,7 @@
 	pending := pendingEnd{number: end.Number}
 	if t != nil {
 		t.lastRun = max(t.lastRun, end.Run)
+		s.refuteLoss(t, end.Run)
 		if s.applyEnd(w, t, end) {
 			pending.job = t.step.job
 			pending.jobVersion = t.step.job.version
@@ -221,6 +228,9 @@
 		return
 	}
 	r.task = t
+	if loss := t.loss(listed.Number); loss != nil {
+		r.isolated = loss.Isolated
+	}
 	t.allRunsKnown, t.seenActive, t.adopted = true, true, true
 	t.step.waiting--
 	t.step.job.started = true
@@ -332,7 +342,11 @@
 
 // stopRun orders the worker to stop a run.
 func (s *Shard) stopRun(r *run, reason string) {
-	if r.phase == stopping {
+	switch r.phase {
+	case stopping:
+		return
+	case preparing:
+		s.removeRun(r)
 		return
 	}
 	r.phase = stopping
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -56,16 +57,17 @@
 	step           *step
 	index          int
 	done           bool
-	worker         *worker   // worker that has or may have a run of it; nil without one
-	lastRun        int64     // highest known number of its runs
-	runOffset      int64     // its runs in other shards have no higher numbers
-	elsewhere      bool      // another shard has the task
-	hop            int       // how often it was transferred, as far as known here
-	hasRecord      bool      // this shard has a transfer record of it
-	triedShards    []string  // shards in which it has waited since its last run, while it is transferred
-	transferAfter  time.Time // it isn't transferred before this time
-	arrivalVersion int64     // version of the job that has to be durable before it starts
-	failed         []int64   // numbers of the failed runs
+	worker         *worker         // worker that has or may have a run of it; nil without one
+	lastRun        int64           // highest known number of its runs
+	runOffset      int64           // its runs in other shards have no higher numbers
+	elsewhere      bool            // another shard has the task
+	hop            int             // how often it was transferred, as far as known here
+	hasRecord      bool            // this shard has a transfer record of it
+	triedShards    []string        // shards in which it has waited since its last run, while it is transferred
+	transferAfter  time.Time       // it isn't transferred before this time
+	arrivalVersion int64           // version of the job that has to be durable before it starts
+	failed         []int64         // numbers of the failed runs
+	losses         []recorder.Loss // runs that were lost with their worker, see loss.go
 	checkpoint     string
 	lastFailedOn   string    // id of the worker of the last failed or stalled run
 	notBefore      time.Time // no start before this time
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -21,6 +21,7 @@
 	interference     imageInterference
 	unplaced         []unplacedRequest // requests of fillers for which no worker was found
 	growth           []float64         // growth of log tail latencies on each of workers if a task of the current step starts
+	suspects         map[*worker]int   // number of runs of suspect tasks on each of workers
 	reservations     int               // number of workers kept free for tasks that have waited long
 	largest          fitter.Candidate  // maximum of each resource over all workers at the start of the round
 	longRunningCPU   int64             // CPU reserved by running long-running tasks, millicores
@@ -141,6 +142,7 @@
 	p.growth = make([]float64, len(p.workers))
 	p.interference = imageInterference{byImage: make(map[string][]estimate)}
 	p.longRunningLimit = s.longRunningLimit(capacity)
+	p.findSuspects()
 	if s.options.Divided {
 		for _, j := range s.jobs {
 			p.pinnedCPU += j.pinnedCPU()
@@ -213,6 +215,10 @@
 			continue
 		}
 		i := p.chooseWorker(st, t, request, mayDisturb)
+		if i < 0 && p.isKeptApart(t) {
+			p.emptyWorker(t)
+			continue // other tasks of the step may find a worker
+		}
 		if i < 0 {
 			p.markUnplaceable(st, t)
 			p.reserveRoom(st, t)
@@ -224,6 +230,7 @@
 		p.candidates[i].Reserve(&request)
 		p.longRunningCPU += st.needs.longRunning
 		r := p.shard.startRun(t, p.workers[i], t.nextRun(p.shard.options.Epoch))
+		p.noteSuspectStart(r, i)
 		r.startsSlowly = st.spec.Filler && p.workers[i].wouldNearTarget(p.growth[i])
 		if st.spec.Filler {
 			growth := p.interference.on(p, i, st.spec.Image).scale(p.workers[i].share(request.FillerCPU)).upper
@@ -240,7 +247,7 @@
 // mayStart reports whether the task waits for a run and needn't wait for anything
 // but a worker.
 func (t *task) mayStart(now time.Time) bool {
-	return t.isWaiting() && !now.Before(t.notBefore) && t.step.job.durable >= t.arrivalVersion
+	return t.isWaiting() && !now.Before(t.notBefore) && t.step.job.durable >= t.arrivalVersion && !t.hasOpenLoss()
 }
 
 // Limits of room reservations.
@@ -257,9 +264,7 @@
 	}
 	best := -1
 	for i, w := range p.workers {
-		finiteRoom := w.reg.Capacity.CPU - w.allocated.longRunning // free CPU once all finite tasks have ended
-		fits := st.needs.reserved.CPU <= finiteRoom && st.needs.reserved.Memory <= w.reg.Capacity.Memory
-		if !fits || !w.reg.HasLabel(st.spec.Label) || st.spec.MaxPerWorker > 0 && w.perStep[st] >= st.spec.MaxPerWorker {
+		if !p.canEverRun(st, w) {
 			continue
 		}
 		if best < 0 || p.candidates[i].Free.CPU > p.candidates[best].Free.CPU {
@@ -272,13 +277,21 @@
 	}
 }
 
+// canEverRun reports whether the worker has room for a task of the step once all finite
+// tasks there have ended.
+func (p *placement) canEverRun(st *step, w *worker) bool {
+	finiteRoom := w.reg.Capacity.CPU - w.allocated.longRunning
+	fits := st.needs.reserved.CPU <= finiteRoom && st.needs.reserved.Memory <= w.reg.Capacity.Memory
+	return fits && w.reg.HasLabel(st.spec.Label) && (st.spec.MaxPerWorker == 0 || w.perStep[st] < st.spec.MaxPerWorker)
+}
+
 // chooseWorker returns the index of the best worker for a task, or -1. For a
 // while it avoids the worker where the task last failed. If mayDisturb is set, the task
 // may bring latencies near their targets.
 func (p *placement) chooseWorker(st *step, t *task, request fitter.Request, mayDisturb bool) int {
 	allowed := func(i int) bool {
 		w := p.workers[i]
-		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil {
+		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil || t.isSuspect() && !p.maySuspectStart(t, w) {
 			return false
 		}
 		if st.spec.Filler && w.wouldNearTarget(p.growth[i]) && !mayDisturb || !p.hasTicket(st, w) {
@@ -312,7 +325,7 @@
 
 // placeGang starts all tasks of a step together, or none.
 func (p *placement) placeGang(st *step) {
-	unknown := func(t *task) bool { return !p.inheritedKnown && !t.allRunsKnown }
+	unknown := func(t *task) bool { return !p.inheritedKnown && !t.allRunsKnown || t.hasOpenLoss() }
 	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, unknown) {
 		return
 	}
@@ -324,15 +337,18 @@
 		i := fitter.Choose(candidates, request, func(i int) bool {
 			w := p.workers[i]
 			free := st.spec.MaxPerWorker == 0 || w.perStep[st]+count[i] < st.spec.MaxPerWorker
-			return free && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil && p.hasTicket(st, w)
+			isAllowed := free && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil && p.hasTicket(st, w)
+			return isAllowed && (!t.isSuspect() || count[i] == 0 && p.maySuspectStart(t, w))
 		})
 		if i < 0 {
+			p.emptyWorker(t)
 			return
 		}
 		if st.spec.TightlyCoupled && request.Rack == "" {
 			request.Rack = p.workers[i].rack
 		}
 		candidates[i].Reserve(&request)
+		candidates[i].Closed = t.needsIsolation()
 		count[i]++
 		chosen = append(chosen, i)
 	}
@@ -342,7 +358,7 @@
 		number = max(number, t.nextRun(p.shard.options.Epoch))
 	}
 	for k, t := range st.tasks {
-		p.shard.startRun(t, p.workers[chosen[k]], number)
+		p.noteSuspectStart(p.shard.startRun(t, p.workers[chosen[k]], number), chosen[k])
 	}
 }
 
@@ -350,7 +366,8 @@
 // any earlier run, also under earlier owners and in other shards.
 func (t *task) nextRun(epoch int64) int64 { return max(t.lastRun, t.runOffset+epoch*runsPerEpoch) + 1 }
 
-// startRun orders a worker to start a run of a task.
+// startRun begins a run of a task on a worker. It is ordered at once, unless the start
+// has to be durable before.
 func (s *Shard) startRun(t *task, w *worker, number int64) *run {
 	t.lastRun = number
 	t.allRunsKnown, t.seenActive = true, true
@@ -359,13 +376,25 @@
 	if !t.step.spec.LongRunning && t.step.needs.reserved.CPU > 0 {
 		s.lastFiniteStart = s.now
 	}
-	r := &run{task: t, id: t.id(), worker: w, number: number, phase: starting, orderedAt: s.now, needs: t.step.needs, pace: full}
+	r := &run{task: t, id: t.id(), worker: w, number: number, orderedAt: s.now, needs: t.step.needs, pace: full, isolated: t.needsIsolation()}
 	w.addRun(r)
 	if r.isFiller() && len(w.servingRuns) > 0 {
 		w.newFillers = append(w.newFillers, r)
 	}
+	if t.step.mustPrepare(t) {
+		s.prepareRun(r)
+	} else {
+		s.orderStart(r)
+	}
+	return r
+}
+
+// orderStart orders the worker to start a run.
+func (s *Shard) orderStart(r *run) {
+	t, w := r.task, r.worker
+	r.phase, r.orderedAt = starting, s.now
 	order := StartRun{
-		Worker: w.reg, Task: t.id(), Run: number, Payload: t.step.job.spec.Payload, LeaseEnd: s.newLeaseEnd(w),
+		Worker: w.reg, Task: t.id(), Run: r.number, Payload: t.step.job.spec.Payload, LeaseEnd: s.newLeaseEnd(w),
 	}
 	if t.step.spec.Checkpoint {
 		order.Checkpoint = t.checkpoint
@@ -373,10 +402,9 @@
 	order.Ticket, _ = t.step.ticketFor(w, s.now)
 	s.emit(order)
 	s.emit(Log{
-		Message: "run start ordered", Task: order.Task.String(), Job: order.Task.Job, Worker: w.reg.ID, Run: number,
+		Message: "run start ordered", Task: order.Task.String(), Job: order.Task.Job, Worker: w.reg.ID, Run: r.number,
 		Age: s.now.Sub(w.polledAt),
 	})
-	return r
 }
 
 // hasRoom reports whether another allowed worker has room for the run's task.
--- /dev/null
+++ b/internal/job/dispatcher/prepare.go
@@ -0,0 +1,70 @@
+package dispatcher
+
+import "slices"
+
+// The start of a suspect task is recorded before it is ordered. Until that is durable the
+// run is preparing: it has its room on the worker, which knows nothing of it.
+
+// mustPrepare reports whether a start of the task has to be durable before it is ordered:
+// the task is suspect, or another of its gang.
+func (st *step) mustPrepare(t *task) bool {
+	return t.isSuspect() || st.spec.Gang && slices.ContainsFunc(st.tasks, (*task).isSuspect)
+}
+
+// prepareRun makes a start wait for the next commit of its job.
+func (s *Shard) prepareRun(r *run) {
+	r.phase = preparing
+	if r.task.isSuspect() {
+		s.addLoss(r)
+	}
+	s.markDirty(r.task.step.job)
+	r.version = r.task.step.job.version
+	s.preparing = append(s.preparing, r)
+}
+
+// orderPrepared orders the prepared runs that are durable.
+func (s *Shard) orderPrepared() {
+	list := s.preparing
+	s.preparing = nil
+	for _, r := range list {
+		switch {
+		case r.worker.runs[r.id] != r || r.phase != preparing:
+		case r.task.step.job.durable < r.version:
+			s.preparing = append(s.preparing, r)
+		case s.canOrder(r):
+			s.orderStart(r)
+		default:
+			s.dropPrepared(r)
+		}
+	}
+}
+
+// canOrder reports whether a prepared run may still start. All members of a gang start
+// together.
+func (s *Shard) canOrder(r *run) bool {
+	if !s.mayAct() || !r.worker.isUsable(s.now) {
+		return false
+	}
+	free := r.worker.candidate().Free // without what the run needs
+	if free.CPU < 0 || free.Memory < 0 || free.Accelerators < 0 {
+		return false
+	}
+	return !r.task.step.spec.Gang || !slices.ContainsFunc(r.task.step.tasks, func(t *task) bool { return t.worker == nil })
+}
+
+// dropPrepared removes a prepared run, and those of its gang.
+func (s *Shard) dropPrepared(r *run) {
+	s.emit(Log{Message: "prepared run dropped", Task: r.id.String(), Job: r.id.Job, Worker: r.worker.reg.ID, Run: r.number})
+	s.removeRun(r)
+	if !r.task.step.spec.Gang {
+		return
+	}
+	for _, t := range r.task.step.tasks {
+		if t.worker == nil {
+			continue
+		}
+		if other := t.worker.runs[t.id()]; other != nil {
+			s.stopRun(other, "gang incomplete")
+		}
+	}
+}
--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -1,6 +1,8 @@
 package dispatcher
 
 import (
+	"slices"
+
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
@@ -16,6 +18,7 @@
 		}
 		t.failed = p.Failed
 		t.checkpoint = p.Checkpoint
+		s.restoreLosses(t, p.Losses)
 		if p.Done {
 			s.markDone(t)
 		}
@@ -46,11 +49,11 @@
 	p := recorder.Progress{Shards: j.otherShards}
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.done || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 {
+			if t.done || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 {
 				p.Tasks = append(p.Tasks, recorder.TaskProgress{
 					Occurrence: st.occurrence, Step: st.number, Index: t.index,
 					Done: t.done, Failed: t.failed, Checkpoint: t.checkpointToStore(),
-					Hop: t.hop, Away: t.hop > 0 && t.elsewhere,
+					Hop: t.hop, Away: t.hop > 0 && t.elsewhere, Losses: slices.Clone(t.losses),
 				})
 			}
 		}
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -65,6 +65,7 @@
 	acked         map[specifier.TaskID]bool  // completed and acknowledged
 	completed     map[specifier.TaskID]bool  // completed, acknowledged or not
 	ackedFailures map[specifier.TaskID]int   // number of acknowledged failures
+	failures      map[specifier.TaskID]int   // number of failures, acknowledged or not
 	lastRun       map[specifier.TaskID]int64 // highest number of a started run
 }
 
@@ -112,7 +113,7 @@
 		}},
 		invariants: invariants{
 			acked: make(map[specifier.TaskID]bool), completed: make(map[specifier.TaskID]bool), ackedFailures: make(map[specifier.TaskID]int),
-			lastRun: make(map[specifier.TaskID]int64),
+			failures: make(map[specifier.TaskID]int), lastRun: make(map[specifier.TaskID]int64),
 		},
 	}
 	for number, n := range workers {
--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -169,6 +169,7 @@
 	}
 	j.handovers = append(j.handovers, Handover{Task: t.id(), Shard: shard, Transfer: recorder.Transfer{
 		Job: j.spec, Home: j.home, Hop: t.hop, LastRun: t.nextRun(s.options.Epoch) - 1, Waited: waited, Tried: t.triedShards, Checkpoint: t.checkpoint,
+		Losses: slices.Clone(t.losses),
 	}})
 	s.markDirty(j)
 	s.emit(Log{Message: "task transferred", Task: t.id().String(), Job: j.spec.ID, Reason: "to " + shard, Age: waited})
@@ -214,6 +215,7 @@
 	}
 	t.hop = transfer.Hop
 	t.checkpoint = transfer.Checkpoint
+	s.restoreLosses(t, transfer.Losses)
 	t.triedShards, t.transferAfter = transfer.Tried, time.Time{}
 	t.allRunsKnown = true // its arrival isn't durable here, so nobody has started it
 	t.waitingSince = s.now
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -21,6 +21,7 @@
 	WaitEarlierRuns                   // workers may have a run by an earlier owner
 	WaitMove                          // the job may be moved to another shard
 	WaitLimit                         // long-running tasks have their share of the CPU
+	WaitIsolation                     // the task may crash its workers, and none is free for it alone
 	WaitReserved                      // a worker has room, but it is kept for tasks that rank higher
 	WaitUnusable                      // only workers that are avoided or don't answer have room
 	WaitNoRoom                        // no worker of the shard has room
@@ -29,7 +30,7 @@
 
 // String returns the text of the reason in logs and metrics.
 func (r WaitReason) String() string {
-	return [...]string{"unconfirmed", "earlier-runs", "move", "limit", "reserved", "unusable", "no-room"}[r]
+	return [...]string{"unconfirmed", "earlier-runs", "move", "limit", "isolation", "reserved", "unusable", "no-room"}[r]
 }
 
 // Wait is the long-running tasks that wait for the same reason.
@@ -97,6 +98,8 @@
 		return WaitMove
 	case p.isDeferred(st):
 		return WaitLimit
+	case t.needsIsolation() && p.chooseWorker(st, t, st.request(), false) < 0:
+		return WaitIsolation
 	case p.chooseWorker(st, t, st.request(), false) >= 0:
 		return WaitReserved
 	case slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool { return !w.isUsable(s.now) && w.stays() && w.hasRoomFor(st) }):
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -61,6 +61,7 @@
 
 const (
 	starting     runPhase = iota // start ordered, no answer yet
+	preparing                    // the start isn't ordered before it is durable
 	startUnknown                 // the start failed with an unknown outcome
 	active                       // the worker has the run
 	stopping                     // stop ordered
@@ -78,6 +79,8 @@
 	needs        need
 	unknown      bool      // needs aren't known
 	startsSlowly bool      // a filler that begins at slowStartPace
+	isolated     bool      // nothing else on the worker may crash it
+	version      int64     // while preparing: version of the job that has to be durable
 	progress     int       // see specifier.Run.ProgressPercent
 	metric       float64   // see specifier.Run.Metric
 	pace         int       // ordered percentage of full speed, or unknownPace
@@ -177,6 +180,7 @@
 	if r.task == nil {
 		return
 	}
+	s.dropOpenLoss(r.task, r.number)
 	decrement(w.perStep, r.task.step)
 	r.task.step.job.lastEnd = s.now
 	if r.isServing() {
@@ -301,6 +305,7 @@
 	}
 	if w.failedPolls == 1 {
 		s.emit(Log{Message: "worker poll failed", Worker: e.Worker, Reason: e.Fault.String()})
+		s.recordEarlyLosses(w)
 	}
 }
 
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -183,6 +183,16 @@
 	Checkpoint string  `json:"checkpoint,omitempty"` // checkpoint to resume from
 	Hop        int     `json:"hop,omitempty"`        // how often the task was transferred, as far as this shard knows
 	Away       bool    `json:"away,omitempty"`       // another shard has the task
+	Losses     []Loss  `json:"losses,omitempty"`     // runs that were lost with their worker
+}
+
+// Loss is a run of a task that was lost with its worker. The task may have crashed it.
+type Loss struct {
+	Run         int64  `json:"run"`
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"born,omitempty"`     // of the worker
+	Isolated    bool   `json:"isolated,omitempty"` // no other run there may have crashed the worker
+	Open        bool   `json:"open,omitempty"`     // the run may still be active
 }
 
 // Transfer is a task that another shard has transferred to this one. The record
@@ -196,6 +206,7 @@
 	Waited     time.Duration `json:"waited"`               // how long it has waited for a run, nanoseconds
 	Tried      []string      `json:"tried"`                // shards in which it has waited meanwhile
 	Checkpoint string        `json:"checkpoint,omitempty"` // checkpoint to resume from
+	Losses     []Loss        `json:"losses,omitempty"`     // runs that were lost with their worker
 }
 
 // Fence is replaced by every write of a shard's owner, so that only the current
