job/dispatcher: start nothing by capacities that may be out of date

Each placement went by the registered capacity already, so an owner that reads registrations followed. An owner cut off from the store went on by the last list for as long as it may act, 8 s, though a room that has shrunk counts ContactMs and a heartbeat later.

Once a worker's capacity has changed while it ran, an owner starts runs only within ContactMs, less the way of an order, after its list was known to be current; idle reads of the registrations count. Where no room changes, starts go on during an outage of the store as before. The free room of a load summary doesn't fall by what a shrunken worker has too much.

--- a/internal/control/describer/resources.go
+++ b/internal/control/describer/resources.go
@@ -22,6 +22,11 @@
 	return r.CPU <= capacity.CPU && r.Memory <= capacity.Memory && r.Accelerators <= capacity.Accelerators
 }
 
+// Positive returns r with negative components set to zero.
+func (r Resources) Positive() Resources {
+	return Resources{max(r.CPU, 0), max(r.Memory, 0), max(r.Accelerators, 0)}
+}
+
 // IsZero reports whether every component is zero.
 func (r Resources) IsZero() bool { return r == Resources{} }
 
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -76,6 +76,7 @@
 	Lease       time.Duration // granted to all runs on a worker with each poll
 	OutageLimit time.Duration // how long an owner keeps working without the store
 	PollWait    time.Duration // how long a poll waits at the worker for a run to end
+	RoomNotice  time.Duration // how long starts may exceed a capacity after a registration shows that it has shrunk; 0 is no limit
 	ClockError  time.Duration // maximum error of the wall clock; due times are delayed by it
 }
 
@@ -106,6 +107,8 @@
 	inheritedExpiry map[string]time.Time // when the last leases of earlier owners expire, by worker id
 	workersListed   bool                 // WorkersListed has been received
 	confirmedAt     time.Time            // when the store last confirmed the ownership
+	listedAt        time.Time            // when the registrations were last known to be current
+	roomVaries      bool                 // a worker's capacity has changed while it ran
 	resigned        bool
 
 	batch        int64    // number of the last commit
@@ -197,6 +200,8 @@
 	case WorkersListed:
 		s.options.Divided = s.options.Divided || e.Divided
 		s.listWorkers(e.Workers)
+	case WorkersUnchanged:
+		s.listedAt = s.now
 	case JobLoaded:
 		s.loadJob(e)
 	case JobArrived:
@@ -268,6 +273,16 @@
 // on it when it computes the expiry of inherited leases.
 func (s *Shard) mayAct() bool { return s.now.Sub(s.confirmedAt) < s.options.OutageLimit }
 
+// orderTime is how long a start may take from the decision to the worker.
+const orderTime = 500 * time.Millisecond
+
+// mayStart reports whether the shard may start runs. Where the workers' capacity changes
+// while they run, it must know the registrations of lately.
+func (s *Shard) mayStart() bool {
+	isCurrent := s.options.RoomNotice == 0 || s.now.Sub(s.listedAt) < s.options.RoomNotice-orderTime
+	return s.mayAct() && s.workersListed && (isCurrent || !s.roomVaries)
+}
+
 // tick does what is due: polls, expiries, opening steps and the load summary.
 func (s *Shard) tick() {
 	s.congestion.ticked(s.now)
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -22,6 +22,9 @@
 	Divided bool // the service has several shards; once true, it stays so
 }
 
+// WorkersUnchanged reports that the registrations of the last WorkersListed are current.
+type WorkersUnchanged struct{}
+
 // JobLoaded delivers a job that an earlier owner already had, with its durable
 // progress.
 type JobLoaded struct {
@@ -112,6 +115,7 @@
 func (Tick) event()             {}
 func (CatalogUpdated) event()   {}
 func (WorkersListed) event()    {}
+func (WorkersUnchanged) event() {}
 func (JobLoaded) event()        {}
 func (JobArrived) event()       {}
 func (JobCancelled) event()     {}
--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -125,7 +125,9 @@
 	case roll < s.lateCallRate:
 		s.schedule(time.Duration(2000+s.random.IntN(10000))*time.Millisecond, func() {
 			if w.isUp() && w.incarnation == reg.Incarnation {
+				s.lateCall = true
 				do(w)
+				s.lateCall = false
 			}
 		})
 		s.schedule(timeout, func() { o.post(lost) })
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
@@ -9,6 +10,10 @@
 
 const workerCPU = 4000 // millicores
 
+// shrinkNotice is how long the users let a worker run over a room that has shrunk: the
+// time in touch of 4 s and a heartbeat.
+const shrinkNotice = 5100 * time.Millisecond
+
 // fakeWorker follows the worker protocol, but also starts runs beyond its
 // capacity. checkStart fails the test if one is ordered.
 type fakeWorker struct {
@@ -20,6 +25,7 @@
 	crashed     bool
 	draining    bool
 	stalled     bool // its runs make no progress
+	rooms       []roomChange
 	startedAt   time.Time
 	leaseEnd    time.Time // when its runs are killed
 	runs        map[specifier.TaskID]*fakeRun
@@ -28,6 +34,44 @@
 	lastEnd     int64
 }
 
+// roomChange is a change of a worker's CPU capacity.
+type roomChange struct {
+	at  time.Time
+	cpu int64 // millicores
+}
+
+// setRoom changes the worker's CPU capacity.
+func (w *fakeWorker) setRoom(cpu int64) {
+	w.sim.logf("%s has %d millicores", w.id, cpu)
+	w.rooms = append(w.rooms, roomChange{w.sim.now, cpu})
+}
+
+// cpu returns the worker's CPU capacity, in millicores.
+func (w *fakeWorker) cpu() int64 {
+	if len(w.rooms) == 0 {
+		return workerCPU
+	}
+	return w.rooms[len(w.rooms)-1].cpu
+}
+
+// countedCPU returns the CPU capacity that a start now must not exceed: the largest of the
+// last shrinkNotice.
+func (w *fakeWorker) countedCPU() int64 {
+	most := w.cpu()
+	until := w.sim.now
+	for _, change := range slices.Backward(w.rooms) {
+		if w.sim.now.Sub(until) > shrinkNotice {
+			return most
+		}
+		most = max(most, change.cpu)
+		until = change.at
+	}
+	if w.sim.now.Sub(until) <= shrinkNotice {
+		most = max(most, workerCPU)
+	}
+	return most
+}
+
 type fakeRun struct {
 	number    int64
 	stopping  bool
@@ -55,7 +99,7 @@
 func (w *fakeWorker) registration() specifier.Worker {
 	return specifier.Worker{
 		ID: w.id, Incarnation: w.incarnation, Service: "desk", Domain: "bne", Address: w.id, Draining: w.draining,
-		Capacity: describer.Resources{CPU: workerCPU, Memory: 10000},
+		Capacity: describer.Resources{CPU: w.cpu(), Memory: 10000},
 	}
 }
 
@@ -260,8 +304,12 @@
 			beside++
 		}
 	}
-	if used > workerCPU {
-		s.fail("%s exceeds the capacity of %s: %d of %d millicores", task, w.id, used, workerCPU)
+	limit := w.countedCPU()
+	if s.lateCall {
+		limit = workerCPU // the limit by time doesn't apply
+	}
+	if used > limit {
+		s.fail("%s exceeds the capacity of %s: %d of %d millicores", task, w.id, used, limit)
 	}
 	if step.MaxPerWorker > 0 && beside >= step.MaxPerWorker {
 		s.fail("%s is task %d of its step on %s, more than allowed", task, beside+1, w.id)
--- a/internal/job/dispatcher/load.go
+++ b/internal/job/dispatcher/load.go
@@ -21,7 +21,7 @@
 		}
 		l.Workers++
 		l.Capacity = l.Capacity.Add(w.reg.Capacity)
-		l.Free = l.Free.Add(candidate.Free)
+		l.Free = l.Free.Add(candidate.Free.Positive())
 		l.FiniteCPU += w.allocated.reserved.CPU - w.allocated.longRunning
 		l.LongRunningCPU += w.allocated.longRunning
 		l.UnusedCPU += max(candidate.UnusedCPU, 0)
--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -70,7 +70,7 @@
 	o.shard = New(Options{
 		Name: sh.name, Service: "desk", Divided: len(s.shards) > 1, Epoch: sh.epoch, Workers: slices.Clone(sh.recordedWorkers),
 		Released: sh.released, WorkerLeases: sh.workerLeases,
-		Lease: simLease, OutageLimit: simOutageLimit, PollWait: 500 * time.Millisecond,
+		Lease: simLease, OutageLimit: simOutageLimit, PollWait: 500 * time.Millisecond, RoomNotice: 4 * time.Second,
 	}, s.now)
 	sh.epoch++
 	sh.released, sh.workerLeases = false, nil
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -17,7 +17,7 @@
 
 // Reasons, in the order in which they are checked.
 const (
-	WaitUnconfirmed WaitReason = iota // the store hasn't confirmed the ownership, so nothing starts
+	WaitUnconfirmed WaitReason = iota // the store hasn't confirmed the ownership or the registrations, so nothing starts
 	WaitEarlierRuns                   // workers may have a run by an earlier owner
 	WaitMove                          // the job may be moved to another shard
 	WaitLimit                         // long-running tasks have their share of the CPU
@@ -90,7 +90,7 @@
 func (p *placement) waitReason(t *task) WaitReason {
 	s, st := p.shard, t.step
 	switch {
-	case !s.mayAct() || !s.workersListed:
+	case !s.mayStart():
 		return WaitUnconfirmed
 	case !p.inheritedKnown && !t.allRunsKnown:
 		return WaitEarlierRuns
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -92,6 +93,7 @@
 // listWorkers updates the workers from the current registrations.
 func (s *Shard) listWorkers(list []specifier.Worker) {
 	s.workersListed = true
+	s.listedAt = s.now
 	listed := make(map[string]bool, len(list))
 	for _, reg := range list {
 		listed[reg.ID] = true
@@ -126,6 +128,10 @@
 	if reg.Draining && !w.reg.Draining {
 		s.emit(Log{Message: "worker drain started", Worker: reg.ID})
 	}
+	if reg.Incarnation == w.reg.Incarnation && reg.Capacity != w.reg.Capacity {
+		s.roomVaries = true
+		s.emit(Log{Message: "worker capacity changed", Worker: reg.ID, Reason: fmt.Sprintf("CPU from %d to %d millicores, memory from %d to %d MiB", w.reg.Capacity.CPU, reg.Capacity.CPU, w.reg.Capacity.Memory, reg.Capacity.Memory)})
+	}
 	incarnation := w.reg.Incarnation
 	w.reg = reg
 	w.reg.Incarnation = max(incarnation, reg.Incarnation)
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -89,6 +89,7 @@
 
 	MaxLease   time.Duration // longest lease that workers accept
 	ClockError time.Duration // maximum error of the wall clock
+	RoomNotice time.Duration // see dispatcher.Options
 	Adviser    Adviser       // if nil, jobs of queues that need advice wait
 	Random     *rand.Rand    // used by one goroutine at a time
 
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -59,6 +59,7 @@
 		OutageLimit: outageLimit,
 		PollWait:    pollWait,
 		ClockError:  m.options.ClockError,
+		RoomNotice:  m.options.RoomNotice,
 	}, time.Now())
 	return o
 }
--- a/internal/job/manager/registry.go
+++ b/internal/job/manager/registry.go
@@ -54,6 +54,9 @@
 	defer m.mu.Unlock()
 	r := &m.registry
 	if len(items) == 0 && !complete {
+		for _, o := range m.owned {
+			o.post(dispatcher.WorkersUnchanged{})
+		}
 		return
 	}
 	known := r.workers
