traffic/forwarder: send a request to two crashing backend servers at most

Now two are the limit, and no hedge starts once one has broken off. The caller gets the same answer as before, 502 with may-have-run.

--- a/internal/traffic/forwarder/forwarder_test.go
+++ b/internal/traffic/forwarder/forwarder_test.go
@@ -142,6 +142,22 @@
 		}
 	})
 
+	It("sends a request that crashes backend servers to two of them at most", func() {
+		h := new(testHost)
+		var crashed atomic.Int64
+		for range 5 {
+			h.add(func(http.ResponseWriter, *http.Request) {
+				crashed.Add(1)
+				panic(http.ErrAbortHandler)
+			})
+		}
+		h.start()
+		status, f := h.failure("GET", "/svc/desk/", "")
+		Expect(status).To(Equal(http.StatusBadGateway))
+		Expect(f.Verdict).To(Equal("may-have-run"))
+		Expect(crashed.Load()).To(Equal(int64(2)))
+	})
+
 	It("retries at another backend server after an explicit refusal", func() {
 		h := new(testHost)
 		h.add(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/traffic/forwarder/headers.go
+++ b/internal/traffic/forwarder/headers.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
@@ -46,6 +47,7 @@
 	body             *requestBody
 	request          *http.Request
 	retries          int
+	broken           atomic.Int32 // backend servers that have broken off while they may have run it
 	queueTime        time.Duration // sum over all attempts
 	crossRegionBytes int64         // size of request and response bodies
 }
--- a/internal/traffic/forwarder/hedge.go
+++ b/internal/traffic/forwarder/hedge.go
@@ -75,9 +75,10 @@
 }
 
 // takeHedgeSlot takes a slot of another backend server in this entry host's
-// region, or returns nil if none is free or the hedge budget is used up.
+// region, or returns nil if none is free, the hedge budget is used up or a backend
+// server has broken off under the request.
 func (f *Forwarder) takeHedgeSlot(c *call, avoid map[string]bool) *router.Slot {
-	if !f.hedges.TryWithdraw() {
+	if c.broken.Load() > 0 || !f.hedges.TryWithdraw() {
 		return nil
 	}
 	request := f.slotRequest(c, avoid)
--- a/internal/traffic/forwarder/send.go
+++ b/internal/traffic/forwarder/send.go
@@ -14,6 +14,10 @@
 	"dotterelcart.dev/dotterelcart/internal/traffic/router"
 )
 
+// maxBroken is the number of backend servers that may break off under a request. The
+// request may be what crashes them.
+const maxBroken = 2
+
 // sendWithRetries makes attempts until one yields response headers, or until the
 // verdict, the retry budget or the deadline forbids another. The caller must
 // close the response.
@@ -36,6 +40,10 @@
 		if err == nil {
 			return out, nil
 		}
+		if broken := c.broken.Load(); broken >= maxBroken {
+			f.log.Info().Str("tenant", c.tenant).Str("class", c.class).Str("service", c.service).Int32("broken", broken).Msg("request not retried after backend servers broke off")
+			return nil, withEarlierAttempts(err, mayHaveRun)
+		}
 		retry := retrier.IsRetryable(err, c.idempotent) && c.body.detach()
 		if !retry || ctx.Err() != nil || !f.retries.TryWithdraw() || !backoff.Wait(ctx) {
 			return nil, withEarlierAttempts(err, mayHaveRun)
@@ -138,6 +146,9 @@
 	out := &backendResponse{forwarder: f, call: c, slot: slot, cancel: cancel, started: time.Now()}
 	response, err := f.Dialer.Send(slot.Backend, f.backendRequest(ctx, c, slot)) //nolint:bodyclose // backendResponse.close does
 	if err != nil {
+		if e := asError(err); e.Code == "broken" && e.Verdict != classifier.NotRun && ctx.Err() == nil {
+			c.broken.Add(1)
+		}
 		out.release(f.outcome(ctx, c, err, time.Since(out.started)))
 		return nil, err
 	}
