--- a/internal/traffic/forwarder/headers.go
+++ b/internal/traffic/forwarder/headers.go
@@ -47,7 +47,7 @@
 	body             *requestBody
 	request          *http.Request
 	retries          int
-	broken           atomic.Int32 // backend servers that have broken off while they may have run it
+	broken           atomic.Int32  // backend servers that have broken off while they may have run it
 	queueTime        time.Duration // sum over all attempts
 	crossRegionBytes int64         // size of request and response bodies
 }
