control/reducer: abandon a batch task that crashes worker after worker

After two losses a task starts only on a worker without young runs and none starts beside it, after two losses with no other young run it is abandoned. A leaving worker doesn't count, nor does a run that has lasted a minute.

Left: if the owner changes after each start, runs that a former owner started count as lost beside others, so isolation begins but the task isn't abandoned.

--- a/internal/control/describer/job.go
+++ b/internal/control/describer/job.go
@@ -126,6 +126,9 @@
 	Checkpoint  string          `json:"checkpoint,omitempty"` // latest checkpoint, from which a new run resumes
 	Attempts    int             `json:"attempts,omitempty"`   // number of runs that failed
 	Evictions   int             `json:"evictions,omitempty"`
+	Losses      int             `json:"losses,omitempty"`  // runs that were lost with their worker
+	LostAlone   int             `json:"alone,omitempty"`   // those of them that no other run may have caused
+	StartedAt   time.Time       `json:"since,omitzero"`    // when the latest run was started
 	DrainedFrom string          `json:"drained,omitempty"` // drained worker that it ran on and returns to
 	MayHaveRun  bool            `json:"ran,omitempty"`     // whether a run may have begun
 	Result      json.RawMessage `json:"result,omitempty"`
--- a/internal/control/describer/record.go
+++ b/internal/control/describer/record.go
@@ -14,7 +14,7 @@
 	JobCancelled      RecordKind = "cancel"   // JobID
 	TaskStarted       RecordKind = "start"    // Task, Worker, Token, Granted; durable before the worker is called
 	TaskResized       RecordKind = "resize"   // Task, Token, Granted
-	TaskReleased      RecordKind = "release"  // Task, Token, Checkpoint, Reason, DrainedFrom; the run has ended for certain, the task waits to resume
+	TaskReleased      RecordKind = "release"  // Task, Token, Checkpoint, Reason, DrainedFrom, Loss; the run has ended for certain, the task waits to resume
 	TaskFinished      RecordKind = "finish"   // Task, Token, Result
 	TaskFailed        RecordKind = "fail"     // Task, Token, Reason; a run failed
 	TaskAbandoned     RecordKind = "aside"    // Task, Reason; the task is abandoned and fails for good
@@ -43,4 +43,15 @@
 	Key         string          `json:"key,omitempty"`
 	Owner       string          `json:"owner,omitempty"`
 	LeaseWait   time.Duration   `json:"wait,omitempty"` // time until every task lease has expired
+	Loss        Loss            `json:"loss,omitempty"` // whether the run was lost with its worker
 }
+
+// Loss says whether a run was lost with its worker, which may have crashed under it.
+type Loss string
+
+// Losses.
+const (
+	NoLoss     Loss = ""
+	LostBeside Loss = "beside" // beside other runs that may have crashed the worker
+	LostAlone  Loss = "alone"  // no other run there may have
+)
--- a/internal/control/reducer/place.go
+++ b/internal/control/reducer/place.go
@@ -138,14 +138,15 @@
 func (sh *shard) tryStart(t *task, refused map[placementKey]bool) bool {
 	want := sh.wantedGrant(t)
 	key := placementKey{want, t.job.Class, t.drainedFrom}
-	if len(t.failedOn) == 0 && refused[key] {
+	isOrdinary := len(t.failedOn) == 0 && !t.needsIsolation()
+	if isOrdinary && refused[key] {
 		return false
 	}
 	choice := sh.state.placer.Place(sh.fleet, sh.placementRequest(t), sh.state.now)
 	w := sh.workers[choice.Worker]
 	if w == nil || w.account.Closed || !want.Fits(freeFor(t, w.account)) {
 		t.pendingReason = choice.Reason
-		if len(t.failedOn) == 0 {
+		if isOrdinary {
 			refused[key] = true
 		}
 		sh.abandonIfUnplaceable(t, want)
@@ -165,6 +166,13 @@
 		ReturnTo: t.drainedFrom,
 		Deadline: t.job.Deadline,
 	}
+	if t.needsIsolation() {
+		r.Avoid = make(map[string]bool)
+		for _, w := range sh.sortedWorkers {
+			r.Avoid[w.name] = w.hasYoungRuns(sh.state.now)
+		}
+		return r
+	}
 	if sh.hasOtherWorkers(t.failedOn) {
 		r.Avoid = make(map[string]bool, len(t.failedOn))
 		for _, name := range t.failedOn {
--- a/internal/control/reducer/run.go
+++ b/internal/control/reducer/run.go
@@ -97,6 +97,7 @@
 	reason      string
 	checkpoint  string // checkpoint to resume from; empty keeps the previous one
 	drainedFrom string // worker that the run was drained from, or empty
+	loss        describer.Loss
 }
 
 // recordReleased records that the task's run is known to be over. The task becomes
@@ -109,6 +110,7 @@
 		Reason:      end.reason,
 		Checkpoint:  end.checkpoint,
 		DrainedFrom: end.drainedFrom,
+		Loss:        end.loss,
 	})
 }
 
--- a/internal/control/reducer/stop.go
+++ b/internal/control/reducer/stop.go
@@ -65,7 +65,7 @@
 	if !e.Stopped.Started {
 		reason = reasonNotStarted
 	}
-	sh.recordReleased(t, runEnd{reason, e.Stopped.Checkpoint, t.stop.drainedFrom})
+	sh.recordReleased(t, runEnd{reason: reason, checkpoint: e.Stopped.Checkpoint, drainedFrom: t.stop.drainedFrom})
 }
 
 // repeatStop repeats an unanswered stop, which is idempotent.
--- a/internal/control/reducer/sync.go
+++ b/internal/control/reducer/sync.go
@@ -172,8 +172,10 @@
 		sh.scheduleExpiry(w)
 		return
 	}
+	losses := sh.lossesOn(w)
 	for len(w.runs) > 0 {
-		sh.recordReleased(w.runs[len(w.runs)-1], runEnd{reason: "lease lapsed"})
+		t := w.runs[len(w.runs)-1]
+		sh.recordLost(t, losses[t], "lease lapsed")
 	}
 }
 
@@ -305,16 +307,20 @@
 // epoch can't start any more, because the sync raised the worker's epoch. A run that was
 // confirmed before the sync is over. A start that is still in flight is left alone.
 func (sh *shard) reconcileMissing(w *worker) {
+	var losses map[*task]describer.Loss // by what ran there before any is released
 	for i := len(w.runs) - 1; i >= 0; i-- {
 		t := w.runs[i]
 		if t.seenSync == w.syncs || t.stop != nil && t.stop.sent {
 			continue
 		}
+		if losses == nil {
+			losses = sh.lossesOn(w)
+		}
 		switch {
 		case t.startPhase == startAdopted:
-			sh.recordReleased(t, runEnd{reason: "unknown to its worker"})
+			sh.recordLost(t, losses[t], "unknown to its worker")
 		case t.startPhase == startConfirmed && t.confirmedSync < w.syncs:
-			sh.recordReleased(t, runEnd{reason: "lost by its worker"})
+			sh.recordLost(t, losses[t], "lost by its worker")
 		}
 	}
 }
--- a/internal/control/reducer/task.go
+++ b/internal/control/reducer/task.go
@@ -65,8 +65,12 @@
 	index       int32
 	attempts    int32
 	evictions   int32
-	state       describer.TaskState
-	mayHaveRun  bool
+
+	startedAt    time.Time // when the latest run was started
+	losses       int32     // runs that were lost with their worker
+	lonelyLosses int32     // those of them that no other run may have caused
+	state        describer.TaskState
+	mayHaveRun   bool
 
 	startPhase     startPhase
 	queued         bool
@@ -91,6 +95,7 @@
 	t.token = r.Token
 	t.granted = r.Granted
 	t.startPhase = startAdopted
+	t.startedAt = r.Time
 }
 
 // applyRelease ends a run without a result. The task is pending until it can resume.
@@ -105,6 +110,7 @@
 	if r.DrainedFrom != "" || r.Reason == reasonEvicted {
 		t.evictions++
 	}
+	t.applyLoss(r.Loss)
 	t.reason = r.Reason
 	t.endRun(describer.Pending)
 }
--- a/internal/control/reducer/worker.go
+++ b/internal/control/reducer/worker.go
@@ -187,6 +187,8 @@
 		return sh.view.quarantined[w.name]
 	case sh.state.now.Before(w.pausedUntil):
 		return "refused a start"
+	case w.hasIsolatedRun(sh.state.now):
+		return "a task runs in isolation"
 	}
 	return ""
 }
