job/dispatcher: a restarted owner waits only for its former process's leases

Logs: worker crash at 16.3 s, owner killed at 17.0 s, 'shard claimed' by the same host's next process at 17.7 s, the tasks 'earlier-runs', 'inherited leases expired' at 32.3 s. The new owner counted the time for which a former owner cut off from the store may renew leases, although that owner was its own former process.

A claim replaces the daemon's own owner record since that process has ended. Now the wait says the same: if the last owner was a former process of this daemon and its fence says that it knew all runs of earlier owners, only the lease counts (6.4 s in place of 14.6 s). TestInvariants claims in this way after each crash.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -21,6 +21,8 @@
 	s.lastCommit = s.now
 	s.updateWorkerList()
 	commit.Workers = s.batchWorkers
+	commit.Settled = s.knowsInheritedRuns()
+	s.settled = commit.Settled
 	s.emit(commit)
 }
 
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -70,6 +70,7 @@
 	Epoch   int64    // number of earlier ownerships
 	Workers []string // ids of workers that may have runs of an earlier ownership
 
+	OwnerEnded   bool                   // the previous owner gives no leases any more, and knew of all earlier ones
 	Released     bool                   // the previous owner released the shard
 	WorkerLeases []recorder.WorkerLease // replaces Workers if Released is set
 
@@ -105,6 +106,7 @@
 	lastFiniteStart time.Time  // last start of a finite task that reserves CPU
 
 	inheritedExpiry map[string]time.Time // when the last leases of earlier owners expire, by worker id
+	settled         bool                 // a commit has said that no earlier leases are valid
 	workersListed   bool                 // WorkersListed has been received
 	confirmedAt     time.Time            // when the store last confirmed the ownership
 	listedAt        time.Time            // when the registrations were last known to be current
@@ -152,7 +154,11 @@
 		return s
 	}
 	// An earlier owner that can't reach the store renews leases for OutageLimit.
-	expiry := now.Add(withDrift(o.OutageLimit+o.Lease) + expiryMargin)
+	renewal := o.OutageLimit
+	if o.OwnerEnded {
+		renewal = 0
+	}
+	expiry := now.Add(withDrift(renewal+o.Lease) + expiryMargin)
 	for _, id := range o.Workers {
 		s.inheritedExpiry[id] = expiry
 	}
@@ -289,6 +295,7 @@
 	s.expireInherited()
 	s.openDueSteps()
 	s.reviewSuspects()
+	s.hasUnrecorded = s.hasUnrecorded || !s.settled && s.knowsInheritedRuns()
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		s.reviewWorker(w)
 	}
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -172,6 +172,7 @@
 	Batch   int64 // number of the commit, returned in Committed
 	Changes []Change
 	Workers []string // ids of workers that may have runs of this shard
+	Settled bool     // no leases of earlier owners are valid any more
 
 	StaleTransfers []specifier.TaskID // transfer records to delete
 	StaleCancels   []string           // cancellations to delete, by job id
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -79,6 +79,7 @@
 	case 6:
 		s.logf("owner %d crashes", o.token)
 		o.alive = false
+		sh.ownerEnded = true
 		s.schedule(length/8, sh.claim)
 	case 7:
 		s.logf("owner %d pauses for %s", o.token, length)
--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -22,6 +22,8 @@
 
 	resignation     *recorder.Resignation  // the last one, or nil
 	recordedWorkers []string               // workers named by the last commit
+	settled         bool                   // the last commit was settled
+	ownerEnded      bool                   // the last owner has crashed, and its successor is another process of its daemon
 	released        bool                   // the last owner released the shard
 	workerLeases    []recorder.WorkerLease // left by the last owner if released
 	progress        map[string]recorder.Progress
@@ -69,11 +71,12 @@
 	}
 	o.shard = New(Options{
 		Name: sh.name, Service: "desk", Divided: len(s.shards) > 1, Epoch: sh.epoch, Workers: slices.Clone(sh.recordedWorkers),
-		Released: sh.released, WorkerLeases: sh.workerLeases,
+		Released: sh.released, WorkerLeases: sh.workerLeases, OwnerEnded: sh.ownerEnded && sh.settled,
 		Lease: simLease, OutageLimit: simOutageLimit, PollWait: 500 * time.Millisecond, RoomNotice: 4 * time.Second,
 	}, s.now)
 	sh.epoch++
 	sh.released, sh.workerLeases = false, nil
+	sh.ownerEnded, sh.settled = false, false
 	sh.owner = o
 	s.logf("%s: claim %d", sh.name, o.token)
 	events := append([]Event{CatalogUpdated{Catalog: s.catalog}}, sh.records()...)
@@ -192,7 +195,7 @@
 	for i := range e.Changes {
 		sh.applyChange(&e.Changes[i])
 	}
-	sh.recordedWorkers = e.Workers
+	sh.recordedWorkers, sh.settled = e.Workers, e.Settled
 }
 
 // checkEntries checks that a commit fits into a transaction, which also has a
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -43,6 +43,25 @@
 		Expect(starts[0].Run).To(Equal(int64(runsPerEpoch + 1)))
 	})
 
+	It("waits after a restart of its own process only until the leases of the former one have expired", func() {
+		for ended, wait := range map[bool]time.Duration{true: simLease, false: simOutageLimit + simLease} {
+			s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Workers: []string{"gone"}, OwnerEnded: ended}, epoch)
+			h := &harness{Shard: s}
+			h.feed(CatalogUpdated{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}},
+				JobLoaded{Job: oneStep(1, nil)},
+				WorkersListed{Workers: []specifier.Worker{{ID: "w1", Incarnation: 1, Capacity: describer.Resources{CPU: 4000, Memory: 1000}}}})
+			h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute}})
+			h.advance(wait)
+			Expect(takeEffects[StartRun](h)).To(BeEmpty())
+			Expect(takeEffects[Commit](h)).To(HaveEach(HaveField("Settled", false)))
+			h.advance(withDrift(wait) - wait + 2*expiryMargin)
+			h.feed(Tick{})
+			Expect(takeEffects[StartRun](h)).To(HaveLen(1))
+			h.advance(time.Second)
+			Expect(takeEffects[Commit](h)).To(ContainElement(HaveField("Settled", true)))
+		}
+	})
+
 	It("leaves an unresponsive worker out of the worker list after its leases have expired", func() {
 		h := newHarness(queue, "w1", "w2")
 		answers := func(id string) {
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -320,7 +320,7 @@
 func (m *Manager) removeOwner(ctx context.Context, fence *fencer.Fence) {
 	limited, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	m.logRelease(fence, fence.Write(limited, fence.Workers, nil, []string{recorder.OwnerKey(fence.Shard)}))
+	m.logRelease(fence, fence.Write(limited, fence.Workers, fence.Settled, nil, []string{recorder.OwnerKey(fence.Shard)}))
 }
 
 // logRelease logs the outcome of a release. After a failure the owner record
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -217,6 +217,10 @@
 	WriteID string   `json:"write"`             // random id of the write
 	Workers []string `json:"workers,omitempty"` // ids of workers that may have runs of this shard
 
+	// Settled is set when the owner knows all runs of earlier owners. Only its own leases
+	// are valid then.
+	Settled bool `json:"settled,omitempty"`
+
 	// Released is set when the owner has released the shard. WorkerLeases then
 	// replaces Workers.
 	Released     bool          `json:"released,omitempty"`
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -13,7 +13,7 @@
 //
 //	f := fencer.New("menus/seq-bne", "bne-1", store)
 //	if err := f.Claim(ctx, ownerWrite); err != nil { ... } // ErrAlreadyOwned, ErrFenced
-//	err := f.Write(ctx, workers, puts, removes)            // ErrFenced: another owner has claimed the shard
+//	err := f.Write(ctx, workers, settled, puts, removes)   // ErrFenced: another owner has claimed the shard
 package fencer
 
 import (
@@ -57,7 +57,7 @@
 
 // Fence is a daemon's access to the fence of one shard. Its methods may be
 // called concurrently. Claim sets the fields below Daemon, and Write replaces
-// Workers.
+// Workers and Settled.
 type Fence struct {
 	Shard  string
 	Daemon string
@@ -68,6 +68,13 @@
 	// those that the previous owner recorded.
 	Workers []string
 
+	// Settled reports whether this owner knows all runs of earlier owners.
+	Settled bool
+
+	// OwnerEnded reports whether the previous owner was an earlier process of this
+	// daemon, which has ended, and only its leases may still be valid.
+	OwnerEnded bool
+
 	// Released reports whether the previous owner released the shard in a
 	// planned stop. WorkerLeases then says how long leases may still be valid on
 	// each of Workers.
@@ -122,6 +129,8 @@
 	for _, left := range f.WorkerLeases {
 		f.Workers = append(f.Workers, left.Worker)
 	}
+	f.Settled = false
+	f.OwnerEnded = previous.Owner == f.Daemon && previous.Settled
 	ownerRevision, err := f.replaceableRevision(ctx, owner.Key)
 	if err != nil {
 		return err
@@ -176,14 +185,15 @@
 }
 
 // Write stores puts, deletes the keys in removes and records workers as those
-// that may have runs. It returns when the outcome is known, or when ctx ends.
-func (f *Fence) Write(ctx context.Context, workers []string, puts []storer.Write, removes []string) error {
+// that may have runs, and settled. It returns when the outcome is known, or when
+// ctx ends.
+func (f *Fence) Write(ctx context.Context, workers []string, settled bool, puts []storer.Write, removes []string) error {
 	unlock, err := f.lock(ctx)
 	if err != nil {
 		return err
 	}
 	defer unlock()
-	f.Workers = workers
+	f.Workers, f.Settled = workers, settled
 	return f.commitWithRetry(ctx, f.newRecord(), storer.Transaction{Put: puts, Remove: removes})
 }
 
@@ -219,7 +229,7 @@
 // newRecord returns the value of the fence for the next write. The random id in
 // Write tells this write from all others.
 func (f *Fence) newRecord() recorder.Fence {
-	return recorder.Fence{Owner: f.Daemon, Epoch: f.Epoch, WriteID: uuid.NewString(), Workers: f.Workers}
+	return recorder.Fence{Owner: f.Daemon, Epoch: f.Epoch, WriteID: uuid.NewString(), Workers: f.Workers, Settled: f.Settled}
 }
 
 // commitWithRetry adds the fence to tx and retries the transaction until its
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -45,18 +45,40 @@
 		a, b := store.Client("a"), store.Client("b")
 		first, second := New("menus", "a", a), New("menus", "b", b)
 		g.Expect(first.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
-		g.Expect(first.Write(ctx, []string{"w1"}, put("1"), nil)).To(Succeed())
+		g.Expect(first.Write(ctx, []string{"w1"}, false, put("1"), nil)).To(Succeed())
 		g.Expect(second.Claim(ctx, ownerWrite(ctx, g, b, "b"))).To(MatchError(ErrAlreadyOwned))
 		time.Sleep(4 * time.Second) // the first owner's lease expires
 		g.Expect(second.Claim(ctx, ownerWrite(ctx, g, b, "b"))).To(Succeed())
 		g.Expect(second.Epoch).To(Equal(int64(1)))
 		g.Expect(second.Token).To(BeNumerically(">", first.Token))
 		g.Expect(second.Workers).To(Equal([]string{"w1"}))
-		g.Expect(first.Write(ctx, nil, put("late"), nil)).To(MatchError(ErrFenced))
+		g.Expect(first.Write(ctx, nil, false, put("late"), nil)).To(MatchError(ErrFenced))
 		g.Expect(valueOf(ctx, g, b)).To(Equal("1"))
 	})
 }
 
+// Only a process of the same daemon whose predecessor knew all earlier runs may take it
+// that no others have leases.
+func TestRestartedOwnerKnowsItsPredecessor(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a, b := store.Client("a"), store.Client("b")
+		claim := func(daemon string, client *faker.Client) *Fence {
+			f := New("menus", daemon, client)
+			g.Expect(f.Claim(ctx, ownerWrite(ctx, g, client, daemon))).To(Succeed())
+			return f
+		}
+		first := claim("a", a)
+		g.Expect(first.OwnerEnded).To(BeFalse())
+		g.Expect(first.Write(ctx, []string{"w1"}, true, put("1"), nil)).To(Succeed())
+		second := claim("a", a)
+		g.Expect(second.OwnerEnded).To(BeTrue())
+		g.Expect(claim("a", a).OwnerEnded).To(BeFalse(), "the second hasn't settled")
+		time.Sleep(4 * time.Second) // its lease expires
+		g.Expect(claim("b", b).OwnerEnded).To(BeFalse(), "another daemon")
+	})
+}
+
 // Writes whose responses are lost must be reported as successful and applied in
 // order, as the fence shows that they took effect.
 func TestLostAnswerIsSettled(t *testing.T) {
@@ -73,8 +95,8 @@
 			}
 			return faker.Succeed
 		})
-		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
-		g.Expect(f.Write(ctx, nil, put("2"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, nil, false, put("2"), nil)).To(Succeed())
 		g.Expect(valueOf(ctx, g, a)).To(Equal("2"))
 	})
 }
@@ -88,7 +110,7 @@
 		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 		a.SetDown(true)
 		time.AfterFunc(30*time.Second, func() { a.SetDown(false) })
-		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
 		g.Expect(f.RestoreOwner(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
 	})
@@ -124,7 +146,7 @@
 		a := store.Client("a")
 		f := New("menus", "a", a)
 		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
-		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
 		g.Expect(f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "k"}}, Put: put("2")})).To(MatchError(ErrConditionFailed))
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
 		g.Expect(f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "other"}}, Put: put("3")})).To(Succeed())
@@ -179,7 +201,7 @@
 		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 		f.store = &silentStore{Client: a}
 		began := time.Now()
-		g.Expect(f.Write(ctx, nil, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
 		g.Expect(time.Since(began)).To(BeNumerically("<", 2*attemptTimeout))
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
 	})
