job/dispatcher: transfer finite tasks that no worker of their shard can run

Cause: only long-running tasks could leave their shard, since nothing carried a result back.

A finite task that no staying worker of the shard could run is now transferred as long-running ones are. In the other shard its completion, or its last failure, is durable like any progress, and then the task goes back to the home with the record of a transfer, which has its failures, losses and whether it is done. An end is acknowledged to its worker only when that is durable. Daemons of earlier versions would run such a task again, so none is transferred while one is known (version 2 of the records; long-running tasks still go with version 1).

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -123,6 +123,7 @@
 	reported     [WaitReasons]bool // the last report had tasks that wait for the reason
 	dirtyJobs    []*job            // jobs with changes that aren't committed yet
 
+	returning      []*task            // tasks of parts that are to return to the home of their job
 	staleTransfers []specifier.TaskID // transfer records to delete, of jobs that have ended
 	staleCancels   []string           // cancellations to delete, of unknown jobs, by job id
 
@@ -186,6 +187,7 @@
 	if s.resigned {
 		return s.effects
 	}
+	s.returnTasks()
 	if s.placementDue {
 		s.placementDue = false
 		s.placeSteps()
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -101,9 +101,14 @@
 	switch end.Outcome {
 	case specifier.OutcomeDone:
 		w.failuresInRow = 0
-		if t.step.spec.LongRunning {
+		if t.step.spec.LongRunning || t.elsewhere {
 			return false
 		}
+		if s.isPart(t.step.job) {
+			t.completedHere = true
+			s.returnTask(t)
+			return true
+		}
 		s.completeWithGang(w, t)
 		return true
 	case specifier.OutcomeFailed:
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -68,6 +68,8 @@
 	arrivalVersion int64           // version of the job that has to be durable before it starts
 	failed         []int64         // numbers of the failed runs
 	losses         []recorder.Loss // runs that were lost with their worker, see loss.go
+	completedHere  bool            // in a part: it has completed, and the home may not know
+	returns        bool            // in a part: it is to return to the home
 	checkpoint     string
 	lastFailedOn   string    // id of the worker of the last failed or stalled run
 	notBefore      time.Time // no start before this time
@@ -174,11 +176,17 @@
 
 // hasFailedTooOften reports whether a task of the job has no attempts left.
 func (j *job) hasFailedTooOften() bool {
-	return j.queue.Attempts > 0 && slices.ContainsFunc(j.steps, func(st *step) bool {
-		return slices.ContainsFunc(st.tasks, func(t *task) bool { return !t.done && len(t.failed) >= j.queue.Attempts })
+	return slices.ContainsFunc(j.steps, func(st *step) bool {
+		return slices.ContainsFunc(st.tasks, func(t *task) bool { return !t.done && t.hasFailedTooOften() })
 	})
 }
 
+// hasFailedTooOften reports whether the task has no attempts left.
+func (t *task) hasFailedTooOften() bool {
+	attempts := t.step.job.queue.Attempts
+	return attempts > 0 && len(t.failed) >= attempts
+}
+
 // task returns the task with an id, ignoring id.Job, or nil if there is none.
 func (j *job) task(id specifier.TaskID) *task {
 	if min(id.Occurrence, id.Step, id.Index) < 0 || id.Occurrence >= len(j.steps) || id.Step >= len(j.spec.Steps) {
@@ -317,7 +325,11 @@
 	}
 	t.failed = append(t.failed, run)
 	s.markDirty(j)
-	if j.queue.Attempts > 0 && len(t.failed) >= j.queue.Attempts {
+	switch {
+	case !t.hasFailedTooOften():
+	case s.isPart(j):
+		s.returnTask(t)
+	default:
 		s.endJob(j, specifier.Failed, "task failed too often")
 	}
 }
--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -19,10 +19,12 @@
 		t.failed = p.Failed
 		t.checkpoint = p.Checkpoint
 		s.restoreLosses(t, p.Losses)
-		if p.Done {
+		t.hop = p.Hop
+		isPart := s.isPart(j)
+		if p.Done && !isPart {
 			s.markDone(t)
 		}
-		t.hop = p.Hop
+		t.completedHere = p.Done && isPart
 		switch {
 		case p.Away && !t.elsewhere:
 			t.elsewhere = true
@@ -32,6 +34,9 @@
 			s.takeBack(t)
 			t.waitingSince = s.now
 		}
+		if isPart && !t.elsewhere && (t.completedHere || t.hasFailedTooOften()) {
+			s.returnTask(t)
+		}
 	}
 }
 
@@ -49,10 +54,10 @@
 	p := recorder.Progress{Shards: j.otherShards}
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.done || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 {
+			if t.done || t.completedHere || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 {
 				p.Tasks = append(p.Tasks, recorder.TaskProgress{
 					Occurrence: st.occurrence, Step: st.number, Index: t.index,
-					Done: t.done, Failed: t.failed, Checkpoint: t.checkpointToStore(),
+					Done: t.done || t.completedHere, Failed: t.failed, Checkpoint: t.checkpointToStore(),
 					Hop: t.hop, Away: t.hop > 0 && t.elsewhere, Losses: slices.Clone(t.losses),
 				})
 			}
--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -11,7 +11,8 @@
 
 // A long-running task that waits without room in its shard is transferred to a
 // shard of the service that has room, also when its job has other tasks running
-// here. The job's home shard keeps the job's state. Other shards hold parts of it:
+// here. So is a finite one that no worker of the shard can run; once it has completed, or
+// has failed too often, it is transferred back. The job's home shard keeps the job's state. Other shards hold parts of it:
 // the tasks that the home has transferred to them. If another shard has room, a part
 // gives waiting tasks back to the home, which transfers them on. So the home knows of
 // all shards in which to cancel them.
@@ -26,11 +27,12 @@
 // FindShard requests another shard of the service with room for tasks of a step.
 // The answer is ShardFound.
 type FindShard struct {
-	Task  specifier.TaskID // one of the tasks
-	Tasks int              // number of tasks to transfer
-	Needs describer.Resources
-	Label string   // label that the workers must have
-	Tried []string // shards in which the tasks have waited before
+	Task   specifier.TaskID // one of the tasks
+	Tasks  int              // number of tasks to transfer
+	Finite bool             // the tasks are finite
+	Needs  describer.Resources
+	Label  string   // label that the workers must have
+	Tried  []string // shards in which the tasks have waited before
 }
 
 // ShardFound is the answer to FindShard.
@@ -84,7 +86,7 @@
 		tasks := s.transferableTasks(st, maxJobTransfers, st.tasks[first].triedShards)
 		st.findingShard, st.shardRequestedAt = true, s.now
 		s.emit(FindShard{
-			Task: tasks[0].id(), Tasks: len(tasks), Needs: st.needs.reserved, Label: st.spec.Label, Tried: tasks[0].triedShards,
+			Task: tasks[0].id(), Tasks: len(tasks), Finite: !st.spec.LongRunning, Needs: st.needs.reserved, Label: st.spec.Label, Tried: tasks[0].triedShards,
 		})
 	}
 }
@@ -94,7 +96,16 @@
 func (s *Shard) isTransferable(st *step) bool {
 	j := st.job
 	awaitsMove := j.moving || j.isMovable() && s.now.Sub(j.arrivedAt) < moveWait
-	return st.spec.LongRunning && !st.spec.Gang && j.final == "" && !awaitsMove
+	mayLeave := st.spec.LongRunning || !s.canEverRun(st)
+	return mayLeave && !st.spec.Gang && j.final == "" && !awaitsMove
+}
+
+// canEverRun reports whether a worker that stays in the shard could run the step if
+// nothing else ran there.
+func (s *Shard) canEverRun(st *step) bool {
+	return !s.workersListed || slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool {
+		return w.stays() && w.reg.HasLabel(st.spec.Label) && st.needs.reserved.Fits(w.reg.Capacity)
+	})
 }
 
 // mayTransfer reports whether the task has waited for long, also under this owner,
@@ -169,7 +180,7 @@
 	}
 	j.handovers = append(j.handovers, Handover{Task: t.id(), Shard: shard, Transfer: recorder.Transfer{
 		Job: j.spec, Home: j.home, Hop: t.hop, LastRun: t.nextRun(s.options.Epoch) - 1, Waited: waited, Tried: t.triedShards, Checkpoint: t.checkpoint,
-		Losses: slices.Clone(t.losses),
+		Failed: slices.Clone(t.failed), Losses: slices.Clone(t.losses), Done: t.completedHere,
 	}})
 	s.markDirty(j)
 	s.emit(Log{Message: "task transferred", Task: t.id().String(), Job: j.spec.ID, Reason: "to " + shard, Age: waited})
@@ -215,6 +226,8 @@
 	}
 	t.hop = transfer.Hop
 	t.checkpoint = transfer.Checkpoint
+	t.failed = slices.Clone(transfer.Failed)
+	t.completedHere, t.returns = false, false
 	s.restoreLosses(t, transfer.Losses)
 	t.triedShards, t.transferAfter = transfer.Tried, time.Time{}
 	t.allRunsKnown = true // its arrival isn't durable here, so nobody has started it
@@ -224,6 +237,44 @@
 	}
 	s.markDirty(j)
 	t.arrivalVersion = j.version
+	switch {
+	case transfer.Done:
+		s.completeTask(t)
+	case j.hasFailedTooOften():
+		s.endJob(j, specifier.Failed, "task failed too often")
+	}
+}
+
+// returnTask gives a finite task that has completed here, or has failed too often, back to
+// the home of its job. A run of it that is still active is stopped first.
+func (s *Shard) returnTask(t *task) {
+	if t.returns || t.elsewhere {
+		return
+	}
+	t.returns = true
+	s.returning = append(s.returning, t)
+	s.markDirty(t.step.job)
+	if t.worker == nil {
+		return
+	}
+	if r := t.worker.runs[t.id()]; r != nil {
+		s.stopRun(r, "completed elsewhere")
+	}
+}
+
+// returnTasks transfers the tasks that are to return and have no runs any more.
+func (s *Shard) returnTasks() {
+	s.returning = slices.DeleteFunc(s.returning, func(t *task) bool {
+		j := t.step.job
+		if j.final != "" || !t.returns || t.elsewhere {
+			return true
+		}
+		if t.worker != nil || len(j.handovers) >= maxJobTransfers {
+			return false
+		}
+		s.handOver(t, j.home)
+		return true
+	})
 }
 
 // takeBack makes a task that was elsewhere wait in this shard.
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -249,5 +249,31 @@
 	})
 }
 
+// TestNoFiniteTransferBesideEarlierVersions is the same with a daemon that would run a task
+// again that has completed elsewhere.
+func TestNoFiniteTransferBesideEarlierVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers, operator := newService(g, []string{"w1"}, []string{"w2"})
+		commit(g, operator, storer.Write{Key: recorder.HostKey("earlier"), Value: []byte(`{"domain":"bne","format":1}`)})
+		workers.runTime = 500 * time.Millisecond
+		a := newDaemon("a", store, workers)
+		defer a.Close()
+		time.Sleep(10 * time.Second) // until both shards are claimed
+		finite := job(1)
+		finite.Queue, finite.Accepted = catalog.Queues[0].Name, time.Now()
+		acceptJob(g, operator, "desk@bne", finite)
+		time.Sleep(300 * time.Millisecond)
+		w1 := workers.registration("w1")
+		w1.Draining = true
+		putWorker(t.Context(), operator, w1)
+		time.Sleep(maxFiniteWait)
+		g.Expect(a.state(g, 1)).To(Equal(specifier.Running))
+		commit(g, operator, storer.Write{Key: recorder.HostKey("earlier"), Value: []byte(`{"domain":"bne","format":2}`)})
+		time.Sleep(maxFiniteWait)
+		g.Expect(a.state(g, 1)).To(Equal(specifier.Succeeded))
+	})
+}
+
 // maxFiniteWait is how long a finite job may be left undone while there is room.
 const maxFiniteWait = 14 * time.Second
--- a/internal/job/manager/transfer.go
+++ b/internal/job/manager/transfer.go
@@ -13,11 +13,11 @@
 // maxViewAge is the maximum age of the view by which tasks are transferred.
 const maxViewAge = 3 * time.Second
 
-// knowTransfers reports whether the daemons of all hosts know transferred tasks. Any
+// allKnow reports whether the daemons of all hosts know a version of the records. Any
 // of them may own the shard next.
-func (m *Manager) knowTransfers() bool {
+func (m *Manager) allKnow(format int) bool {
 	for _, host := range m.view.hosts {
-		if host.Format < recorder.Format {
+		if host.Format < format {
 			return false
 		}
 	}
@@ -30,7 +30,11 @@
 func (m *Manager) findShard(from shardSpec, e dispatcher.FindShard) dispatcher.ShardFound {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if time.Since(m.view.ReadAt) > maxViewAge || !m.knowTransfers() {
+	format := recorder.LongRunningTransfers
+	if e.Finite {
+		format = recorder.FiniteTransfers
+	}
+	if time.Since(m.view.ReadAt) > maxViewAge || !m.allKnow(format) {
 		return dispatcher.ShardFound{Task: e.Task, Tried: e.Tried}
 	}
 	var shards []admitter.Shard
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -206,7 +206,9 @@
 	Waited     time.Duration `json:"waited"`               // how long it has waited for a run, nanoseconds
 	Tried      []string      `json:"tried"`                // shards in which it has waited meanwhile
 	Checkpoint string        `json:"checkpoint,omitempty"` // checkpoint to resume from
+	Failed     []int64       `json:"failed,omitempty"`     // numbers of the failed runs
 	Losses     []Loss        `json:"losses,omitempty"`     // runs that were lost with their worker
+	Done       bool          `json:"done,omitempty"`       // it has completed
 }
 
 // Fence is replaced by every write of a shard's owner, so that only the current
@@ -277,8 +279,15 @@
 }
 
 // Format is the version of the records here. Version 0 has no transfers: its
-// daemons would run a task again that another shard has.
-const Format = 1
+// daemons would run a task again that another shard has. Version 1 has no transfers of
+// finite tasks: its daemons would run one again that has completed elsewhere.
+const Format = FiniteTransfers
+
+// Versions of the records that brought something which earlier daemons must not meet.
+const (
+	LongRunningTransfers = 1
+	FiniteTransfers      = 2
+)
 
 // Load is an owner's summary of its shard. All hosts use it to decide on
 // submissions.
