job/dispatcher: don't record losses before they are certain; checks that can fail

Mutants showed that no test failed without the early record: a new owner infers the first loss of what waits, and later starts are durable. So it goes, with its writes in an outage of many workers. TestCutOffWorkerCountsAsCrash passed without the refutation, since it looked at commits that needn't come; it looks at the progress now and fails. With one isolated loss in place of two, TestDeadlyTasks fails: 'job 6b has failed without cause'.

--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -26,7 +26,6 @@
 	isolationLosses   = 2               // losses after which a task is started in isolation
 	maxIsolatedLosses = 2               // isolated losses after which its job fails
 	provenTime        = 5 * time.Second // a long-running task that has been ready for this time hasn't crashed its worker
-	maxEarlyLosses    = 64              // runs whose loss is recorded before it is certain
 
 	// recentStart is the time since its start up to which a worker may have been started
 	// again under the last owner.
@@ -227,26 +226,6 @@
 	}
 }
 
-// recordEarlyLosses makes it durable that a worker which has stopped answering may have
-// crashed, so that the losses are counted even if the owner changes before that is
-// certain.
-func (s *Shard) recordEarlyLosses(w *worker) {
-	open := 0
-	for _, t := range s.suspects {
-		open += len(t.losses) - t.lossCount()
-	}
-	for _, id := range sortedTasks(w.runs) {
-		r := w.runs[id]
-		if open >= maxEarlyLosses {
-			return
-		}
-		if r.mayHaveCrashed() && r.task.loss(r.number) == nil {
-			s.addLoss(r)
-			open++
-		}
-	}
-}
-
 // inferLosses makes tasks suspect that an earlier owner may have started on a worker that
 // is gone. Which tasks it has started there isn't durable, so this applies to all that wait
 // without a loss; a task gets no second loss in this way.
--- a/internal/job/dispatcher/loss_test.go
+++ b/internal/job/dispatcher/loss_test.go
@@ -36,16 +36,11 @@
 	h.feed(StartAnswered{Worker: start.Worker.ID, Incarnation: start.Worker.Incarnation, Task: start.Task, Run: start.Run})
 }
 
-// losses returns the losses of the first task in the last commit of its job.
+// losses returns the losses of the tasks of oneStep as the next commit would have them.
 func losses(h *harness) []recorder.Loss {
 	var out []recorder.Loss
-	for _, c := range takeEffects[Commit](h) {
-		for _, change := range c.Changes {
-			out = nil
-			for _, p := range change.Progress.Tasks {
-				out = append(out, p.Losses...)
-			}
-		}
+	for _, p := range h.jobs[oneStep(1, nil).ID].progress().Tasks {
+		out = append(out, p.Losses...)
 	}
 	return out
 }
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -311,7 +311,6 @@
 	}
 	if w.failedPolls == 1 {
 		s.emit(Log{Message: "worker poll failed", Worker: e.Worker, Reason: e.Fault.String()})
-		s.recordEarlyLosses(w)
 	}
 }
 
