job: checks that can fail: moves without an owner, waits beside room, cancelled starts

TestJobMovesToShardWithoutOwner showed no attempt to move: it now gives the shard an owner at the end and expects jobs to go there. checkLongRunning looked once after 29 s of calm: once the leases of earlier owners have expired, no long-running task may wait for over 9 s in a row while a worker has room for it twice over (the users' 6 s and 3 s). checkCancelled let an owner that had heard of a cancellation start its tasks for 13 s: an order after it has heard fails at once; the old check stays for orders that are carried out late.

--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -94,6 +94,9 @@
 	case MoveJob:
 		s.schedule(s.delay(), func() { o.moveJob(e) })
 	case StartRun:
+		if !o.heard[e.Task.Job].IsZero() {
+			s.fail("owner %d orders a start of %s after it received the cancellation", o.token, e.Task)
+		}
 		o.callWorker(e.Worker, func(w *fakeWorker) Event {
 			return StartAnswered{Worker: w.id, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: w.start(o.token, e)}
 		}, StartAnswered{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Task: e.Task, Run: e.Run, Fault: OutcomeUnknown})
--- a/internal/job/dispatcher/transfer_property_test.go
+++ b/internal/job/dispatcher/transfer_property_test.go
@@ -85,7 +85,11 @@
 func (s *simulation) awaitFinite() {
 	const calm = 15*time.Second + simOutageLimit + simLease
 	end := s.now.Add(calm)
-	for range 300 {
+	waits := make(map[specifier.TaskID]int)
+	for second := range 300 {
+		if time.Duration(second)*time.Second > withDrift(simOutageLimit+simLease) {
+			s.checkWaits(waits)
+		}
 		if s.runsFinite() {
 			end = s.now.Add(calm)
 		}
@@ -97,6 +101,27 @@
 	s.fail("finite tasks still run")
 }
 
+// maxRoomWait is how long a long-running task may wait in calm while a worker has room for
+// it twice over: 6 s after its last run, and 3 s more.
+const maxRoomWait = 9 // seconds
+
+// checkWaits counts in waits for how many seconds in a row each long-running task has
+// waited beside room, and checks that it isn't too long.
+func (s *simulation) checkWaits(waits map[specifier.TaskID]int) {
+	waiting := s.waitingBesideRoom()
+	for id := range waits {
+		if waiting[id] == nil {
+			delete(waits, id)
+		}
+	}
+	for id, w := range waiting {
+		if waits[id]++; waits[id] > maxRoomWait {
+			s.printHistory(id.Job)
+			s.fail("%s has not run for %d s, but %s has %d millicores free", id, waits[id], w.id, w.free().CPU)
+		}
+	}
+}
+
 // runsFinite reports whether a worker has a run of a finite task.
 func (s *simulation) runsFinite() bool {
 	for _, w := range s.workers {
@@ -112,6 +137,16 @@
 // checkLongRunning checks that every long-running task runs for which a worker of
 // any shard has room twice over.
 func (s *simulation) checkLongRunning() {
+	for id, w := range s.waitingBesideRoom() {
+		s.printHistory(id.Job)
+		s.fail("%s doesn't run, but %s has %d millicores free", id, w.id, w.free().CPU)
+	}
+}
+
+// waitingBesideRoom returns the long-running tasks that could run and don't, and for each
+// a worker that has room for it twice over.
+func (s *simulation) waitingBesideRoom() map[specifier.TaskID]*fakeWorker {
+	waiting := make(map[specifier.TaskID]*fakeWorker)
 	for _, id := range sortedKeys(s.store) {
 		r := s.store[id]
 		if r.state.IsFinal() || r.cancelled {
@@ -119,10 +154,11 @@
 		}
 		for number := range r.job.Steps {
 			if r.job.Steps[number].LongRunning && s.isReady(r, number) {
-				s.checkStepRuns(r, number)
+				s.addWaiting(waiting, r, number)
 			}
 		}
 	}
+	return waiting
 }
 
 // isReady reports whether all steps before a step have completed.
@@ -137,9 +173,9 @@
 	return true
 }
 
-// checkStepRuns checks that all tasks of a step run for which a worker has room
+// addWaiting adds the tasks of a step that don't run although a worker has room for them
 // twice over.
-func (s *simulation) checkStepRuns(r *storedJob, number int) {
+func (s *simulation) addWaiting(waiting map[specifier.TaskID]*fakeWorker, r *storedJob, number int) {
 	step := &r.job.Steps[number]
 	for i := range step.Count {
 		id := specifier.TaskID{Job: r.job.ID, Step: number, Index: i}
@@ -148,8 +184,7 @@
 		}
 		for _, w := range s.workers {
 			if w.free().CPU >= 2*step.Needs.CPU && w.isSpread(id, step) {
-				s.printHistory(id.Job)
-				s.fail("%s (%d millicores) doesn't run, but %s has %d free", id, step.Needs.CPU, w.id, w.free().CPU)
+				waiting[id] = w
 			}
 		}
 	}
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -223,6 +223,14 @@
 		}
 		time.Sleep(5 * time.Second)
 		g.Expect(store.Items(recorder.ShardPrefix("desk@gone"))).To(BeEmpty())
+
+		// With an owner the shard gets jobs, so it was only this that kept them here.
+		commit(g, operator, storer.Write{Key: recorder.OwnerKey("desk@gone"), Value: recorder.Encode(recorder.Owner{Daemon: "other"})})
+		for n := range 6 {
+			acceptJob(g, operator, "desk@bne", longRunningJob(6+n))
+		}
+		time.Sleep(3 * time.Second)
+		g.Expect(store.Items(recorder.ShardPrefix("desk@gone"))).NotTo(BeEmpty())
 	})
 }
 
