job/dispatcher: losses, suspects and gangs in files of their own

A draining worker that restarts, as in a release, counts as one that has left: what ran there isn't suspected.

--- a/internal/job/dispatcher/isolation.go
+++ b/internal/job/dispatcher/isolation.go
@@ -75,7 +75,7 @@
 	}
 	best, fewest := -1, 0
 	for i, w := range p.workers {
-		if p.candidates[i].Closed || p.suspects[w] > 0 || !p.canEverRun(t.step, w) {
+		if p.candidates[i].Closed || p.suspects[w] > 0 || !w.fitsBesideLongRunning(t.step) {
 			continue
 		}
 		if n := w.unprovenRuns(); best < 0 || n < fewest {
--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -2,11 +2,9 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
-	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
 // A task may crash the workers that run it. A crashed worker lists no ends, and nothing
@@ -41,7 +39,6 @@
 	LossDeparture                     // the worker was draining and has left
 	LossUnregistered                  // the worker is no longer registered, and its leases have expired
 	LossSilence                       // the worker is registered but doesn't answer, and its leases have expired
-	LossCauses                        // number of causes
 )
 
 // String returns the text of the cause in logs and metrics.
@@ -83,7 +80,7 @@
 			Message: "run lost with its worker", Task: r.id.String(), Job: r.id.Job, Worker: w.reg.ID, Run: r.number,
 			Reason: cause.String(), Age: s.ageOf(r),
 		})
-		if cause != LossDeparture && r.mayHaveCrashed() {
+		if !w.reg.Draining && r.mayHaveCrashed() {
 			s.countLoss(r)
 			suspects = append(suspects, r.task)
 		}
@@ -126,14 +123,19 @@
 	}
 	loss.Open = false
 	s.markDirty(t.step.job)
-	s.emit(Log{Message: "task suspected of crashing its worker", Task: t.id().String(), Job: r.id.Job, Worker: r.worker.reg.ID, Run: r.number, Reason: lossText(loss)})
+	s.logLoss(t, loss)
 }
 
-func lossText(loss *recorder.Loss) string {
+// logLoss logs that a loss of a task counts.
+func (s *Shard) logLoss(t *task, loss *recorder.Loss) {
+	reason := "beside others"
 	if loss.Isolated {
-		return "in isolation"
+		reason = "in isolation"
 	}
-	return "beside others"
+	s.emit(Log{
+		Message: "task suspected of crashing its worker", Task: t.id().String(), Job: t.step.job.spec.ID,
+		Worker: loss.Worker, Run: loss.Run, Reason: reason,
+	})
 }
 
 // addLoss records an open loss of a run, which may still be active.
@@ -180,140 +182,3 @@
 	}
 	return n
 }
-
-// dropLosses removes the losses of a task for which match returns true.
-func (s *Shard) dropLosses(t *task, match func(*recorder.Loss) bool) {
-	before := len(t.losses)
-	t.losses = slices.DeleteFunc(t.losses, func(l recorder.Loss) bool { return match(&l) })
-	if len(t.losses) == before {
-		return
-	}
-	if t.step.job.final == "" {
-		s.markDirty(t.step.job)
-	}
-	if len(t.losses) == 0 {
-		delete(s.suspects, t.id())
-	}
-}
-
-// dropOpenLoss removes the open loss of a run that has ended, but not with its worker.
-func (s *Shard) dropOpenLoss(t *task, run int64) {
-	if len(t.losses) > 0 {
-		s.dropLosses(t, func(l *recorder.Loss) bool { return l.Open && l.Run == run })
-	}
-}
-
-// refuteLoss removes the loss of a run of which the worker has listed an end.
-func (s *Shard) refuteLoss(t *task, run int64) {
-	if len(t.losses) > 0 {
-		s.dropLosses(t, func(l *recorder.Loss) bool { return l.Run == run })
-	}
-}
-
-// refuteLosses removes the losses on a worker that has answered: it hasn't crashed. clock
-// is the time since the worker's start.
-func (s *Shard) refuteLosses(w *worker, clock time.Duration) {
-	for _, id := range sortedSuspects(s.suspects) {
-		t := s.suspects[id]
-		before := len(t.losses)
-		s.dropLosses(t, func(l *recorder.Loss) bool {
-			isSame := l.Incarnation == w.reg.Incarnation || l.Run == 0 && clock >= recentStart
-			return !l.Open && l.Worker == w.reg.ID && isSame
-		})
-		if len(t.losses) < before {
-			s.emit(Log{Message: "suspicion refuted", Task: id.String(), Job: id.Job, Worker: w.reg.ID, Reason: "the worker has answered"})
-		}
-	}
-}
-
-// inferLosses makes tasks suspect that an earlier owner may have started on a worker that
-// is gone. Which tasks it has started there isn't durable, so this applies to all that wait
-// without a loss; a task gets no second loss in this way.
-func (s *Shard) inferLosses(worker string) {
-	n := 0
-	for _, st := range s.waitingSteps {
-		for _, t := range st.tasks {
-			if t.isWaiting() && !t.allRunsKnown && len(t.losses) == 0 {
-				t.losses = append(t.losses, recorder.Loss{Worker: worker})
-				s.suspects[t.id()] = t
-				n++
-			}
-		}
-	}
-	if n > 0 {
-		s.emit(Log{Message: "tasks suspected of crashing an earlier owner's worker", Worker: worker, Reason: strconv.Itoa(n) + " tasks"})
-	}
-}
-
-// settleLosses decides what became of the runs of a waiting task that an earlier owner
-// has recorded. All workers that may have one have answered or their leases have expired.
-func (s *Shard) settleLosses(t *task) {
-	s.dropLosses(t, func(l *recorder.Loss) bool {
-		w := s.workers[l.Worker]
-		return l.Open && w != nil && w.reported && w.reg.Incarnation == l.Incarnation
-	})
-	for i := range t.losses {
-		if l := &t.losses[i]; l.Open {
-			l.Open = false
-			s.markDirty(t.step.job)
-			s.emit(Log{Message: "task suspected of crashing its worker", Task: t.id().String(), Job: t.step.job.spec.ID, Worker: l.Worker, Run: l.Run, Reason: lossText(l)})
-		}
-	}
-	s.giveUpIfDeadly(t)
-}
-
-// restoreLosses sets the losses of a task from a record.
-func (s *Shard) restoreLosses(t *task, losses []recorder.Loss) {
-	t.losses = slices.Clone(losses)
-	if len(losses) == 0 {
-		delete(s.suspects, t.id())
-		return
-	}
-	s.suspects[t.id()] = t
-}
-
-// reviewSuspects does what is due for suspect tasks.
-func (s *Shard) reviewSuspects() {
-	for _, id := range sortedSuspects(s.suspects) {
-		t := s.suspects[id]
-		j := t.step.job
-		if t.done || j.final != "" || s.jobs[id.Job] != j {
-			delete(s.suspects, id)
-			continue
-		}
-		switch {
-		case t.worker == nil:
-			if !t.elsewhere && (t.allRunsKnown || s.knowsInheritedRuns()) {
-				s.settleLosses(t)
-			}
-		case t.worker.runs[id] != nil && t.worker.runs[id].isProven():
-			s.dropLosses(t, func(*recorder.Loss) bool { return true })
-			s.emit(Log{Message: "suspicion refuted", Task: id.String(), Job: id.Job, Worker: t.worker.reg.ID, Reason: "the task runs"})
-		}
-	}
-}
-
-// giveUpIfDeadly ends the job of a task that crashes its workers. If another shard keeps
-// the job's state, the task goes back there.
-func (s *Shard) giveUpIfDeadly(t *task) {
-	j := t.step.job
-	if t.isolatedLosses() < maxIsolatedLosses || j.final != "" || t.elsewhere {
-		return
-	}
-	switch {
-	case !s.isPart(j):
-		s.endJob(j, specifier.Failed, "workers crashed under a task")
-	case t.worker == nil:
-		s.handOver(t, j.home)
-	}
-}
-
-// sortedSuspects returns the sorted ids of suspect tasks.
-func sortedSuspects(m map[specifier.TaskID]*task) []specifier.TaskID {
-	ids := make([]specifier.TaskID, 0, len(m))
-	for id := range m {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, compareTasks)
-	return ids
-}
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -264,7 +264,7 @@
 	}
 	best := -1
 	for i, w := range p.workers {
-		if !p.canEverRun(st, w) {
+		if !w.fitsBesideLongRunning(st) {
 			continue
 		}
 		if best < 0 || p.candidates[i].Free.CPU > p.candidates[best].Free.CPU {
@@ -277,9 +277,9 @@
 	}
 }
 
-// canEverRun reports whether the worker has room for a task of the step once all finite
-// tasks there have ended.
-func (p *placement) canEverRun(st *step, w *worker) bool {
+// fitsBesideLongRunning reports whether the worker has room for a task of the step once all
+// finite tasks there have ended.
+func (w *worker) fitsBesideLongRunning(st *step) bool {
 	finiteRoom := w.reg.Capacity.CPU - w.allocated.longRunning
 	fits := st.needs.reserved.CPU <= finiteRoom && st.needs.reserved.Memory <= w.reg.Capacity.Memory
 	return fits && w.reg.HasLabel(st.spec.Label) && (st.spec.MaxPerWorker == 0 || w.perStep[st] < st.spec.MaxPerWorker)
@@ -323,45 +323,6 @@
 	return ok
 }
 
-// placeGang starts all tasks of a step together, or none.
-func (p *placement) placeGang(st *step) {
-	unknown := func(t *task) bool { return !p.inheritedKnown && !t.allRunsKnown || t.hasOpenLoss() }
-	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, unknown) {
-		return
-	}
-	candidates := slices.Clone(p.candidates)
-	request := st.request()
-	chosen := make([]int, 0, len(st.tasks))
-	count := make(map[int]int)
-	for _, t := range st.tasks {
-		i := fitter.Choose(candidates, request, func(i int) bool {
-			w := p.workers[i]
-			free := st.spec.MaxPerWorker == 0 || w.perStep[st]+count[i] < st.spec.MaxPerWorker
-			isAllowed := free && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil && p.hasTicket(st, w)
-			return isAllowed && (!t.isSuspect() || count[i] == 0 && p.maySuspectStart(t, w))
-		})
-		if i < 0 {
-			p.emptyWorker(t)
-			return
-		}
-		if st.spec.TightlyCoupled && request.Rack == "" {
-			request.Rack = p.workers[i].rack
-		}
-		candidates[i].Reserve(&request)
-		candidates[i].Closed = t.needsIsolation()
-		count[i]++
-		chosen = append(chosen, i)
-	}
-	p.candidates = candidates
-	var number int64
-	for _, t := range st.tasks {
-		number = max(number, t.nextRun(p.shard.options.Epoch))
-	}
-	for k, t := range st.tasks {
-		p.noteSuspectStart(p.shard.startRun(t, p.workers[chosen[k]], number), chosen[k])
-	}
-}
-
 // nextRun returns the number of the task's next run. It is higher than that of
 // any earlier run, also under earlier owners and in other shards.
 func (t *task) nextRun(epoch int64) int64 { return max(t.lastRun, t.runOffset+epoch*runsPerEpoch) + 1 }
--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -96,13 +96,13 @@
 func (s *Shard) isTransferable(st *step) bool {
 	j := st.job
 	awaitsMove := j.moving || j.isMovable() && s.now.Sub(j.arrivedAt) < moveWait
-	mayLeave := st.spec.LongRunning || !s.canEverRun(st)
+	mayLeave := st.spec.LongRunning || !s.hasSuitableWorker(st)
 	return mayLeave && !st.spec.Gang && j.final == "" && !awaitsMove
 }
 
-// canEverRun reports whether a worker that stays in the shard could run the step if
+// hasSuitableWorker reports whether a worker that stays in the shard could run the step if
 // nothing else ran there.
-func (s *Shard) canEverRun(st *step) bool {
+func (s *Shard) hasSuitableWorker(st *step) bool {
 	return !s.workersListed || slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool {
 		return w.stays() && w.reg.HasLabel(st.spec.Label) && st.needs.reserved.Fits(w.reg.Capacity)
 	})
