job/dispatcher: a late start spoils the isolation of a suspect task

Found on reading: a worker may carry out another task's start late, beside a task in isolation; a crash then counted as the isolated task's own.

--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -74,6 +74,7 @@
 	}
 	s.emit(RunsLost{Worker: w.reg.ID, Cause: cause, Runs: len(w.runs)})
 	var suspects []*task
+	alone := w.unprovenRuns() == 1
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		s.emit(Log{
@@ -81,7 +82,7 @@
 			Reason: cause.String(), Age: s.ageOf(r),
 		})
 		if !w.reg.Draining && r.mayHaveCrashed() {
-			s.countLoss(r)
+			s.countLoss(r, alone)
 			suspects = append(suspects, r.task)
 		}
 		s.removeRun(r)
@@ -114,14 +115,16 @@
 	return ready && r.task != nil && r.task.step.spec.LongRunning && r.worker.polledAt.Sub(r.startedAt) >= provenTime
 }
 
-// countLoss adds a loss to the task of a run.
-func (s *Shard) countLoss(r *run) {
+// countLoss adds a loss to the task of a run. alone says whether no other run on the
+// worker may have crashed it: a late start may have spoilt the isolation.
+func (s *Shard) countLoss(r *run, alone bool) {
 	t := r.task
 	loss := t.loss(r.number)
 	if loss == nil {
 		loss = s.addLoss(r)
 	}
 	loss.Open = false
+	loss.Isolated = loss.Isolated && alone
 	s.markDirty(t.step.job)
 	s.logLoss(t, loss)
 }
--- a/internal/job/dispatcher/loss_test.go
+++ b/internal/job/dispatcher/loss_test.go
@@ -132,6 +132,28 @@
 	g.Expect(takeEffects[StartRun](h)).To(ConsistOf(HaveField("Task.Job", sound.ID)))
 }
 
+// TestLateStartBesideIsolatedTask has a run of another task appear beside an isolated one,
+// by an order that its worker carried out late. The crash that follows has two suspects.
+func TestLateStartBesideIsolatedTask(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(lossQueue, "w1")
+	h.feed(JobArrived{Job: oneStep(1, nil)})
+	for incarnation := int64(2); incarnation <= 3; incarnation++ {
+		h.confirm(takeEffects[StartRun](h)[0])
+		h.list(map[string]int64{"w1": incarnation})
+		h.answer("w1", incarnation)
+		h.advance(100 * time.Millisecond)
+	}
+	start := takeEffects[StartRun](h)[0]
+	h.confirm(start)
+	late := oneStep(1, nil)
+	late.ID = "0000000000000001"
+	h.answer("w1", 3, specifier.Run{Task: start.Task, Number: start.Run}, specifier.Run{Task: specifier.TaskID{Job: late.ID}, Number: 1})
+	h.list(map[string]int64{"w1": 4})
+	g.Expect(losses(h)).To(HaveLen(3))
+	g.Expect(losses(h)).To(HaveEach(HaveField("Isolated", false)))
+}
+
 // TestDeadlyTaskStaysInOtherShard has a task that was transferred to a shard where it
 // crashes another worker. Only its home can end the job.
 func TestDeadlyTaskStaysInOtherShard(t *testing.T) {
