--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -10,33 +10,39 @@
 // restore applies durable progress to a job.
 func (s *Shard) restore(j *job, progress recorder.Progress) {
 	j.otherShards = progress.Shards
-	for _, p := range progress.Tasks {
+	for i := range progress.Tasks {
+		p := &progress.Tasks[i]
 		t := j.task(specifier.TaskID{Occurrence: p.Occurrence, Step: p.Step, Index: p.Index})
 		if t == nil {
 			s.emit(Log{Message: "progress of unknown task ignored", Job: j.spec.ID})
 			continue
 		}
-		t.failed = p.Failed
-		t.checkpoint = p.Checkpoint
-		s.restoreLosses(t, p.Losses)
-		t.hop = p.Hop
-		isPart := s.isPart(j)
-		if p.Done && !isPart {
-			s.markDone(t)
-		}
-		t.completedHere = p.Done && isPart
-		switch {
-		case p.Away && !t.elsewhere:
-			t.elsewhere = true
-			t.step.elsewhere++
-			t.step.waiting--
-		case p.Hop > 0 && !p.Away && t.elsewhere:
-			s.takeBack(t)
-			t.waitingSince = s.now
-		}
-		if isPart && !t.elsewhere && (t.completedHere || t.hasFailedTooOften()) {
-			s.returnTask(t)
-		}
+		s.restoreTask(t, p)
+	}
+}
+
+// restoreTask applies durable progress to a task.
+func (s *Shard) restoreTask(t *task, p *recorder.TaskProgress) {
+	t.failed = p.Failed
+	t.checkpoint = p.Checkpoint
+	t.hop = p.Hop
+	s.restoreLosses(t, p.Losses)
+	isPart := s.isPart(t.step.job)
+	if p.Done && !isPart {
+		s.markDone(t)
+	}
+	t.completedHere = p.Done && isPart
+	switch {
+	case p.Away && !t.elsewhere:
+		t.elsewhere = true
+		t.step.elsewhere++
+		t.step.waiting--
+	case p.Hop > 0 && !p.Away && t.elsewhere:
+		s.takeBack(t)
+		t.waitingSince = s.now
+	}
+	if isPart && !t.elsewhere && (t.completedHere || t.hasFailedTooOften()) {
+		s.returnTask(t)
 	}
 }
 
