--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -284,9 +284,9 @@
 // orderTime is how long a start may take from the decision to the worker.
 const orderTime = 500 * time.Millisecond
 
-// mayStart reports whether the shard may start runs. Where the workers' capacity changes
+// mayStartRuns reports whether the shard may start runs. Where the workers' capacity changes
 // while they run, it must know the registrations of lately.
-func (s *Shard) mayStart() bool {
+func (s *Shard) mayStartRuns() bool {
 	isCurrent := s.options.RoomNotice == 0 || s.now.Sub(s.listedAt) < s.options.RoomNotice-orderTime
 	return s.mayAct() && s.workersListed && (isCurrent || !s.roomVaries)
 }
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -35,7 +35,7 @@
 		st.queued = st.waiting > 0 && st.job.final == "" && s.jobs[st.job.spec.ID] == st.job
 		return !st.queued
 	})
-	if len(s.waitingSteps) == 0 || !s.mayStart() {
+	if len(s.waitingSteps) == 0 || !s.mayStartRuns() {
 		return
 	}
 	s.fillersWait = slices.ContainsFunc(s.waitingSteps, func(st *step) bool { return st.spec.Filler })
--- a/internal/job/dispatcher/prepare.go
+++ b/internal/job/dispatcher/prepare.go
@@ -42,7 +42,7 @@
 // canOrder reports whether a prepared run may still start. All members of a gang start
 // together.
 func (s *Shard) canOrder(r *run) bool {
-	if !s.mayStart() || !r.worker.isUsable(s.now) || r.isolated && r.worker.unprovenRuns() > 1 {
+	if !s.mayStartRuns() || !r.worker.isUsable(s.now) || r.isolated && r.worker.unprovenRuns() > 1 {
 		return false
 	}
 	free := r.worker.candidate().Free // without what the run needs
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -90,7 +90,7 @@
 func (p *placement) waitReason(t *task) WaitReason {
 	s, st := p.shard, t.step
 	switch {
-	case !s.mayStart():
+	case !s.mayStartRuns():
 		return WaitUnconfirmed
 	case !p.inheritedKnown && !t.allRunsKnown:
 		return WaitEarlierRuns
