job/manager: only another process of the daemon may take the last owner for ended

A process that claims its shard again may still have orders of its former ownership on their way; only a former process has ended for certain.

--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -129,6 +129,7 @@
 	claiming        map[string]bool        // names of shards with a claim in progress
 	adviceSlot      chan struct{}          // semaphore: the adviser takes one call at a time
 	ownerlessSince  map[string]time.Time   // when a shard was first seen without an owner, by name
+	claimedBefore   map[string]bool        // names of shards that this process has tried to claim
 }
 
 // New starts a manager. It claims shards only after SetCatalog. The caller ends
@@ -151,6 +152,7 @@
 		claiming:       make(map[string]bool),
 		adviceSlot:     make(chan struct{}, 1),
 		ownerlessSince: make(map[string]time.Time),
+		claimedBefore:  make(map[string]bool),
 	}
 	m.catalog.Store(&specifier.Catalog{})
 	m.lease = leaser.New(leaser.Options{
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -134,6 +134,7 @@
 	}()
 	limited, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
+	isFirst := m.noteClaim(spec.Name)
 	fence := fencer.New(spec.Name, m.options.Daemon, m.store)
 	owner, err := m.ownerWrite(limited, spec.Name)
 	if err == nil {
@@ -143,6 +144,8 @@
 		m.log.Info().Err(err).Str("shard", spec.Name).Msg("shard claim failed")
 		return
 	}
+	// Only a former process has ended for certain; this one may have orders on their way.
+	fence.OwnerEnded = fence.OwnerEnded && isFirst
 	m.needWorkers()
 	m.log.Info().Str("shard", spec.Name).Int64("epoch", fence.Epoch).Int64("token", fence.Token).Msg("shard claimed")
 	for limited.Err() == nil {
@@ -162,6 +165,16 @@
 	m.removeOwner(ctx, fence)
 }
 
+// noteClaim records that this process tries to claim a shard, and reports whether it does
+// so for the first time.
+func (m *Manager) noteClaim(shard string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	isFirst := !m.claimedBefore[shard]
+	m.claimedBefore[shard] = true
+	return isFirst
+}
+
 // ownerWrite returns the write of the owner record, attached to the lease.
 func (m *Manager) ownerWrite(ctx context.Context, shard string) (storer.Write, error) {
 	lease, err := m.lease.Acquire(ctx)
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -71,8 +71,9 @@
 	// Settled reports whether this owner knows all runs of earlier owners.
 	Settled bool
 
-	// OwnerEnded reports whether the previous owner was an earlier process of this
-	// daemon, which has ended, and only its leases may still be valid.
+	// OwnerEnded reports whether the previous owner was this daemon and knew all runs of
+	// earlier owners. If that was an earlier process, which has ended, only its leases
+	// may still be valid.
 	OwnerEnded bool
 
 	// Released reports whether the previous owner released the shard in a
