--- a/internal/job/dispatcher/loss_test.go
+++ b/internal/job/dispatcher/loss_test.go
@@ -36,6 +36,20 @@
 	h.feed(StartAnswered{Worker: start.Worker.ID, Incarnation: start.Worker.Incarnation, Task: start.Task, Run: start.Run})
 }
 
+// crashTwice restarts w1 under the only task, twice, and returns its third start, which is in
+// isolation. The worker's third incarnation has confirmed it.
+func (h *harness) crashTwice() StartRun {
+	for incarnation := int64(2); incarnation <= 3; incarnation++ {
+		h.confirm(takeEffects[StartRun](h)[0])
+		h.list(map[string]int64{"w1": incarnation})
+		h.answer("w1", incarnation)
+		h.advance(100 * time.Millisecond)
+	}
+	start := takeEffects[StartRun](h)[0]
+	h.confirm(start)
+	return start
+}
+
 // losses returns the losses of the tasks of oneStep as the next commit would have them.
 func losses(h *harness) []recorder.Loss {
 	var out []recorder.Loss
@@ -113,14 +127,7 @@
 	h := newHarness(lossQueue, "w1")
 	suspect := oneStep(1, nil)
 	h.feed(JobArrived{Job: suspect})
-	for incarnation := int64(2); incarnation <= 3; incarnation++ {
-		h.confirm(takeEffects[StartRun](h)[0])
-		h.list(map[string]int64{"w1": incarnation})
-		h.answer("w1", incarnation)
-		h.advance(100 * time.Millisecond)
-	}
-	start := takeEffects[StartRun](h)[0]
-	h.confirm(start)
+	start := h.crashTwice()
 	sound := oneStep(1, nil)
 	sound.ID = "0000000000000001"
 	h.feed(JobArrived{Job: sound})
@@ -138,14 +145,7 @@
 	g := NewWithT(t)
 	h := newHarness(lossQueue, "w1")
 	h.feed(JobArrived{Job: oneStep(1, nil)})
-	for incarnation := int64(2); incarnation <= 3; incarnation++ {
-		h.confirm(takeEffects[StartRun](h)[0])
-		h.list(map[string]int64{"w1": incarnation})
-		h.answer("w1", incarnation)
-		h.advance(100 * time.Millisecond)
-	}
-	start := takeEffects[StartRun](h)[0]
-	h.confirm(start)
+	start := h.crashTwice()
 	late := oneStep(1, nil)
 	late.ID = "0000000000000001"
 	h.answer("w1", 3, specifier.Run{Task: start.Task, Number: start.Run}, specifier.Run{Task: specifier.TaskID{Job: late.ID}, Number: 1})
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -244,13 +244,7 @@
 		a := newDaemon("a", store, workers)
 		defer a.Close()
 		time.Sleep(10 * time.Second) // until both shards are claimed
-		finite := job(1)
-		finite.Queue, finite.Accepted = catalog.Queues[0].Name, time.Now()
-		acceptJob(g, operator, "desk@bne", finite)
-		time.Sleep(300 * time.Millisecond)
-		w1 := workers.registration("w1")
-		w1.Draining = true
-		putWorker(t.Context(), operator, w1)
+		loseOnlyWorker(g, operator, workers)
 		time.Sleep(maxFiniteWait)
 		g.Expect(workers.starts).NotTo(BeEmpty())
 		g.Expect(a.state(g, 1)).To(Equal(specifier.Succeeded))
@@ -268,13 +262,7 @@
 		a := newDaemon("a", store, workers)
 		defer a.Close()
 		time.Sleep(10 * time.Second) // until both shards are claimed
-		finite := job(1)
-		finite.Queue, finite.Accepted = catalog.Queues[0].Name, time.Now()
-		acceptJob(g, operator, "desk@bne", finite)
-		time.Sleep(300 * time.Millisecond)
-		w1 := workers.registration("w1")
-		w1.Draining = true
-		putWorker(t.Context(), operator, w1)
+		loseOnlyWorker(g, operator, workers)
 		time.Sleep(maxFiniteWait)
 		g.Expect(a.state(g, 1)).To(Equal(specifier.Running))
 		commit(g, operator, storer.Write{Key: recorder.HostKey("earlier"), Value: []byte(`{"domain":"bne","format":2}`)})
@@ -283,5 +271,17 @@
 	})
 }
 
+// loseOnlyWorker accepts job 1 for the shard desk@bne and drains its only worker, w1, before
+// the last step of the job.
+func loseOnlyWorker(g Gomega, operator *faker.Client, workers *fleet) {
+	finite := job(1)
+	finite.Queue, finite.Accepted = catalog.Queues[0].Name, time.Now()
+	acceptJob(g, operator, "desk@bne", finite)
+	time.Sleep(300 * time.Millisecond)
+	w1 := workers.registration("w1")
+	w1.Draining = true
+	putWorker(context.Background(), operator, w1)
+}
+
 // maxFiniteWait is how long a finite job may be left undone while there is room.
 const maxFiniteWait = 14 * time.Second
