job: log how long a cancellation takes, and why one fails

The logs couldn't tell whether the cancellation wasn't durable, was read late by the owner, or came after the order of the start.

A cancellation that fails while its index entry is read, or finds the job ended, has a log line now; its record says when the caller's request arrived, and the owner logs how old it is. The owner also logs a run that is found after its start got no answer. No change of behaviour.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -232,6 +232,7 @@
 	case JobArrived:
 		s.addJob(e.Job)
 	case JobCancelled:
+		s.logCancellation(e)
 		s.cancelJob(e.ID)
 	case PollAnswered:
 		s.pollAnswered(e)
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -37,7 +37,10 @@
 type JobArrived struct{ Job specifier.Job }
 
 // JobCancelled delivers an accepted cancellation. It may precede the job.
-type JobCancelled struct{ ID string }
+type JobCancelled struct {
+	ID       string
+	Received time.Time // when a host received it from the caller; zero if not known
+}
 
 // PollAnswered is the successful outcome of a PollWorker.
 type PollAnswered struct {
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -202,6 +202,12 @@
 		s.emit(StopRun{Worker: w.reg, Task: listed.Task, Run: listed.Number})
 		return
 	}
+	if r.phase == startUnknown {
+		s.emit(Log{
+			Message: "run found after an unanswered start", Task: r.id.String(), Job: r.id.Job, Worker: w.reg.ID, Run: r.number,
+			Age: s.now.Sub(r.orderedAt),
+		})
+	}
 	if r.phase == starting || r.phase == startUnknown {
 		s.markActive(r)
 	}
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -336,6 +336,14 @@
 	}
 }
 
+// logCancellation logs how long the cancellation of a job took to reach the owner.
+func (s *Shard) logCancellation(e JobCancelled) {
+	if j := s.jobs[e.ID]; j == nil || j.final != "" || e.Received.IsZero() {
+		return
+	}
+	s.emit(Log{Message: "cancellation received", Job: e.ID, Age: s.now.Sub(e.Received)})
+}
+
 // cancelJob ends a job because its caller cancelled it.
 func (s *Shard) cancelJob(id string) {
 	j := s.jobs[id]
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -222,10 +222,11 @@
 }
 
 // Cancelled delivers an accepted cancellation to the job's shard, if this daemon
-// owns it. Otherwise the owner sees it in the store.
-func (m *Manager) Cancelled(shard, id string) {
+// owns it. Otherwise the owner sees it in the store. received is when the caller's
+// request arrived.
+func (m *Manager) Cancelled(shard, id string, received time.Time) {
 	if o := m.shard(shard); o != nil {
-		o.post(dispatcher.JobCancelled{ID: id})
+		o.post(dispatcher.JobCancelled{ID: id, Received: received})
 	}
 }
 
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -215,7 +215,13 @@
 	kind, id := recorder.ParseShardKey(o.spec.Name, item.Key)
 	switch kind {
 	case recorder.CancelRecord:
-		return dispatcher.JobCancelled{ID: id}, nil
+		var cancellation recorder.Cancellation
+		err := recorder.Decode(item.Value, &cancellation)
+		if err != nil {
+			// The key alone says that the job is cancelled.
+			o.log.Warn().Err(err).Str("key", item.Key).Msg("record decoding failed")
+		}
+		return dispatcher.JobCancelled{ID: id, Received: cancellation.Received}, nil
 	case recorder.JobRecord:
 		var job specifier.Job
 		err := recorder.Decode(item.Value, &job)
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -51,7 +51,7 @@
 type Shards interface {
 	Catalog() *specifier.Catalog
 	View() manager.View
-	Cancelled(shard, id string)
+	Cancelled(shard, id string, received time.Time)
 	JobState(shard, id string) (specifier.State, bool)
 	LastContact() time.Time // when the store last answered
 }
@@ -274,26 +274,29 @@
 // If the job is unknown or the store doesn't answer, the error is a
 // *classifier.Error.
 func (r *Receiver) Cancel(ctx context.Context, id string) error {
+	received := time.Now()
 	delays := newDelays()
 	for range maxCancelAttempts {
 		entry, revision, err := r.indexEntry(ctx, id)
 		if err != nil {
+			r.log.Warn().Err(err).Str("job", id).Dur("age", time.Since(received)).Msg("cancellation failed, index entry not read")
 			return err
 		}
 		if entry.State.IsFinal() {
+			r.log.Info().Str("job", id).Str("state", string(entry.State)).Dur("age", time.Since(received)).Msg("cancellation without effect, job has ended")
 			return nil
 		}
 		_, err = r.store.Commit(ctx, storer.Transaction{
 			If:  []storer.Condition{{Key: recorder.IndexKey(id), Revision: revision}},
-			Put: cancelWrites(id, &entry),
+			Put: cancelWrites(id, &entry, received),
 		})
 		if err == nil {
-			r.log.Info().Str("job", id).Str("shard", entry.Shard).Msg("cancellation accepted")
-			r.shards.Cancelled(entry.Shard, id)
+			r.log.Info().Str("job", id).Str("shard", entry.Shard).Dur("age", time.Since(received)).Msg("cancellation accepted")
+			r.shards.Cancelled(entry.Shard, id, received)
 			return nil
 		}
 		if !errors.Is(err, storer.ErrConflict) {
-			r.log.Warn().Err(err).Str("job", id).Msg("cancellation failed")
+			r.log.Warn().Err(err).Str("job", id).Dur("age", time.Since(received)).Msg("cancellation failed")
 			if !waiter.Sleep(ctx, delays.NextBackOff()) {
 				return r.storeError(err)
 			}
@@ -308,11 +311,11 @@
 // cancelWrites returns the cancellation of a job in its shard, and in those that
 // have tasks of it: they needn't wait for the owner of the job's shard, which cancels
 // the job there too.
-func cancelWrites(id string, entry *recorder.IndexEntry) []storer.Write {
+func cancelWrites(id string, entry *recorder.IndexEntry, received time.Time) []storer.Write {
 	shards := append([]string{entry.Shard}, entry.Parts[:min(len(entry.Parts), maxCancelledParts)]...)
 	writes := make([]storer.Write, len(shards))
 	for i, shard := range shards {
-		writes[i] = storer.Write{Key: recorder.CancelKey(shard, id), Value: recorder.Encode(recorder.IndexEntry{Shard: shard})}
+		writes[i] = storer.Write{Key: recorder.CancelKey(shard, id), Value: recorder.Encode(recorder.Cancellation{Shard: shard, Received: received})}
 	}
 	return writes
 }
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-func (s *fakeShards) Cancelled(_, id string)                          { s.cancelled = append(s.cancelled, id) }
+func (s *fakeShards) Cancelled(_, id string, _ time.Time)             { s.cancelled = append(s.cancelled, id) }
 func (s *fakeShards) JobState(string, string) (specifier.State, bool) { return "", false }
 func (s *fakeShards) LastContact() time.Time                          { return s.lastContact() }
 
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -168,6 +168,12 @@
 	Ended time.Time       `json:"ended,omitzero"`
 }
 
+// Cancellation is an accepted cancellation of a job.
+type Cancellation struct {
+	Shard    string    `json:"shard"`
+	Received time.Time `json:"received,omitzero"` // when a host received it from the caller; zero if it is the owner's own
+}
+
 // Progress is the part of a job's state that a new owner needs.
 type Progress struct {
 	Tasks  []TaskProgress `json:"tasks"`
