--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -216,7 +216,7 @@
 // read lists the prefix the first time and after a compaction of the store,
 // otherwise it waits for changes. complete tells which.
 func (w *prefixWatcher) read(ctx context.Context) (items []storer.Item, complete bool, err error) {
-	limited, cancel := context.WithTimeout(ctx, watchWait+watchMargin)
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	if !w.isListed {
 		items, w.revision, err = w.manager.store.List(limited, w.prefix)
