job/receiver: a cancellation outlives its request

Cause: a host tried a cancellation only for as long as the caller waited, with one call to the store at a time, so that one late or lost answer used up that time. It then dropped the cancellation, and the owner went on starting the job's tasks. The class: work that ends with the request that asked for it, though the caller still wants it done.

The caller is told 504 at the end of its time, as before. A planned shutdown waits for those in progress.

--- a/internal/job/receiver/cancellation_test.go
+++ b/internal/job/receiver/cancellation_test.go
@@ -56,6 +56,7 @@
 		s := &fakeShards{load: idleLoad(), lastContact: time.Now}
 		store := &distantStore{Client: faker.New().Client("a")}
 		r := New(Options{Random: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope, Log: zerolog.Nop()}, s, store)
+		defer r.Close()
 		g.Expect(r.Submit(t.Context(), queue, testJob())).To(Succeed())
 
 		store.latency = 2 * time.Second
@@ -68,6 +69,7 @@
 		g.Expect(e.Status).To(Equal(http.StatusGatewayTimeout))
 
 		time.Sleep(2 * time.Second)
+		synctest.Wait()
 		_, err := store.Client.Get(t.Context(), recorder.CancelKey("desk", testJob().ID))
 		g.Expect(err).NotTo(HaveOccurred(), "the cancellation is durable")
 		g.Expect(s.cancelled).To(Equal([]string{testJob().ID}))
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -9,6 +9,9 @@
 // If the outcome of the write is unknown, the error says so and the caller has
 // to repeat the submission.
 //
+// A cancellation that has been received is carried out also when the caller's time ends
+// before the store has answered.
+//
 //	r := receiver.New(options, shards, store)
 //	if err := r.Submit(ctx, queue, job); err != nil { ... } // *classifier.Error
 package receiver
@@ -44,7 +47,6 @@
 	maxLoadAge            = 10 * time.Second        // older load summaries are ignored
 	acceptTimeout         = 1200 * time.Millisecond // limit for the write that accepts a job, with all attempts
 	attemptTimeout        = 600 * time.Millisecond  // limit for one attempt
-	maxCancelAttempts     = 20                      // attempts to write a cancellation
 )
 
 // Shards is the part of the manager that the receiver uses.
@@ -72,10 +74,11 @@
 
 // Receiver accepts, cancels and looks up jobs. It is safe for concurrent use.
 type Receiver struct {
-	options Options
-	log     zerolog.Logger
-	shards  Shards
-	store   Store
+	options       Options
+	log           zerolog.Logger
+	shards        Shards
+	store         Store
+	cancellations cancellations
 
 	mu          sync.Mutex              // guards recent, lastFailure and options.Random
 	recent      map[string][]recentWork // by shard name
@@ -90,11 +93,14 @@
 	return d
 }
 
-// New returns a Receiver that uses the given manager and store.
+// New returns a Receiver that uses the given manager and store. The caller ends it with
+// Shutdown or Close.
 func New(o Options, shards Shards, store Store) *Receiver {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Receiver{
 		options: o, log: o.Log.With().Str("part", "receiver").Logger(),
 		shards: shards, store: store, recent: make(map[string][]recentWork),
+		cancellations: cancellations{ctx: ctx, cancel: cancel, byJob: make(map[string]*cancellation)},
 	}
 }
 
@@ -270,56 +276,6 @@
 	return entry, item.Revision, err
 }
 
-// Cancel accepts the cancellation of a job. A job that has ended isn't changed.
-// If the job is unknown or the store doesn't answer, the error is a
-// *classifier.Error.
-func (r *Receiver) Cancel(ctx context.Context, id string) error {
-	received := time.Now()
-	delays := newDelays()
-	for range maxCancelAttempts {
-		entry, revision, err := r.indexEntry(ctx, id)
-		if err != nil {
-			r.log.Warn().Err(err).Str("job", id).Dur("age", time.Since(received)).Msg("cancellation failed, index entry not read")
-			return err
-		}
-		if entry.State.IsFinal() {
-			r.log.Info().Str("job", id).Str("state", string(entry.State)).Dur("age", time.Since(received)).Msg("cancellation without effect, job has ended")
-			return nil
-		}
-		_, err = r.store.Commit(ctx, storer.Transaction{
-			If:  []storer.Condition{{Key: recorder.IndexKey(id), Revision: revision}},
-			Put: cancelWrites(id, &entry, received),
-		})
-		if err == nil {
-			r.log.Info().Str("job", id).Str("shard", entry.Shard).Dur("age", time.Since(received)).Msg("cancellation accepted")
-			r.shards.Cancelled(entry.Shard, id, received)
-			return nil
-		}
-		if !errors.Is(err, storer.ErrConflict) {
-			r.log.Warn().Err(err).Str("job", id).Dur("age", time.Since(received)).Msg("cancellation failed")
-			if !waiter.Sleep(ctx, delays.NextBackOff()) {
-				return r.storeError(err)
-			}
-		}
-	}
-	return r.storeError(errors.New("receiver: cancellation attempts exhausted"))
-}
-
-// maxCancelledParts limits the entries of the transaction that cancels a job.
-const maxCancelledParts = storer.MaxEntries - 2
-
-// cancelWrites returns the cancellation of a job in its shard, and in those that
-// have tasks of it: they needn't wait for the owner of the job's shard, which cancels
-// the job there too.
-func cancelWrites(id string, entry *recorder.IndexEntry, received time.Time) []storer.Write {
-	shards := append([]string{entry.Shard}, entry.Parts[:min(len(entry.Parts), maxCancelledParts)]...)
-	writes := make([]storer.Write, len(shards))
-	for i, shard := range shards {
-		writes[i] = storer.Write{Key: recorder.CancelKey(shard, id), Value: recorder.Encode(recorder.Cancellation{Shard: shard, Received: received})}
-	}
-	return writes
-}
-
 // Pending returns the number of the queue's accepted jobs of which no task has
 // started, according to the load summaries.
 func (r *Receiver) Pending(queue string) int {
--- a/internal/job/receiver/receiver_test.go
+++ b/internal/job/receiver/receiver_test.go
@@ -71,6 +71,7 @@
 		s := &fakeShards{load: idleLoad(), lastContact: time.Now}
 		store := faker.New().Client("a")
 		r := New(Options{Random: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope, Log: zerolog.Nop()}, s, store)
+		defer r.Close()
 		spec(NewWithT(t), r, s, store)
 	})
 }
