job/manager: only daemons that need the registrations follow them

Cause: while a service has no layout every daemon begins to follow the registrations of all workers, which change with each heartbeat, and never ends.

Changed: a daemon that has neither owned nor claimed a shard for 5 s, and has no service to divide, ends the watch and drops the list; a claim lists them anew.

--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -124,8 +124,7 @@
 	shuttingDown  atomic.Bool
 	evacuations   evacuations
 
-	workersNeeded chan struct{} // closed once the registered workers are needed
-	workersOnce   sync.Once     // guards closing workersNeeded
+	workersNeeded chan struct{} // signals that the registered workers are needed
 
 	mu              sync.Mutex
 	view            View
@@ -152,7 +151,7 @@
 		workers:        workers,
 		registrations:  registrations,
 		presenceLost:   make(chan struct{}, 1),
-		workersNeeded:  make(chan struct{}),
+		workersNeeded:  make(chan struct{}, 1),
 		metrics:        newMetrics(o.Scope),
 		cancel:         cancel,
 		view:           newView(),
--- a/internal/job/manager/registry.go
+++ b/internal/job/manager/registry.go
@@ -26,25 +26,60 @@
 	lastGrowth time.Time                   // when a worker was last added
 }
 
-// followWorkers reads the registrations and their changes until ctx ends. It
-// begins when the daemon needs them: the list is large, and most daemons own no
-// shard.
+// followWorkers reads the registrations and their changes while the daemon needs them, until
+// ctx ends: the list is large and changes all the time, and most daemons own no shard.
 func (m *Manager) followWorkers(ctx context.Context) {
-	select {
-	case <-m.workersNeeded:
-	case <-ctx.Done():
-		return
+	for {
+		select {
+		case <-m.workersNeeded:
+			m.followWorkersWhileNeeded(ctx)
+		case <-ctx.Done():
+			return
+		}
 	}
+}
+
+// followWorkersWhileNeeded reads the registrations until the daemon has not needed them for
+// unneededTime, or ctx ends.
+func (m *Manager) followWorkersWhileNeeded(ctx context.Context) {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	neededAt := time.Now()
 	w := prefixWatcher{manager: m, prefix: m.registrations.Prefix(), pause: registryInterval}
-	w.run(ctx, m.updateWorkers)
+	w.run(ctx, func(items []storer.Item, complete bool) {
+		m.updateWorkers(items, complete)
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		now := time.Now()
+		if m.usesWorkers() {
+			neededAt = now
+		}
+		if now.Sub(neededAt) >= unneededTime {
+			m.log.Info().Int("workers", len(m.registry.list)).Msg("registrations not followed any more, no shard owned")
+			m.registry = registry{}
+			stop()
+		}
+	})
+}
+
+// usesWorkers reports whether the daemon owns or claims a shard, or divides a service into
+// shards. The caller holds m.mu.
+func (m *Manager) usesWorkers() bool {
+	return len(m.owned) > 0 || len(m.claiming) > 0 || !m.unplannedSince.IsZero()
 }
 
+// unneededTime is how long the registrations are followed after they were last needed.
+const unneededTime = 5 * time.Second
+
 // registryInterval is the delay between two reads of changed registrations.
 const registryInterval = 500 * time.Millisecond
 
-// needWorkers makes the daemon read the registered workers from now on.
+// needWorkers makes the daemon follow the registrations.
 func (m *Manager) needWorkers() {
-	m.workersOnce.Do(func() { close(m.workersNeeded) })
+	select {
+	case m.workersNeeded <- struct{}{}:
+	default:
+	}
 }
 
 // updateWorkers applies registrations and passes the workers on to the owned
