job/dispatcher: an index entry is written only when it changes

Cause: a cancellation expects the revision of the index entry that it has read, and the owner wrote the entry again with each change of the job, up to 25 times a second, mostly with the same content. With a distant or slow store the cancellation loses until the job is quiet. The class: an optimistic write beside a frequent writer.

Changed: the owner writes the entry when the job's state or its shards change; a cancellation that conflicts is repeated at once. TestCancellationOfABusyJob failed before.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -71,6 +71,9 @@
 func (s *Shard) newChange(j *job) (change Change, complete bool) {
 	j.dirty = false
 	change = Change{ID: j.spec.ID, Queue: j.spec.Queue, State: j.state(), Part: s.isPart(j), OtherShards: j.otherShards}
+	entry := indexed{change.State, len(j.otherShards)}
+	change.SameIndex = j.indexed == entry
+	j.indexed = entry
 	if j.final == "" {
 		j.sent = j.version
 		change.Handovers, j.handovers = j.handovers, nil
@@ -80,7 +83,7 @@
 	j.handovers = nil
 	if complete = j.takeCleanup(&change); complete {
 		j.sent = j.version
-		change.State = j.final
+		change.State, change.SameIndex = j.final, false
 	} else {
 		change.Progress = j.progress()
 	}
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -189,6 +189,7 @@
 	Progress recorder.Progress // empty if State is final
 
 	Part            bool               // another shard keeps the job's state and index entry
+	SameIndex       bool               // State and OtherShards are as in the job's last change
 	OtherShards     []string           // shards that have or had tasks of the job
 	Handovers       []Handover         // tasks transferred to other shards
 	RemoveTransfers []specifier.TaskID // transfer records to delete
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -31,6 +31,13 @@
 	sent    int64           // version in the last commit that contains the job
 	durable int64           // highest version known to be durable
 	dirty   bool            // listed in Shard.dirtyJobs
+	indexed indexed         // as of the last commit that contains the job
+}
+
+// indexed is what a job's index entry depends on.
+type indexed struct {
+	state       specifier.State
+	otherShards int // shards are only added until the job ends
 }
 
 // step is one step of one occurrence of a job.
--- a/internal/job/manager/commit.go
+++ b/internal/job/manager/commit.go
@@ -55,7 +55,8 @@
 	} else {
 		puts = append(puts, storer.Write{Key: recorder.ProgressKey(shard, c.ID), Value: recorder.Encode(c.Progress)})
 	}
-	if !c.Part {
+	if !c.Part && !c.SameIndex {
+		// A cancellation expects the entry that it has read.
 		puts = append(puts, storer.Write{Key: recorder.IndexKey(c.ID), Value: recorder.Encode(entry)})
 	}
 	for _, h := range c.Handovers {
--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -58,9 +58,7 @@
 		return c.err
 	case <-ctx.Done():
 		r.log.Warn().Str("job", id).Msg("cancellation not acknowledged in time, still tried")
-		return r.storeError(&classifier.Error{
-			Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer from the store", Err: ctx.Err(),
-		})
+		return r.storeError(noAnswer(ctx.Err()))
 	}
 }
 
@@ -97,7 +95,9 @@
 	ctx, stop := context.WithTimeout(ctx, cancelTimeout)
 	defer stop()
 	results := make(chan error)
+	running := 0
 	begin := func() {
+		running++
 		r.cancellations.active.Go(func() {
 			attempt, end := context.WithTimeout(ctx, cancelAttempt)
 			defer end()
@@ -107,34 +107,41 @@
 			}
 		})
 	}
-	delays, delay, running := newDelays(), initialAttemptDelay, 1
+	begin()
+	retryDelays, delay := newDelays(), initialAttemptDelay
 	next := time.NewTimer(delay)
 	defer next.Stop()
-	begin()
 	for {
 		select {
 		case err := <-results:
-			if err == nil || isUnknownJob(err) {
+			running--
+			switch {
+			case err == nil || isUnknownJob(err):
 				return err
+			case errors.Is(err, storer.ErrConflict):
+				r.log.Info().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation repeated, job has changed")
+				begin()
+				continue
+			case running == 0:
+				next.Reset(retryDelays.NextBackOff())
 			}
 			r.log.Warn().Err(err).Str("job", id).Dur("age", time.Since(received)).Msg("cancellation failed")
-			if running--; running == 0 {
-				next.Reset(delays.NextBackOff())
-			}
 		case <-next.C:
 			begin()
-			running++
 			delay *= 2
 			next.Reset(delay)
 		case <-ctx.Done():
 			r.log.Error().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation abandoned")
-			return r.storeError(&classifier.Error{
-				Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer from the store", Err: ctx.Err(),
-			})
+			return r.storeError(noAnswer(ctx.Err()))
 		}
 	}
 }
 
+// noAnswer is the error of a call whose outcome isn't known when its time is over.
+func noAnswer(err error) error {
+	return &classifier.Error{Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer from the store", Err: err}
+}
+
 // isUnknownJob reports whether err says that there is no such job.
 func isUnknownJob(err error) bool {
 	var e *classifier.Error
