job: an owner that reads cancellations late starts nothing

Cause: the watch of cancellations had no limit of age, unlike those of registrations and evacuations.

Changed: starts are paused while the last reading of cancellations is older, at the last confirmation by the store, than the notice for cancellations less the 2 s that an order may take. During an outage the store confirms nothing and accepts no cancellation; the owner continues for 8 s as before. The store holds the watch for a sixth of that age, at most 1 s. TestOwnerReadsCancellationsLate failed before (3 starts instead of 1).

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -86,6 +86,10 @@
 	// isn't set, the room of the emptiest workers is kept for those that have waited long.
 	Reservations bool
 
+	// MaxCancellationAge is how far the reading of cancellations may be behind the store's last
+	// confirmation while runs are started; 0 is no limit.
+	MaxCancellationAge time.Duration
+
 	MaxEvacuationAge time.Duration // runs are started for this long after the evacuated domains were read; 0 is no limit
 }
 
@@ -125,6 +129,7 @@
 	listedAt        time.Time            // when the registrations were last known to be current
 	roomVaries      bool                 // a worker's capacity has changed while it ran
 	resigned        bool
+	cancellations   cancellations
 	evacuation      evacuation
 
 	batch        int64    // number of the last commit
@@ -234,6 +239,8 @@
 	case JobCancelled:
 		s.logCancellation(e)
 		s.cancelJob(e.ID)
+	case CancellationsRead:
+		s.cancellations.readAt = e.At
 	case PollAnswered:
 		s.pollAnswered(e)
 	case PollFailed:
@@ -308,12 +315,13 @@
 // orderTime is how long a start may take from the decision to the worker.
 const orderTime = 500 * time.Millisecond
 
-// mayStartRuns reports whether the shard may start runs. Where the workers' capacity changes
-// while they run, it must know the registrations of lately, and where evacuations are
-// expected, the evacuated domains.
+// mayStartRuns reports whether the shard may start runs. It must have read the cancellations
+// that the store may have accepted lately. Where the workers' capacity changes while they
+// run, it must know the registrations of lately, and where evacuations are expected, the
+// evacuated domains.
 func (s *Shard) mayStartRuns() bool {
 	isCurrent := s.options.RoomNotice == 0 || s.now.Sub(s.listedAt) < s.options.RoomNotice-orderTime
-	return s.mayAct() && s.workersListed && (isCurrent || !s.roomVaries) && s.areEvacuationsKnown()
+	return s.mayAct() && s.workersListed && (isCurrent || !s.roomVaries) && s.areEvacuationsKnown() && s.areCancellationsKnown()
 }
 
 // tick does what is due: polls, expiries, opening steps and the load summary.
@@ -327,6 +335,7 @@
 		s.reviewWorker(w)
 	}
 	s.reviewEvacuation()
+	s.reviewCancellations()
 	if s.now.Sub(s.lastPublish) >= publishInterval && s.canSummarize() {
 		s.lastPublish = s.now
 		s.reviewExpectations()
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -42,6 +42,12 @@
 	Received time.Time // when a host received it from the caller; zero if not known
 }
 
+// CancellationsRead reports that all cancellations have been delivered that the store had
+// accepted at a time.
+type CancellationsRead struct {
+	At time.Time // when the request was sent whose response they came with
+}
+
 // PollAnswered is the successful outcome of a PollWorker.
 type PollAnswered struct {
 	Worker    string
@@ -122,13 +128,15 @@
 func (JobLoaded) event()        {}
 func (JobArrived) event()       {}
 func (JobCancelled) event()     {}
-func (PollAnswered) event()     {}
-func (PollFailed) event()       {}
-func (StartAnswered) event()    {}
-func (StopAnswered) event()     {}
-func (PaceAnswered) event()     {}
-func (Committed) event()        {}
-func (OwnershipChecked) event() {}
+
+func (CancellationsRead) event() {}
+func (PollAnswered) event()      {}
+func (PollFailed) event()        {}
+func (StartAnswered) event()     {}
+func (StopAnswered) event()      {}
+func (PaceAnswered) event()      {}
+func (Committed) event()         {}
+func (OwnershipChecked) event()  {}
 
 // Effect is an action that the owner of a Shard executes.
 type Effect interface{ effect() }
--- a/internal/job/manager/cancellation_test.go
+++ b/internal/job/manager/cancellation_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 	"dotterelcart.dev/dotterelcart/internal/state/faker"
 )
@@ -33,3 +34,45 @@
 		g.Expect(owner.state(g, 1)).To(Equal(specifier.Cancelled))
 	})
 }
+
+// TestOwnerReadsCancellationsLate guards against an owner that starts tasks of a cancelled job
+// for as long as the store confirms its ownership, though it doesn't read what else changes.
+func TestOwnerReadsCancellationsLate(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		f.runTime = 4 * time.Second
+		lasting := specifier.Job{ID: job(1).ID, Steps: []specifier.Step{
+			{Count: 1, Needs: describer.Resources{CPU: 500}, LongRunning: true},
+		}}
+		g.Expect(owner.receiver.Submit(context.Background(), catalog.Queues[0], lasting)).To(Succeed())
+		time.Sleep(time.Second)
+		owner.store.SetFault(func(c faker.Call) faker.Outcome {
+			if c.Operation == "watch" && c.Key == recorder.ShardPrefix("desk") {
+				return faker.Drop
+			}
+			return faker.Succeed
+		})
+		time.Sleep(2 * time.Second)
+		g.Expect(other.receiver.Cancel(context.Background(), lasting.ID)).To(Succeed())
+		time.Sleep(6 * time.Second) // the run ends after 1 s
+		g.Expect(f.startsOf(lasting.ID)).To(Equal(1))
+
+		owner.store.SetFault(nil)
+		time.Sleep(2 * time.Second)
+		g.Expect(owner.state(g, 1)).To(Equal(specifier.Cancelled))
+		g.Expect(f.startsOf(lasting.ID)).To(Equal(1))
+	})
+}
+
+// startsOf returns the number of starts of a job's tasks.
+func (f *fleet) startsOf(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	total := 0
+	for task, n := range f.starts {
+		if task.Job == job {
+			total += n
+		}
+	}
+	return total
+}
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -203,7 +203,8 @@
 	m := manager.New(manager.Options{
 		Daemon: name, Domain: "bne", TTL: 3 * time.Second, MaxLease: 10 * time.Second,
 		Random: rand.New(rand.NewPCG(1, 2)), EvacuationNotice: notice,
-		Scope: tally.NoopScope, Log: zerolog.Nop(),
+		CancellationNotice: 4 * time.Second,
+		Scope:              tally.NoopScope, Log: zerolog.Nop(),
 	}, client, workers, workers)
 	m.SetCatalog(catalog)
 	return &daemon{m, receiver.New(receiver.Options{
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -66,7 +66,8 @@
 		Reservations: m.options.Reservations,
 		RunTimes:     m.learnedRunTimes(),
 
-		MaxEvacuationAge: m.evacuations.maxAge,
+		MaxCancellationAge: maxCancellationAge(m.options.CancellationNotice),
+		MaxEvacuationAge:   m.evacuations.maxAge,
 	}, time.Now())
 	return o
 }
@@ -172,7 +173,10 @@
 // followJobs watches the shard's prefix for new jobs, transferred tasks,
 // cancellations and claims until ctx ends.
 func (o *ownedShard) followJobs(ctx context.Context) {
-	w := prefixWatcher{manager: o.manager, prefix: recorder.ShardPrefix(o.spec.Name), isListed: true, revision: o.revision}
+	w := prefixWatcher{
+		manager: o.manager, prefix: recorder.ShardPrefix(o.spec.Name), isListed: true, revision: o.revision,
+		wait: cancellationWait(o.manager.options.CancellationNotice),
+	}
 	w.run(ctx, func(items []storer.Item, _ bool) {
 		for _, item := range items {
 			if item.Deleted {
@@ -192,6 +196,7 @@
 			}
 			o.post(event)
 		}
+		o.post(dispatcher.CancellationsRead{At: w.sentAt})
 	})
 }
 
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -189,6 +189,7 @@
 // loadShard reads the jobs and progress of a claimed shard. It returns
 // fencer.ErrFenced if another owner has claimed the shard in the meantime.
 func (m *Manager) loadShard(ctx context.Context, spec shardSpec, fence *fencer.Fence) (*ownedShard, error) {
+	readAt := time.Now()
 	items, revision, err := m.store.List(ctx, recorder.ShardPrefix(spec.Name))
 	if err != nil {
 		return nil, err
@@ -232,6 +233,7 @@
 		}
 		o.initialEvents = append(o.initialEvents, event)
 	}
+	o.initialEvents = append(o.initialEvents, dispatcher.CancellationsRead{At: readAt})
 	// Jobs go before their transferred tasks, and both before cancellations.
 	slices.SortStableFunc(o.initialEvents, func(a, b dispatcher.Event) int { return eventOrder(a) - eventOrder(b) })
 	return o, nil
@@ -246,6 +248,8 @@
 		return 2
 	case dispatcher.JobCancelled:
 		return 3
+	case dispatcher.CancellationsRead:
+		return 4
 	}
 	return 1
 }
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -1,6 +1,7 @@
 package manager
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -176,6 +177,8 @@
 	manager  *Manager
 	prefix   string
 	pause    time.Duration // delay after each read that had changes
+	wait     time.Duration // how long the store may hold a watch; 0 is watchWait
+	sentAt   time.Time     // when the request of the last successful read was sent
 	isListed bool          // the prefix has been listed
 	revision int64         // changes up to this revision have been read
 }
@@ -218,17 +221,20 @@
 func (w *prefixWatcher) read(ctx context.Context) (items []storer.Item, complete bool, err error) {
 	limited, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	sent := time.Now()
 	if !w.isListed {
 		items, w.revision, err = w.manager.store.List(limited, w.prefix)
-		w.isListed = err == nil
+		if err == nil {
+			w.isListed, w.sentAt = true, sent
+		}
 		return items, true, err
 	}
-	items, next, err := w.manager.store.Watch(limited, w.prefix, w.revision, watchWait)
+	items, next, err := w.manager.store.Watch(limited, w.prefix, w.revision, cmp.Or(w.wait, watchWait))
 	switch {
 	case errors.Is(err, storer.ErrCompacted):
 		w.isListed = false
 	case err == nil:
-		w.revision = max(w.revision, next)
+		w.revision, w.sentAt = max(w.revision, next), sent
 	}
 	return items, false, err
 }
