--- a/internal/job/dispatcher/cancellation.go
+++ b/internal/job/dispatcher/cancellation.go
@@ -28,9 +28,9 @@
 		return
 	}
 	c.isPaused = isPaused
-	message := "starts resumed, cancellations are known"
+	message := "run starts resumed"
 	if isPaused {
-		message = "starts paused, cancellations are read late"
+		message = "run starts paused"
 	}
-	s.emit(Log{Message: message, Age: s.confirmedAt.Sub(c.readAt)})
+	s.emit(Log{Message: message, Reason: "cancellations are read late", Age: s.confirmedAt.Sub(c.readAt)})
 }
