--- a/internal/platform/timer/timer.go
+++ b/internal/platform/timer/timer.go
@@ -18,10 +18,11 @@
 	"time"
 )
 
-// Bounds of the limits.
+// Bounds of the limits. After an outage, a read that got no answer delays the next one by at
+// most Max.
 const (
 	Min = time.Second
-	Max = 8 * time.Second
+	Max = 3 * time.Second
 )
 
 // Group holds a limit for each kind of read. The zero value is ready for use. It is safe for
