job/dispatcher: a start order expires after 2 s

Cause: on a busy link, starts were carried out up to 5.4 s after they were sent. A start carried the end of a full lease, 6 s after the decision, and the worker refuses it as late only after that. The owner stops waiting after 1.5 s; a stop of the run, also of a cancelled job, travels behind the start.

A start now carries a lease end 2 s after the decision. Polls renew the full lease as before, and a worker's lease never shortens. The clock of the worker is taken from all inventories, since one that took long leaves little of 2 s. leaseExpiry remains an upper bound: it is computed as before from the last inventory and the latest lease end.

Ruled out: 2 s for all starts. On a worker that no answered poll has given a lease, a run lapsed 2 s after its start when one poll was lost (TestRunLapsesAfterOneLostPoll fails then). Such starts carry the full lease, and so do those with less than 1 s left of the granted lease.

Before: TestLateStartOfCancelledJob fails, the run begins 2.1, 4 and 5.4 s after its order. After: no run begins.

--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -149,7 +149,7 @@
 	Payload    string
 	Checkpoint string
 	Ticket     string        // only if the queue needs placement advice
-	LeaseEnd   time.Duration // end of the run's lease by the worker's clock
+	LeaseEnd   time.Duration // the worker refuses the start later, by its clock; also a lease for its runs
 }
 
 // StopRun orders a worker to stop a run. The answer is StopAnswered.
--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -133,10 +133,8 @@
 	s := o.sim
 	w := s.worker(reg.ID)
 	timeout := time.Second
-	roll := s.random.Float64()
-	switch {
-	case roll < s.lateCallRate:
-		s.schedule(time.Duration(2000+s.random.IntN(10000))*time.Millisecond, func() {
+	carryOutLate := func(delay time.Duration) {
+		s.schedule(delay, func() {
 			if w.isUp() && w.incarnation == reg.Incarnation {
 				s.lateCall = true
 				do(w)
@@ -144,6 +142,14 @@
 			}
 		})
 		s.schedule(timeout, func() { o.post(lost) })
+	}
+	roll := s.random.Float64()
+	_, isPoll := lost.(PollFailed)
+	switch {
+	case s.orderDelay > 0 && !isPoll:
+		carryOutLate(s.orderDelay)
+	case roll < s.lateCallRate:
+		carryOutLate(time.Duration(2000+s.random.IntN(10000)) * time.Millisecond)
 	case roll < s.lateCallRate+s.lostAnswerRate:
 		s.schedule(s.delay(), func() {
 			if w.isUp() && !o.unreachable[w] && w.incarnation == reg.Incarnation {
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -56,8 +56,8 @@
 	w.failedPolls = 0
 	w.reported = true
 	s.hasUnrecorded = s.hasUnrecorded || !w.recorded
-	w.polledAt = s.now
-	w.polledClock = e.Inventory.Clock
+	w.noteClock(s.now, e.Inventory.Clock)
+	w.grantedLeaseEnd = max(w.grantedLeaseEnd, w.pollLeaseEnd)
 	s.processEnds(w, e.Inventory.Ended)
 	s.reconcile(w, e)
 	if isFirst {
@@ -72,6 +72,17 @@
 	}
 }
 
+// noteClock records the worker's monotonic clock in an inventory that arrived at now. If the
+// answer took long, the inventories before tell more about the clock.
+func (w *worker) noteClock(now time.Time, clock time.Duration) {
+	elapsed := now.Sub(w.polledAt)
+	w.clockFloor = max(clock, w.clockFloor+elapsed-time.Duration(float64(elapsed)*maxClockDrift))
+	if w.polledAt.IsZero() || clock < w.polledClock {
+		w.clockFloor = clock // the first inventory, or an unnoticed restart
+	}
+	w.polledAt, w.polledClock = now, clock
+}
+
 // processEnds applies the ends that haven't been processed before.
 func (s *Shard) processEnds(w *worker, ends []specifier.End) {
 	for _, end := range ends {
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -363,7 +363,7 @@
 	t, w := r.task, r.worker
 	r.phase, r.orderedAt = starting, s.now
 	order := StartRun{
-		Worker: w.reg, Task: t.id(), Run: r.number, Payload: t.step.job.spec.Payload, LeaseEnd: s.newLeaseEnd(w),
+		Worker: w.reg, Task: t.id(), Run: r.number, Payload: t.step.job.spec.Payload, LeaseEnd: s.startLeaseEnd(w),
 	}
 	if t.step.spec.Checkpoint {
 		order.Checkpoint = t.checkpoint
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -50,7 +50,8 @@
 	balanced       balancedWork
 	deadly         map[specifier.TaskID]*deadlyTask
 	evacuation     evacuationSim
-	lateCall       bool // the call that is being executed is late
+	lateCall       bool          // the call that is being executed is late
+	orderDelay     time.Duration // starts and stops are carried out this late, unanswered; 0 is no delay
 }
 
 // storedJob is a job in the store, with its index entry.
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -34,8 +34,12 @@
 
 	polledAt    time.Time     // when the last inventory arrived
 	polledClock time.Duration // the worker's monotonic clock in the last inventory
+	clockFloor  time.Duration // least value that the clock can have had at polledAt, by all inventories
 	leaseExpiry time.Time     // when every lease granted here has expired for certain
 
+	pollLeaseEnd    time.Duration // lease end in the last poll, by the worker's clock; 0 if it renewed none
+	grantedLeaseEnd time.Duration // lease end in the last answered poll that renewed the leases, by the worker's clock
+
 	lastEnd     int64        // highest number of a processed end
 	pendingEnds []pendingEnd // processed ends that aren't acknowledged, by number
 	ackedEnd    int64        // changes by ends up to this number are durable
@@ -191,6 +195,7 @@
 	w.reg.Incarnation = incarnation
 	w.leavesAt, w.replaced = time.Time{}, false
 	w.reported, w.polledAt, w.polledClock, w.leaseExpiry = false, time.Time{}, 0, time.Time{}
+	w.clockFloor, w.pollLeaseEnd, w.grantedLeaseEnd = 0, 0, 0
 	w.lastEnd, w.ackedEnd, w.pendingEnds = 0, 0, nil
 	w.failuresInRow, w.avoidUntil, w.latencyRatio = 0, time.Time{}, 0
 	w.health = workerHealth{}
@@ -300,17 +305,43 @@
 			order.Wait = paceInterval // to notice soon what fillers do to the serving tasks
 		}
 	}
-	w.polling, w.pollSent, w.pollWait = true, s.now, order.Wait
+	w.polling, w.pollSent, w.pollWait, w.pollLeaseEnd = true, s.now, order.Wait, order.LeaseEnd
 	s.emit(order)
 }
 
-// newLeaseEnd returns the end of a lease granted now, by the worker's clock.
+const (
+	// startLease is how long a worker may carry out a start after the decision: the owner
+	// waits 1.5 s for the answer and then stops the run. Without this limit, starts were
+	// carried out up to 5.4 s late on a busy link, also those of jobs cancelled meanwhile.
+	startLease = 2 * time.Second
+
+	// minGrantedLease is the rest of the lease granted by a poll that a worker needs for
+	// starts with startLease. With less, a run would lapse if the next poll was lost.
+	minGrantedLease = time.Second
+)
+
+// startLeaseEnd returns the lease end for a start that is ordered now, by the worker's
+// clock. All runs on a worker have the latest lease that it got, so a start needn't grant
+// more if a poll has.
+func (s *Shard) startLeaseEnd(w *worker) time.Duration {
+	clock := w.clockFloor + s.now.Sub(w.polledAt)
+	if w.grantedLeaseEnd-clock < minGrantedLease {
+		return s.newLeaseEnd(w)
+	}
+	return s.grantLease(w, clock+min(startLease, s.options.Lease))
+}
+
+// newLeaseEnd returns the end of a full lease granted now, by the worker's clock.
 // It updates leaseExpiry.
 func (s *Shard) newLeaseEnd(w *worker) time.Duration {
 	if w.polledAt.IsZero() {
 		return 0
 	}
-	leaseEnd := w.polledClock + s.now.Sub(w.polledAt) + s.options.Lease
+	return s.grantLease(w, w.polledClock+s.now.Sub(w.polledAt)+s.options.Lease)
+}
+
+// grantLease updates leaseExpiry for a lease end by the worker's clock, and returns it.
+func (s *Shard) grantLease(w *worker, leaseEnd time.Duration) time.Duration {
 	expiry := w.polledAt.Add(withDrift(leaseEnd-w.polledClock) + expiryMargin)
 	if expiry.After(w.leaseExpiry) {
 		w.leaseExpiry = expiry
