--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -220,10 +220,16 @@
 func (sh *simShard) applyChange(c *Change) {
 	s := sh.sim
 	r := s.store[c.ID]
-	if !c.Part && !sh.updateIndex(r, c.State) {
-		return
-	}
-	if !c.Part {
+	switch {
+	case c.Part:
+	case c.SameIndex:
+		if r.home != sh || r.state != c.State || !slices.Equal(r.parts, c.OtherShards) {
+			s.fail("%s leaves the index entry of job %s as it was: %s %s", sh.name, c.ID, r.state, r.parts)
+		}
+	default:
+		if !sh.updateIndex(r, c.State) {
+			return
+		}
 		r.parts = c.OtherShards
 	}
 	if c.State.IsFinal() {
--- a/internal/job/manager/cancellation_test.go
+++ b/internal/job/manager/cancellation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +77,36 @@
 	}
 	return total
 }
+
+// TestStartsBehindFailedWatch guards against an owner that starts tasks of a cancelled job,
+// because its watch fails while the store confirms its ownership.
+func TestStartsBehindFailedWatch(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
+		owner, other := ownerOf(g, a, b)
+		defer other.receiver.Close()
+		f.runTime = 2 * time.Second
+		long := specifier.Job{ID: job(1).ID, Steps: []specifier.Step{
+			{Count: 600, Needs: describer.Resources{CPU: 500}, Estimate: f.runTime},
+		}}
+		owner.submit(g, 2)
+		g.Expect(owner.receiver.Submit(context.Background(), catalog.Queues[0], long)).To(Succeed())
+		time.Sleep(2 * time.Second)
+		owner.store.SetFault(func(call faker.Call) faker.Outcome {
+			if call.Operation == "watch" && strings.HasPrefix(call.Key, recorder.ShardPrefix("desk")) {
+				return faker.Drop
+			}
+			return faker.Succeed
+		})
+		g.Expect(other.receiver.Cancel(context.Background(), long.ID)).To(Succeed())
+		time.Sleep(6 * time.Second)
+		before := f.startCount()
+		time.Sleep(10 * time.Second)
+		g.Expect(f.startCount()).To(Equal(before), "no starts behind the cancellation")
+		owner.store.SetFault(func(faker.Call) faker.Outcome { return faker.Succeed })
+		time.Sleep(3 * time.Second)
+		g.Expect(owner.state(g, 1)).To(Equal(specifier.Cancelled))
+		owner.submit(g, 3)
+		time.Sleep(8 * time.Second)
+		g.Expect(owner.state(g, 3)).To(Equal(specifier.Succeeded), "starts go on")
+	})
+}
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -94,7 +94,7 @@
 	ClockError time.Duration // maximum error of the wall clock
 	RoomNotice time.Duration // see dispatcher.Options
 
-	CancellationNotice time.Duration // longest time from the acceptance of a cancellation until no task of the job is started; 0 is no limit
+	CancellationNotice time.Duration // longest time from the acceptance of a cancellation until no task of the job is started; 0: none is given
 
 	Reservations bool       // see dispatcher.Options
 	Adviser      Adviser    // if nil, jobs of queues that need advice wait
