--- a/internal/platform/timer/timer.go
+++ b/internal/platform/timer/timer.go
@@ -4,8 +4,8 @@
 //
 // Many hosts read the same large value over one link. With a fixed limit for a whole
 // response none of them completes once the responses take longer than that, and
-// each attempt fills the link again. Here a limit applies to the time without any progress, and it
-// grows while reads expire:
+// each attempt fills the link again. Here a limit applies to the time until a response begins,
+// and it grows while reads expire:
 //
 //	var timeouts timer.Group
 //	limit := timeouts.Limit("servers/")
@@ -32,7 +32,7 @@
 	limits map[string]time.Duration // of the kinds whose last read has expired
 }
 
-// Limit returns how long a read of the kind may go without progress.
+// Limit returns how long the response to a read of the kind may take until it begins.
 func (g *Group) Limit(kind string) time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
