--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -114,21 +114,18 @@
 	for {
 		select {
 		case err := <-results:
-			running--
-			switch {
-			case err == nil || isUnknownJob(err):
+			if err == nil || isUnknownJob(err) {
 				return err
-			case errors.Is(err, storer.ErrConflict):
-				r.log.Info().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation repeated, job has changed")
-				begin()
-				continue
-			case running == 0:
-				next.Reset(retryDelays.NextBackOff())
 			}
 			r.log.Warn().Err(err).Str("job", id).Dur("age", time.Since(received)).Msg("cancellation failed")
+			if running--; running == 0 {
+				next.Reset(retryDelays.NextBackOff())
+			}
 		case <-next.C:
+			if delay *= 2; running == 0 {
+				delay = initialAttemptDelay // the attempts before were answered
+			}
 			begin()
-			delay *= 2
 			next.Reset(delay)
 		case <-ctx.Done():
 			r.log.Error().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation abandoned")
