job/manager: an answer with the evacuations is a contact to the store

A daemon that owns no shard had its contact from the watch of the view alone, so that one lost response made it refuse jobs (2.79 s without contact, the limit is 2.5 s).

--- a/internal/job/manager/evacuation.go
+++ b/internal/job/manager/evacuation.go
@@ -26,6 +26,7 @@
 // after readAt, when the request for them was sent. It must be called with each
 // response, also if nothing has changed, and before the first SetCatalog.
 func (m *Manager) SetEvacuations(domains []string, readAt time.Time) {
+	m.recordContact()
 	m.evacuations.mu.Lock()
 	m.evacuations.noteSuspension(time.Now())
 	evacuated, returned := m.evacuations.set.Update(domains, readAt)
