job/manager: a service without workers doesn't make all hosts follow registrations

A queue whose service never gets workers has no layout, so every daemon followed the registrations for good. Owners follow them anyway and divide services, so that the others do it only while no shard has an owner. A signal from before the end of following doesn't begin it again. TestOnlyOwnersFollowRegistrations has such a service now and failed before.

--- a/internal/job/manager/layout.go
+++ b/internal/job/manager/layout.go
@@ -98,12 +98,13 @@
 }
 
 // reviewPlanning makes the daemon read the workers if a service has had no layout
-// for a while, which is shorter for daemons on strong hosts.
+// for a while, which is shorter for daemons on strong hosts. Owners of shards read them
+// anyway, so that the others needn't, for example for a service without workers.
 func (m *Manager) reviewPlanning(now time.Time) {
 	missing := slices.ContainsFunc(m.Catalog().Queues, func(q specifier.Queue) bool {
 		return len(m.view.layouts[q.Service].Shards) == 0
 	})
-	if !missing {
+	if !missing || m.hasOwners() {
 		m.unplannedSince = time.Time{}
 		return
 	}
@@ -115,6 +116,16 @@
 	}
 }
 
+// hasOwners reports whether any shard has an owner. The caller holds m.mu.
+func (m *Manager) hasOwners() bool {
+	for _, s := range m.view.Shards {
+		if s.Owner != "" {
+			return true
+		}
+	}
+	return false
+}
+
 // racksWithoutShard returns the racks of registered workers that are in no shard,
 // sorted, by service.
 func (m *Manager) racksWithoutShard() map[string][]divider.Rack {
--- a/internal/job/manager/registry.go
+++ b/internal/job/manager/registry.go
@@ -57,6 +57,10 @@
 		if now.Sub(neededAt) >= unneededTime {
 			m.log.Info().Int("workers", len(m.registry.list)).Msg("registrations not followed any more, no shard owned")
 			m.registry = registry{}
+			select {
+			case <-m.workersNeeded: // from before: who needs them now is seen by usesWorkers
+			default:
+			}
 			stop()
 		}
 	})
--- a/internal/job/manager/registry_test.go
+++ b/internal/job/manager/registry_test.go
@@ -1,6 +1,7 @@
 package manager_test
 
 import (
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -28,6 +29,9 @@
 func TestOnlyOwnersFollowRegistrations(t *testing.T) {
 	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
 		owner, other := ownerOf(g, a, b)
+		withoutWorkers := &specifier.Catalog{Version: 2, Queues: append(slices.Clone(catalog.Queues), specifier.Queue{Name: "idle", Service: "none"})}
+		a.SetCatalog(withoutWorkers)
+		b.SetCatalog(withoutWorkers)
 		time.Sleep(10 * time.Second)
 		byOwner, byOther := owner.countReads(), other.countReads()
 		time.Sleep(10 * time.Second)
