--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -37,6 +37,7 @@
 package dispatcher
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -126,7 +127,7 @@
 	settled         bool                 // a commit has said that no earlier leases are valid
 	workersListed   bool                 // WorkersListed has been received
 	confirmedAt     time.Time            // when the store last confirmed the ownership
-	listedAt        time.Time            // when the registrations were last known to be current
+	listedAt        time.Time            // the registrations are those of this time or later
 	roomVaries      bool                 // a worker's capacity has changed while it ran
 	resigned        bool
 	cancellations   cancellations
@@ -230,8 +231,9 @@
 	case WorkersListed:
 		s.options.Divided = s.options.Divided || e.Divided
 		s.listWorkers(e.Workers)
+		s.listedAt = cmp.Or(e.ReadAt, s.now)
 	case WorkersUnchanged:
-		s.listedAt = s.now
+		s.listedAt = cmp.Or(e.ReadAt, s.now)
 	case JobLoaded:
 		s.loadJob(e)
 	case JobArrived:
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -20,10 +20,15 @@
 type WorkersListed struct {
 	Workers []specifier.Worker
 	Divided bool // the service has several shards; once true, it stays so
+
+	ReadAt time.Time // when the request was sent whose response they came with; zero is now
 }
 
-// WorkersUnchanged reports that the registrations of the last WorkersListed are current.
-type WorkersUnchanged struct{}
+// WorkersUnchanged reports that the registrations of the last WorkersListed were current at a
+// later time.
+type WorkersUnchanged struct {
+	ReadAt time.Time // as in WorkersListed
+}
 
 // JobLoaded delivers a job that an earlier owner already had, with its durable
 // progress.
--- a/internal/job/dispatcher/room_test.go
+++ b/internal/job/dispatcher/room_test.go
@@ -69,3 +69,20 @@
 	s.advance(6 * time.Second)
 	g.Expect(s.running("0000000000000001")).To(Equal(4))
 }
+
+// TestSlowRegistrationsCountFromTheirRequest guards against starts beyond a capacity that has
+// shrunk, after registrations that were long on their way counted as current.
+func TestSlowRegistrationsCountFromTheirRequest(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(lossQueue, "w1")
+	h.options.RoomNotice = 4 * time.Second
+	h.roomVaries = true
+	reg := h.workers["w1"].reg
+	h.now = h.now.Add(10 * time.Second)
+	sent := h.now.Add(-6 * time.Second)
+	h.feed(OwnershipChecked{Confirmed: true}, WorkersListed{Workers: []specifier.Worker{reg}, ReadAt: sent}, JobArrived{Job: oneStep(1, nil)})
+	g.Expect(takeEffects[StartRun](h)).To(BeEmpty())
+	h.feed(WorkersUnchanged{ReadAt: h.now})
+	h.advance(50 * time.Millisecond)
+	g.Expect(takeEffects[StartRun](h)).To(HaveLen(1))
+}
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -116,7 +116,6 @@
 // listWorkers updates the workers from the current registrations.
 func (s *Shard) listWorkers(list []specifier.Worker) {
 	s.workersListed = true
-	s.listedAt = s.now
 	listed := make(map[string]bool, len(list))
 	for _, reg := range list {
 		listed[reg.ID] = true
--- a/internal/job/manager/registry.go
+++ b/internal/job/manager/registry.go
@@ -24,6 +24,7 @@
 	list       []specifier.Worker          // values of workers
 	isListed   bool                        // all registrations have been read
 	lastGrowth time.Time                   // when a worker was last added
+	readAt     time.Time                   // when the request of the last read was sent
 }
 
 // followWorkers reads the registrations and their changes while the daemon needs them, until
@@ -47,7 +48,7 @@
 	neededAt := time.Now()
 	w := prefixWatcher{manager: m, prefix: m.registrations.Prefix(), pause: registryInterval}
 	w.run(ctx, func(items []storer.Item, complete bool) {
-		m.updateWorkers(items, complete)
+		m.updateWorkers(items, complete, w.sentAt)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		now := time.Now()
@@ -86,15 +87,16 @@
 	}
 }
 
-// updateWorkers applies registrations and passes the workers on to the owned
-// shards.
-func (m *Manager) updateWorkers(items []storer.Item, complete bool) {
+// updateWorkers applies registrations, whose request was sent at readAt, and passes the
+// workers on to the owned shards.
+func (m *Manager) updateWorkers(items []storer.Item, complete bool, readAt time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	r := &m.registry
+	r.readAt = readAt
 	if len(items) == 0 && !complete {
 		for _, o := range m.owned {
-			o.post(dispatcher.WorkersUnchanged{})
+			o.post(dispatcher.WorkersUnchanged{ReadAt: readAt})
 		}
 		return
 	}
@@ -131,7 +133,7 @@
 // workersListed returns the event that passes the registered workers on to an owned
 // shard.
 func (m *Manager) workersListed(o *ownedShard) dispatcher.WorkersListed {
-	return dispatcher.WorkersListed{Workers: o.members.workersOf(m.registry.list), Divided: o.members.divided}
+	return dispatcher.WorkersListed{Workers: o.members.workersOf(m.registry.list), Divided: o.members.divided, ReadAt: m.registry.readAt}
 }
 
 // postWorkers passes the registered workers on to an owned shard.
