job/manager: reclaim test accepts its job before the shard is claimed again

TestReclaimingProcessTakesItselfForEnded/same_process failed in about 1 of 600 runs beside load. The test was wrong, not the manager. It writes a foreign claim at 10.0 s of virtual time and then accepts a job. That instant is also a tick of the ownership review. If the daemon's goroutines run between the two writes, the daemon loses the shard and claims it again, and the job arrives after the new claim. Such a job has no earlier runs, so its tasks rightly start without waiting for the leases on the worker "gone".

Ruled out: that the claim took the process for ended, and that the former ownership wrote the fence again; the log has one claim with the foreign epoch plus one and no commit before it.

The daemon's store calls now take 1 ms from the foreign claim on, so it can't claim before the job is accepted, and the test checks that the foreign claim still stands then. What it asks of the manager is unchanged.

--- a/internal/job/manager/reclaim_test.go
+++ b/internal/job/manager/reclaim_test.go
@@ -10,6 +10,7 @@
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
 )
 
 // TestReclaimingProcessTakesItselfForEnded makes a daemon lose its shard and claim it again,
@@ -27,9 +28,13 @@
 				if restarts {
 					a.Close()
 				}
+				// The daemon learns of the claim and claims again only after the job was accepted. A job
+				// that is accepted later has no earlier runs, so it would start at once.
+				a.store.SetDelay(func(faker.Call) time.Duration { return time.Millisecond })
+				foreign := recorder.Claim{Daemon: "a", Epoch: 5}
 				_, err := operator.Commit(t.Context(), storer.Transaction{
 					Put: []storer.Write{
-						{Key: recorder.ClaimKey("desk@bne"), Value: recorder.Encode(recorder.Claim{Daemon: "a", Epoch: 5})},
+						{Key: recorder.ClaimKey("desk@bne"), Value: recorder.Encode(foreign)},
 						{Key: recorder.FenceKey("desk@bne"), Value: recorder.Encode(recorder.Fence{
 							Owner: "a", Epoch: 5, WriteID: "foreign", Workers: []string{"gone"}, Settled: true,
 						})},
@@ -38,6 +43,9 @@
 				})
 				g.Expect(err).NotTo(HaveOccurred())
 				acceptJob(g, operator, "desk@bne", job(1))
+				claim, err := operator.Get(t.Context(), recorder.ClaimKey("desk@bne"))
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(claim.Value).To(Equal(recorder.Encode(foreign)), "the shard was claimed before the job was accepted")
 				if restarts {
 					a = newDaemon("a", store, workers)
 				}
