--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -50,7 +50,7 @@
 
 // Intervals and limits of the dispatcher.
 const (
-	pendingPollDelay = 60 * time.Millisecond  // delay between polls while ends of runs aren't durable yet
+	pendingPollDelay = 60 * time.Millisecond  // delay between polls beside ends that aren't durable
 	pollRetryDelay   = 250 * time.Millisecond // delay before a failed poll is repeated
 	commitInterval   = 40 * time.Millisecond  // minimum time between commits
 	publishInterval  = 700 * time.Millisecond // minimum time between load summaries
@@ -58,7 +58,7 @@
 	maxCommitEntries = 28                     // entries of a transaction for changes of jobs
 	jobEntries       = 4                      // entries for one job, without transfers
 	runsPerEpoch     = 1000                   // run numbers available to one ownership for each task
-	maxClockDrift    = 0.03                   // fraction by which a worker's monotonic clock may run slow
+	maxClockDrift    = 0.03                   // fraction by which a worker's monotonic clock may lag
 	expiryMargin     = 200 * time.Millisecond // added to the computed expiry of a lease
 )
 
@@ -72,17 +72,23 @@
 	Epoch   int64    // number of earlier ownerships
 	Workers []string // ids of workers that may have runs of an earlier ownership
 
-	OwnerEnded   bool                   // the previous owner gives no leases any more, and knew of all earlier ones
+	// OwnerEnded is set if the previous owner gives no leases any more, and knew of all
+	// earlier ones.
+	OwnerEnded bool
+
 	Released     bool                   // the previous owner released the shard
 	WorkerLeases []recorder.WorkerLease // replaces Workers if Released is set
 
 	Lease       time.Duration     // granted to all runs on a worker with each poll
 	OutageLimit time.Duration     // how long an owner keeps working without the store
 	PollWait    time.Duration     // how long a poll waits at the worker for a run to end
-	RoomNotice  time.Duration     // how long starts may exceed a capacity after a registration shows that it has shrunk; 0 is no limit
 	RunTimes    estimator.Records // learned by earlier owners and for other shards
 	ClockError  time.Duration     // maximum error of the wall clock; due times are delayed by it
 
+	// RoomNotice is how long starts may exceed a capacity after a registration shows that it
+	// has shrunk; 0 is no limit.
+	RoomNotice time.Duration
+
 	// Reservations makes tasks that fit nowhere reserve room by the expected ends of runs. If it
 	// isn't set, the room of the emptiest workers is kept for those that have waited long.
 	Reservations bool
@@ -91,7 +97,9 @@
 	// confirmation while runs are started; 0 is no limit.
 	MaxCancellationAge time.Duration
 
-	MaxEvacuationAge time.Duration // runs are started for this long after the evacuated domains were read; 0 is no limit
+	// MaxEvacuationAge is how long runs are started after the evacuated domains were read; 0 is
+	// no limit.
+	MaxEvacuationAge time.Duration
 }
 
 // Shard is the scheduling state of one owned shard. It is not safe for
