control/reducer: crash tests share their set-up

Six tests of crash_test.go set up the same job by hand, and one repeated the claim of newSuccessor. newJobHarness and newOwner hold these once. The tests' steps and checks are as before.

--- a/internal/control/reducer/crash_test.go
+++ b/internal/control/reducer/crash_test.go
@@ -7,17 +7,22 @@
 	"github.com/onsi/gomega"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
-	"dotterelcart.dev/dotterelcart/internal/control/placer"
 	"dotterelcart.dev/dotterelcart/internal/platform/runner"
 )
 
+// newJobHarness returns a harness that has accepted a job of this many tasks, and the records
+// that the job was accepted with.
+func newJobHarness(tasks int, workers ...string) (*harness, []describer.Record) {
+	h := newHarness(workers...)
+	h.feed(SubmitRequested{Request: 1, Job: testJob("menu", tasks)})
+	return h, h.answerAppends()
+}
+
 // TestBatchTaskCrashesWorkerAfterWorker has a task whose workers lose it with each start,
 // as they do when they crash.
 func TestBatchTaskCrashesWorkerAfterWorker(t *testing.T) {
 	gomega.RegisterTestingT(t)
-	h := newHarness("w1", "w2")
-	h.feed(SubmitRequested{Request: 1, Job: testJob("menu", 1)})
-	h.answerAppends()
+	h, _ := newJobHarness(1, "w1", "w2")
 	starts := 0
 	for range 40 {
 		starts += len(h.answerStarts())
@@ -59,9 +64,7 @@
 
 func TestBatchCrashCountSurvivesOwner(t *testing.T) {
 	gomega.RegisterTestingT(t)
-	h := newHarness("w1", "w2")
-	h.feed(SubmitRequested{Request: 1, Job: testJob("menu", 1)})
-	records := h.answerAppends()
+	h, records := newJobHarness(1, "w1", "w2")
 	records = append(records, h.loseRuns(1)...)
 	next := newSuccessor(records, "w1", "w2")
 	next.answerSyncs(runner.SyncResult{})
@@ -84,9 +87,7 @@
 func TestSoundBatchTaskBesideDeadlyOne(t *testing.T) {
 	g := gomega.NewWithT(t)
 	gomega.RegisterTestingT(t)
-	h := newHarness("w1")
-	h.feed(SubmitRequested{Request: 1, Job: testJob("menu", 2)})
-	h.answerAppends()
+	h, _ := newJobHarness(2, "w1")
 	h.loseRuns(4)
 	h.advance(time.Second)
 	h.answerAppends()
@@ -119,18 +120,11 @@
 	for _, wait := range []time.Duration{time.Second, 3 * time.Minute} {
 		t.Run(wait.String(), func(t *testing.T) {
 			gomega.RegisterTestingT(t)
-			h := newHarness("w1", "w2")
-			h.feed(SubmitRequested{Request: 1, Job: testJob("menu", 1)})
-			records := h.answerAppends()
+			h, records := newJobHarness(1, "w1", "w2")
 			starts := 0
 			for epoch := int64(2); epoch < 20; epoch++ {
 				starts += len(h.answerStarts())
-				now := h.now.Add(wait)
-				h = &harness{State: New(testOptions(), Policies{Placement: placer.FirstFit{}})}
-				h.feed(Tick{Now: now})
-				h.feed(HostsReceived{Hosts: testHosts("w1", "w2")})
-				h.feed(ConfigurationReceived{Configuration: testConfiguration()})
-				h.feed(ShardClaimed{Shard: "bne-1", Epoch: epoch, Records: records})
+				h = newOwner(h.now.Add(wait), epoch, records, "w1", "w2")
 				h.answerSyncs(runner.SyncResult{})
 				records = append(records, h.answerAppends()...)
 				h.advance(time.Second)
@@ -147,9 +141,7 @@
 // run was being stopped and the restarted worker, which doesn't know it, answers the stop.
 func TestBatchTaskCrashesWhileItIsStopped(t *testing.T) {
 	gomega.RegisterTestingT(t)
-	h := newHarness("w1", "w2")
-	h.feed(SubmitRequested{Request: 1, Job: testJob("menu", 1)})
-	h.answerAppends()
+	h, _ := newJobHarness(1, "w1", "w2")
 	starts := h.crashUntilAbandoned(func() {
 		sh := h.shards["bne-1"]
 		if tk := sh.view.task(describer.TaskID{Job: "menu"}); tk.state == describer.Started && tk.startPhase == startConfirmed {
@@ -167,9 +159,7 @@
 // worker was leaving, although it has answered after it.
 func TestBatchTaskCrashesLeavingWorkers(t *testing.T) {
 	gomega.RegisterTestingT(t)
-	h := newHarness("w1", "w2")
-	h.feed(SubmitRequested{Request: 1, Job: testJob("menu", 1)})
-	h.answerAppends()
+	h, _ := newJobHarness(1, "w1", "w2")
 	setState := func(state describer.HostState) {
 		hosts := testHosts("w1", "w2")
 		for i := range hosts {
--- a/internal/control/reducer/shard_test.go
+++ b/internal/control/reducer/shard_test.go
@@ -14,11 +14,16 @@
 // newSuccessor returns a State that claims the shard with these records under the next
 // epoch.
 func newSuccessor(records []describer.Record, workers ...string) *harness {
+	return newOwner(startTime.Add(time.Hour), 2, records, workers...)
+}
+
+// newOwner returns a State that claims the shard with these records at a time.
+func newOwner(now time.Time, epoch int64, records []describer.Record, workers ...string) *harness {
 	h := &harness{State: New(testOptions(), Policies{Placement: placer.FirstFit{}})}
-	h.feed(Tick{Now: startTime.Add(time.Hour)})
+	h.feed(Tick{Now: now})
 	h.feed(HostsReceived{Hosts: testHosts(workers...)})
 	h.feed(ConfigurationReceived{Configuration: testConfiguration()})
-	h.feed(ShardClaimed{Shard: "bne-1", Epoch: 2, Records: records})
+	h.feed(ShardClaimed{Shard: "bne-1", Epoch: epoch, Records: records})
 	return h
 }
 
