--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -178,6 +178,8 @@
 
 // ownerWrite returns the write of the owner record, attached to the lease.
 func (m *Manager) ownerWrite(ctx context.Context, shard string) (storer.Write, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	lease, err := m.lease.Acquire(ctx)
 	return storer.Write{
 		Key:   recorder.OwnerKey(shard),
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -112,7 +112,7 @@
 		return err
 	}
 	defer unlock()
-	item, err := f.store.Get(ctx, recorder.FenceKey(f.Shard))
+	item, err := f.get(ctx, recorder.FenceKey(f.Shard))
 	var previous recorder.Fence
 	switch {
 	case errors.Is(err, storer.ErrNotFound):
@@ -154,7 +154,7 @@
 // process of this daemon wrote it, and 0 if there is no owner record. It
 // returns ErrAlreadyOwned if the record is another daemon's.
 func (f *Fence) replaceableRevision(ctx context.Context, key string) (int64, error) {
-	item, err := f.store.Get(ctx, key)
+	item, err := f.get(ctx, key)
 	if errors.Is(err, storer.ErrNotFound) {
 		return 0, nil
 	}
@@ -171,6 +171,19 @@
 	return item.Revision, nil
 }
 
+// get reads a key. A read without a response is repeated until ctx ends.
+func (f *Fence) get(ctx context.Context, key string) (storer.Item, error) {
+	for {
+		callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+		item, err := f.store.Get(callCtx, key)
+		expired := callCtx.Err() != nil
+		cancel()
+		if err == nil || !expired || ctx.Err() != nil {
+			return item, err
+		}
+	}
+}
+
 // RestoreOwner writes the owner record again after the store deleted it along
 // with its lease. It returns ErrAlreadyOwned if the record exists.
 func (f *Fence) RestoreOwner(ctx context.Context, owner storer.Write) error {
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -206,3 +206,36 @@
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
 	})
 }
+
+// deafStore never gets the response to its first read of a key.
+type deafStore struct {
+	*faker.Client
+	key   string
+	heard bool
+}
+
+func (s *deafStore) Get(ctx context.Context, key string) (storer.Item, error) {
+	if key == s.key && !s.heard {
+		s.heard = true
+		<-ctx.Done()
+		return storer.Item{}, ctx.Err()
+	}
+	return s.Client.Get(ctx, key)
+}
+
+// TestClaimAfterALostRead guards against a shard that nobody owns for the whole time of a claim,
+// because the response to one read was lost.
+func TestClaimAfterALostRead(t *testing.T) {
+	for _, key := range []string{recorder.FenceKey("menus"), recorder.OwnerKey("menus")} {
+		t.Run(key, func(t *testing.T) {
+			inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				a := store.Client("a")
+				began := time.Now()
+				g.Expect(New("menus", "a", &deafStore{Client: a, key: key}).Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+				g.Expect(time.Since(began)).To(BeNumerically("<", 2*attemptTimeout))
+			})
+		})
+	}
+}
