traffic/router: asks for slots of backend servers of which it has none

candidates leaves out servers of which the entry host has no slot, so SlotSource.Acquire was never called for them, the lender counted no missed request and never asked the shard's owner for a lease. A request that finds no free slot now tries one server without slots, and the lender asks for a lease.

Ruled out, by the code: leases that are too short for the default deadline. They last 14.5 s, the deadline is 10 s, or 2 s in the scenarios.

The program for the users' platform doesn't use this package.

--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -162,10 +162,27 @@
 		candidates[i] = candidates[len(candidates)-1]
 		candidates = candidates[:len(candidates)-1]
 	}
-	if open {
-		return nil, ErrNoSlot
+	if !open {
+		return nil, ErrNoBackend
+	}
+	r.requestSlot(servers, q, now)
+	return nil, ErrNoSlot
+}
+
+// requestSlot tries to take a slot of a usable server of which this entry host has none, so
+// that the slot source learns of the demand: candidates leaves such servers out.
+func (r *Router) requestSlot(servers []*server, q Request, now time.Time) {
+	start := r.random.IntN(len(servers))
+	for k := range servers {
+		s := servers[(start+k)%len(servers)]
+		if s.backend.Closed || q.Avoid[s.backend.Worker] || s.isEjected(now) || r.Slots.Limit(s.backend) > 0 {
+			continue
+		}
+		if release, ok := r.Slots.Acquire(s.backend, q.Deadline); ok {
+			release()
+		}
+		return
 	}
-	return nil, ErrNoBackend
 }
 
 // maxCandidates bounds the candidates of one choice. In larger groups, they are the
--- a/internal/traffic/router/router_test.go
+++ b/internal/traffic/router/router_test.go
@@ -35,6 +35,16 @@
 	return &describer.RoutingTable{Services: map[string][]describer.Backend{"desk": all}}
 }
 
+// noSlots is a SlotSource without slots that counts the requests for them.
+type noSlots struct{ requests int }
+
+func (n *noSlots) Limit(describer.Backend) int { return 0 }
+
+func (n *noSlots) Acquire(describer.Backend, time.Time) (func(), bool) {
+	n.requests++
+	return nil, false
+}
+
 var _ = Describe("Router", func() {
 	var (
 		c *clock
@@ -101,6 +111,15 @@
 		Expect(err).NotTo(HaveOccurred())
 	})
 
+	It("asks for a slot of backend servers of which it has none", func() {
+		// A lender requests slots of a worker only after a request has missed one.
+		slots := &noSlots{}
+		r = router.New(router.Options{Domain: "d", Region: "r"}, slots)
+		_, err := r.Take(fleet(3, func(_ int, b *describer.Backend) { b.Domain = "other" }), q)
+		Expect(err).To(MatchError(router.ErrNoSlot))
+		Expect(slots.requests).To(Equal(1))
+	})
+
 	It("avoids interference", func() {
 		t := fleet(2, func(i int, b *describer.Backend) { b.Interference = float64(i) })
 		Expect(run(t, 10, answered)).To(Equal(map[string]int{"w000": 10}))
