--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -309,9 +309,8 @@
 }
 
 const (
-	// startLease is how long a worker may carry out a start after the decision: the owner
-	// waits 1.5 s for the answer and then stops the run. Without this limit, starts were
-	// carried out up to 5.4 s late on a busy link, also those of jobs cancelled meanwhile.
+	// startLease is how long a worker may carry out a start after the decision. The owner
+	// waits 1.5 s for the answer and then stops the run; its job may be cancelled meanwhile.
 	startLease = 2 * time.Second
 
 	// minGrantedLease is the rest of the lease granted by a poll that a worker needs for
--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -122,8 +122,10 @@
 				next.Reset(retryDelays.NextBackOff())
 			}
 		case <-next.C:
-			if delay *= 2; running == 0 {
+			if running == 0 {
 				delay = initialAttemptDelay // the attempts before were answered
+			} else {
+				delay *= 2
 			}
 			begin()
 			next.Reset(delay)
@@ -203,6 +205,7 @@
 	r.cancellations.refuse()
 	r.cancellations.cancel()
 	r.cancellations.active.Wait()
+	r.closeDone()
 }
 
 // refuse makes new cancellations fail.
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -74,6 +74,9 @@
 
 // Receiver accepts, cancels and looks up jobs. It is safe for concurrent use.
 type Receiver struct {
+	Done chan struct{} // closed when it is closed and no cancellation is in progress
+
+	closeDone     func()
 	options       Options
 	log           zerolog.Logger
 	shards        Shards
@@ -97,7 +100,9 @@
 // Shutdown or Close.
 func New(o Options, shards Shards, store Store) *Receiver {
 	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
 	return &Receiver{
+		Done: done, closeDone: sync.OnceFunc(func() { close(done) }),
 		options: o, log: o.Log.With().Str("part", "receiver").Logger(),
 		shards: shards, store: store, recent: make(map[string][]recentWork),
 		cancellations: cancellations{ctx: ctx, cancel: cancel, byJob: make(map[string]*cancellation)},
