--- a/internal/job/dispatcher/cancellation.go
+++ b/internal/job/dispatcher/cancellation.go
@@ -28,9 +28,9 @@
 		return
 	}
 	c.isPaused = isPaused
-	message := "run starts resumed"
+	line := Log{Message: "run starts resumed", Reason: "cancellations known"}
 	if isPaused {
-		message = "run starts paused"
+		line = Log{Message: "run starts paused", Reason: "cancellations read late", Age: s.confirmedAt.Sub(c.readAt)}
 	}
-	s.emit(Log{Message: message, Reason: "cancellations are read late", Age: s.confirmedAt.Sub(c.readAt)})
+	s.emit(line)
 }
--- a/internal/job/dispatcher/cancellation_test.go
+++ b/internal/job/dispatcher/cancellation_test.go
@@ -24,9 +24,15 @@
 		h.feed(JobArrived{Job: longRunningJob()})
 		h.advance(time.Second)
 		Expect(takeEffects[StartRun](h)).To(BeEmpty())
+		Expect(takeEffects[Log](h)).To(ContainElement(And(
+			HaveField("Message", "run starts paused"), HaveField("Reason", "cancellations read late"), HaveField("Age", maxAge),
+		)))
 
 		h.feed(CancellationsRead{At: h.now}, Tick{})
 		Expect(takeEffects[StartRun](h)).To(HaveLen(1))
+		Expect(takeEffects[Log](h)).To(ContainElement(And(
+			HaveField("Message", "run starts resumed"), HaveField("Reason", "cancellations known"),
+		)))
 	})
 
 	It("drops a start that waits to be durable", func() {
