--- a/internal/job/dispatcher/latestart_test.go
+++ b/internal/job/dispatcher/latestart_test.go
@@ -152,6 +152,6 @@
 	h.feed(JobArrived{Job: oneStep(1, nil)})
 	starts := takeEffects[StartRun](h)
 	g.Expect(starts).To(HaveLen(1))
-	g.Expect(starts[0].LeaseEnd).To(BeNumerically("~", clock()+startLease-drift, drift))
+	g.Expect(starts[0].LeaseEnd).To(BeNumerically("~", clock()+StartLease-drift, drift))
 	g.Expect(h.workers["w1"].leaseExpiry).To(BeTemporally(">=", h.now.Add(simLease)), "the poll's lease")
 }
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -308,15 +308,14 @@
 	s.emit(order)
 }
 
-const (
-	// startLease is how long a worker may carry out a start after the decision. The owner
-	// waits 1.5 s for the answer and then stops the run; its job may be cancelled meanwhile.
-	startLease = 2 * time.Second
+// StartLease is how long a worker may carry out a start after the decision, if a poll has
+// granted it a lease. It is longer than an owner waits for the answer to a start, after which
+// it stops the run.
+const StartLease = 2 * time.Second
 
-	// minGrantedLease is the rest of the lease granted by a poll that a worker needs for
-	// starts with startLease. With less, a run would lapse if the next poll was lost.
-	minGrantedLease = time.Second
-)
+// minGrantedLease is the rest of the lease granted by a poll that a worker needs for
+// starts with StartLease. With less, a run would lapse if the next poll was lost.
+const minGrantedLease = time.Second
 
 // startLeaseEnd returns the lease end for a start that is ordered now, by the worker's
 // clock. All runs on a worker have the latest lease that it got, so a start needn't grant
@@ -326,7 +325,7 @@
 	if w.grantedLeaseEnd-clock < minGrantedLease {
 		return s.newLeaseEnd(w)
 	}
-	return s.grantLease(w, clock+min(startLease, s.options.Lease))
+	return s.grantLease(w, clock+min(StartLease, s.options.Lease))
 }
 
 // newLeaseEnd returns the end of a full lease granted now, by the worker's clock.
--- a/internal/job/manager/cancellation.go
+++ b/internal/job/manager/cancellation.go
@@ -1,10 +1,10 @@
 package manager
 
-import "time"
+import (
+	"time"
 
-// cancellationMargin is how long it may take from the decision to start a run until the
-// worker executes the order.
-const cancellationMargin = callTimeout + 500*time.Millisecond
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+)
 
 // Limits of the age of cancellations while runs are started.
 const (
@@ -18,7 +18,7 @@
 	if notice <= 0 {
 		return defaultCancellationAge
 	}
-	return max(notice-cancellationMargin, minCancellationAge)
+	return max(notice-dispatcher.StartLease, minCancellationAge)
 }
 
 // readsPerAge is how many reads of the cancellations fit into the age that they may have, so
