--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -43,7 +43,6 @@
 	ownershipInterval = 100 * time.Millisecond  // interval of checks for shards to claim
 	callTimeout       = 1500 * time.Millisecond // limit for a call to a worker, the store or the adviser
 	watchWait         = time.Second             // how long the store may hold a watch call without changes
-	readTimeout       = 30 * time.Second        // limit for one list or watch call, however much progress it makes
 	outageLimit       = 8 * time.Second         // see dispatcher.Options.OutageLimit
 	workerLease       = 6 * time.Second         // lease of the runs on a worker
 	pollWait          = 1500 * time.Millisecond // see dispatcher.Options.PollWait
@@ -57,7 +56,7 @@
 )
 
 // Store is the part of the key-value store's client that the manager uses. List and Watch
-// fail by themselves when their responses make no progress.
+// fail by themselves when their responses make no progress or take too long.
 type Store interface {
 	storer.Committer
 	Get(ctx context.Context, key string) (storer.Item, error)
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -219,17 +219,15 @@
 // read lists the prefix the first time and after a compaction of the store,
 // otherwise it waits for changes. complete tells which.
 func (w *prefixWatcher) read(ctx context.Context) (items []storer.Item, complete bool, err error) {
-	limited, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
 	sent := time.Now()
 	if !w.isListed {
-		items, w.revision, err = w.manager.store.List(limited, w.prefix)
+		items, w.revision, err = w.manager.store.List(ctx, w.prefix)
 		if err == nil {
 			w.isListed, w.sentAt = true, sent
 		}
 		return items, true, err
 	}
-	items, next, err := w.manager.store.Watch(limited, w.prefix, w.revision, cmp.Or(w.wait, watchWait))
+	items, next, err := w.manager.store.Watch(ctx, w.prefix, w.revision, cmp.Or(w.wait, watchWait))
 	switch {
 	case errors.Is(err, storer.ErrCompacted):
 		w.isListed = false
