--- a/internal/job/manager/commit.go
+++ b/internal/job/manager/commit.go
@@ -63,7 +63,7 @@
 		puts = append(puts, storer.Write{Key: recorder.TransferKey(h.Shard, h.Task), Value: recorder.Encode(h.Transfer)})
 	}
 	for _, other := range c.CancelIn {
-		puts = append(puts, storer.Write{Key: recorder.CancelKey(other, c.ID), Value: recorder.Encode(recorder.Cancellation{Shard: other})})
+		puts = append(puts, storer.Write{Key: recorder.CancelKey(other, c.ID), Value: recorder.Encode(recorder.Cancellation{})})
 	}
 	for _, task := range c.RemoveTransfers {
 		removes = append(removes, recorder.TransferKey(shard, task))
--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -179,7 +179,7 @@
 	for i, shard := range shards {
 		writes[i] = storer.Write{
 			Key:   recorder.CancelKey(shard, id),
-			Value: recorder.Encode(recorder.Cancellation{Shard: shard, Received: received}),
+			Value: recorder.Encode(recorder.Cancellation{Received: received}),
 		}
 	}
 	return writes
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -170,7 +170,6 @@
 
 // Cancellation is an accepted cancellation of a job.
 type Cancellation struct {
-	Shard    string    `json:"shard"`
 	Received time.Time `json:"received,omitzero"` // when a host received it from the caller; zero if it is the owner's own
 }
 
