--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
+
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
@@ -108,13 +110,13 @@
 		})
 	}
 	begin()
-	retryDelays, delay := newDelays(), initialAttemptDelay
-	next := time.NewTimer(delay)
+	retryDelays, attemptDelays := newDelays(), newAttemptDelays()
+	next := time.NewTimer(attemptDelays.NextBackOff())
 	defer next.Stop()
 	for {
 		select {
 		case err := <-results:
-			if err == nil || isUnknownJob(err) {
+			if err == nil || errors.Is(err, storer.ErrNotFound) {
 				return err
 			}
 			r.log.Warn().Err(err).Str("job", id).Dur("age", time.Since(received)).Msg("cancellation failed")
@@ -123,12 +125,10 @@
 			}
 		case <-next.C:
 			if running == 0 {
-				delay = initialAttemptDelay // the attempts before were answered
-			} else {
-				delay *= 2
+				attemptDelays.Reset() // the attempts before were answered
 			}
 			begin()
-			next.Reset(delay)
+			next.Reset(attemptDelays.NextBackOff())
 		case <-ctx.Done():
 			r.log.Error().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation abandoned")
 			return r.storeError(noAnswer(ctx.Err()))
@@ -136,17 +136,19 @@
 	}
 }
 
+// newAttemptDelays returns the delays between attempts without an answer.
+func newAttemptDelays() *backoff.ExponentialBackOff {
+	d := backoff.NewExponentialBackOff()
+	d.InitialInterval, d.MaxInterval = initialAttemptDelay, cancelTimeout
+	d.Multiplier, d.RandomizationFactor = 2, 0
+	return d
+}
+
 // noAnswer is the error of a call whose outcome isn't known when its time is over.
 func noAnswer(err error) error {
 	return &classifier.Error{Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer from the store", Err: err}
 }
 
-// isUnknownJob reports whether err says that there is no such job.
-func isUnknownJob(err error) bool {
-	var e *classifier.Error
-	return errors.As(err, &e) && e.Status == http.StatusGone
-}
-
 // tryCancel writes the cancellation of a job that hasn't ended.
 func (r *Receiver) tryCancel(ctx context.Context, id string, received time.Time) error {
 	entry, revision, err := r.indexEntry(ctx, id)
@@ -205,7 +207,7 @@
 	r.cancellations.refuse()
 	r.cancellations.cancel()
 	r.cancellations.active.Wait()
-	r.closeDone()
+	r.closeOnce.Do(func() { close(r.Done) })
 }
 
 // refuse makes new cancellations fail.
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -76,7 +76,7 @@
 type Receiver struct {
 	Done chan struct{} // closed when it is closed and no cancellation is in progress
 
-	closeDone     func()
+	closeOnce     sync.Once // guards closing Done
 	options       Options
 	log           zerolog.Logger
 	shards        Shards
@@ -100,9 +100,8 @@
 // Shutdown or Close.
 func New(o Options, shards Shards, store Store) *Receiver {
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
 	return &Receiver{
-		Done: done, closeDone: sync.OnceFunc(func() { close(done) }),
+		Done:    make(chan struct{}),
 		options: o, log: o.Log.With().Str("part", "receiver").Logger(),
 		shards: shards, store: store, recent: make(map[string][]recentWork),
 		cancellations: cancellations{ctx: ctx, cancel: cancel, byJob: make(map[string]*cancellation)},
@@ -270,7 +269,7 @@
 	}
 	if errors.Is(err, storer.ErrNotFound) {
 		return recorder.IndexEntry{}, 0, &classifier.Error{
-			Verdict: classifier.NotRun, Status: http.StatusGone, Code: "unknown", Message: "no such job", Field: "id",
+			Verdict: classifier.NotRun, Status: http.StatusGone, Code: "unknown", Message: "no such job", Field: "id", Err: err,
 		}
 	}
 	if err != nil {
