--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -50,7 +50,7 @@
 
 // Intervals and limits of the dispatcher.
 const (
-	pendingPollDelay = 60 * time.Millisecond  // delay between polls beside ends that aren't durable
+	pendingPollDelay = 60 * time.Millisecond  // delay between polls while ends aren't durable yet
 	pollRetryDelay   = 250 * time.Millisecond // delay before a failed poll is repeated
 	commitInterval   = 40 * time.Millisecond  // minimum time between commits
 	publishInterval  = 700 * time.Millisecond // minimum time between load summaries
@@ -58,7 +58,7 @@
 	maxCommitEntries = 28                     // entries of a transaction for changes of jobs
 	jobEntries       = 4                      // entries for one job, without transfers
 	runsPerEpoch     = 1000                   // run numbers available to one ownership for each task
-	maxClockDrift    = 0.03                   // fraction by which a worker's monotonic clock may lag
+	maxClockDrift    = 0.03                   // fraction by which a worker's clock may run slow
 	expiryMargin     = 200 * time.Millisecond // added to the computed expiry of a lease
 )
 
--- a/internal/platform/timer/timer.go
+++ b/internal/platform/timer/timer.go
@@ -8,9 +8,9 @@
 // and it grows while reads expire:
 //
 //	var timeouts timer.Group
-//	limit := timeouts.Limit("servers/")
-//	timeouts.Expired("servers/")  // the next limit is twice as long
-//	timeouts.Answered("servers/") // back to Min
+//	limit := timeouts.Limit("workers")
+//	timeouts.Expired("workers")  // the next limit is twice as long
+//	timeouts.Answered("workers") // back to Min
 package timer
 
 import (
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -207,16 +207,16 @@
 	})
 }
 
-// deafStore never gets the response to its first read of a key.
-type deafStore struct {
+// lostReadStore loses the response to the first read of a key.
+type lostReadStore struct {
 	*faker.Client
-	key   string
-	heard bool
+	key  string
+	lost bool
 }
 
-func (s *deafStore) Get(ctx context.Context, key string) (storer.Item, error) {
-	if key == s.key && !s.heard {
-		s.heard = true
+func (s *lostReadStore) Get(ctx context.Context, key string) (storer.Item, error) {
+	if key == s.key && !s.lost {
+		s.lost = true
 		<-ctx.Done()
 		return storer.Item{}, ctx.Err()
 	}
@@ -233,7 +233,7 @@
 				defer cancel()
 				a := store.Client("a")
 				began := time.Now()
-				g.Expect(New("menus", "a", &deafStore{Client: a, key: key}).Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+				g.Expect(New("menus", "a", &lostReadStore{Client: a, key: key}).Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 				g.Expect(time.Since(began)).To(BeNumerically("<", 2*attemptTimeout))
 			})
 		})
