--- a/internal/traffic/router/router.go
+++ b/internal/traffic/router/router.go
@@ -156,8 +156,7 @@
 		s := candidates[i].server
 		release, ok := r.Slots.Acquire(s.backend, q.Deadline)
 		if ok {
-			s.inFlight++
-			return &Slot{Backend: s.backend, router: r, server: s, release: release, service: q.Service, taken: now}, nil
+			return r.newSlot(s, release, q, now), nil
 		}
 		candidates[i] = candidates[len(candidates)-1]
 		candidates = candidates[:len(candidates)-1]
@@ -165,24 +164,32 @@
 	if !open {
 		return nil, ErrNoBackend
 	}
-	r.requestSlot(servers, q, now)
-	return nil, ErrNoSlot
+	return r.requestSlot(servers, q, now)
+}
+
+// newSlot returns a slot of a server that has been acquired.
+func (r *Router) newSlot(s *server, release func(), q Request, now time.Time) *Slot {
+	s.inFlight++
+	return &Slot{Backend: s.backend, router: r, server: s, release: release, service: q.Service, taken: now}
 }
 
 // requestSlot tries to take a slot of a usable server of which this entry host has none, so
-// that the slot source learns of the demand: candidates leaves such servers out.
-func (r *Router) requestSlot(servers []*server, q Request, now time.Time) {
+// that the slot source learns of the demand: candidates leaves such servers out. It returns
+// ErrNoSlot if there is none.
+func (r *Router) requestSlot(servers []*server, q Request, now time.Time) (*Slot, error) {
 	start := r.random.IntN(len(servers))
 	for k := range servers {
 		s := servers[(start+k)%len(servers)]
 		if s.backend.Closed || q.Avoid[s.backend.Worker] || s.isEjected(now) || r.Slots.Limit(s.backend) > 0 {
 			continue
 		}
-		if release, ok := r.Slots.Acquire(s.backend, q.Deadline); ok {
-			release()
+		release, ok := r.Slots.Acquire(s.backend, q.Deadline)
+		if !ok {
+			break
 		}
-		return
+		return r.newSlot(s, release, q, now), nil
 	}
+	return nil, ErrNoSlot
 }
 
 // maxCandidates bounds the candidates of one choice. In larger groups, they are the
--- a/internal/traffic/router/router_test.go
+++ b/internal/traffic/router/router_test.go
@@ -35,14 +35,18 @@
 	return &describer.RoutingTable{Services: map[string][]describer.Backend{"desk": all}}
 }
 
-// noSlots is a SlotSource without slots that counts the requests for them.
-type noSlots struct{ requests int }
+// noSlots is a SlotSource without slots that counts the requests for them. It gives one if a
+// lease has arrived meanwhile.
+type noSlots struct {
+	requests int
+	arrived  bool
+}
 
 func (n *noSlots) Limit(describer.Backend) int { return 0 }
 
 func (n *noSlots) Acquire(describer.Backend, time.Time) (func(), bool) {
 	n.requests++
-	return nil, false
+	return func() {}, n.arrived
 }
 
 var _ = Describe("Router", func() {
@@ -120,6 +124,13 @@
 		Expect(slots.requests).To(Equal(1))
 	})
 
+	It("uses a slot that has arrived while it asked", func() {
+		r = router.New(router.Options{Domain: "d", Region: "r"}, &noSlots{arrived: true})
+		slot, err := r.Take(fleet(3, nil), q)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(slot.Backend.Worker).NotTo(BeEmpty())
+	})
+
 	It("avoids interference", func() {
 		t := fleet(2, func(i int, b *describer.Backend) { b.Interference = float64(i) })
 		Expect(run(t, 10, answered)).To(Equal(map[string]int{"w000": 10}))
