--- a/internal/job/manager/registry_test.go
+++ b/internal/job/manager/registry_test.go
@@ -46,3 +46,20 @@
 		expectOnce(g, f, 1)
 	})
 }
+
+// TestEvacuationsAreAContact guards against a daemon that takes the store for unreachable, and
+// refuses jobs, while only the answers to its watch of the view are late.
+func TestEvacuationsAreAContact(t *testing.T) {
+	inBubble(t, func(g Gomega, a, b *daemon, _ *fleet) {
+		_, other := ownerOf(g, a, b)
+		other.store.SetFault(func(c faker.Call) faker.Outcome {
+			if c.Operation == "watch" {
+				return faker.Drop
+			}
+			return faker.Succeed
+		})
+		time.Sleep(10 * time.Second)
+		other.SetEvacuations(nil, time.Now())
+		g.Expect(time.Since(other.LastContact())).To(BeZero())
+	})
+}
