--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -53,15 +53,20 @@
 	return s.log.twice(), accepted > jobs*3/4
 }
 
-// otherKind: workers crash and come back under their ids and addresses as a smaller kind.
+// otherKind: two of 15 workers at a time crash and come back after 2 s, under their ids and
+// addresses, as the other kind.
 func otherKind(s *site, trouble bool) ([]string, bool) {
+	const large, small = 96000, 64000
 	s.configure(newRoute("batch", 2))
-	fleet := s.newFleet(6, 96000)
+	fleet := s.newFleet(15, large)
 	s.startDaemons()
 	if !s.awaitReady("batch") {
 		return nil, false
 	}
 	k := work{cpu: 7000, length: 2200 * time.Millisecond, how: "done"}
+	first := step{Count: 8, Cpu: k.cpu, MemoryRequestMb: 512, EstimatedMs: 2200}
+	second := first
+	second.After = []int{0}
 	stop := make(chan struct{})
 	var load sync.WaitGroup
 	load.Go(func() {
@@ -72,25 +77,24 @@
 			case <-time.After(100 * time.Millisecond):
 			}
 			s.call(s.daemons[s.random.IntN(3)], http.MethodPost, "batch", s.jobID(), map[string]any{
-				"Specification": k.specification(), "Steps": []step{{Count: 8, Cpu: k.cpu, MemoryRequestMb: 512, EstimatedMs: 2200}, {Count: 8, Cpu: k.cpu, MemoryRequestMb: 512, EstimatedMs: 2200, After: []int{0}}},
+				"Specification": k.specification(), "Steps": []step{first, second},
 			})
 		}
 	})
-	time.Sleep(6 * time.Second)
-	const large, small = 96000, 64000
-	for range 2 {
-		for _, cpu := range []int64{small, large} {
-			for i, w := range fleet {
-				if !trouble {
-					time.Sleep(2500 * time.Millisecond)
-					continue
-				}
-				w.crash()
-				time.Sleep(1500 * time.Millisecond)
-				fleet[i] = newWorker(w.id, w.address, resources{Cpu: cpu, MemoryRequestMb: 256000}, w.labels, w.zone, s.store, s.log)
-				time.Sleep(time.Second)
+	time.Sleep(8 * time.Second)
+	for i := 0; i+1 < len(fleet); i += 2 {
+		if trouble {
+			fleet[i].crash()
+			fleet[i+1].crash()
+		}
+		time.Sleep(2 * time.Second)
+		if trouble {
+			for _, w := range fleet[i : i+2] {
+				newWorker(w.id, w.address, resources{Cpu: small, MemoryRequestMb: 256000}, w.labels, w.zone, s.store, s.log)
+				time.Sleep(100 * time.Millisecond)
 			}
 		}
+		time.Sleep(3 * time.Second)
 	}
 	close(stop)
 	load.Wait()
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -63,7 +63,6 @@
 	finished []*run          // ends that aren't acknowledged
 	ends     int64           // number of the last end
 	highest  map[string]int64
-	sequence int64
 }
 
 // newWorker starts a lifetime of a worker that listens at address.
@@ -82,7 +81,7 @@
 	mux.HandleFunc("POST /pace", w.guard(func(http.ResponseWriter, *order) (int, string) { return http.StatusOK, "" }))
 	w.server = &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(listener) }()
-	go w.beat()
+	w.register()
 	go w.expire()
 	log.printf("worker %s up at %s, born %d, %d millicores, labels %v", id, w.address, w.born, capacity.Cpu, labels)
 	return w
@@ -91,25 +90,32 @@
 // clock returns the worker's steady clock in ms.
 func (w *worker) clock() int64 { return 1000 + time.Since(w.began).Milliseconds() }
 
-// beat registers the worker in the store, at once and at each liveness report.
-func (w *worker) beat() {
-	for {
-		w.sequence++
-		w.store.put("servers/"+w.id, map[string]any{
-			"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": "ready",
-			"ColdRemainingMs": 0, "Capacity": w.capacity, "Labels": w.labels, "ClockMs": w.clock(), "Sequence": w.sequence, "born": w.born,
-		})
-		select {
-		case <-time.After(heartbeat):
-		case <-w.gone:
-			return
-		}
+// register writes the worker's entry. The later reports change no more than Sequence, so that
+// the entry stays as it is.
+func (w *worker) register() {
+	w.store.put("servers/"+w.id, map[string]any{
+		"Service": w.service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": "ready",
+		"ColdRemainingMs": 0, "Capacity": w.capacity, "Labels": w.labels, "ClockMs": w.clock(), "Sequence": 1, "born": w.born,
+	})
+}
+
+// isRegistered reports whether the worker's entry is that of this lifetime.
+func (w *worker) isRegistered() bool {
+	var entry struct {
+		Born int64 `json:"born"`
 	}
+	return json.Unmarshal(w.store.get("servers/"+w.id), &entry) == nil && entry.Born == w.born
 }
 
-// crash ends the lifetime: channels are reset, and nothing is remembered.
+// crash ends the lifetime: channels are reset, and nothing is remembered. After three liveness
+// reports the store removes the entry, unless the worker is back.
 func (w *worker) crash() {
 	close(w.gone)
+	time.AfterFunc(3*heartbeat, func() {
+		if w.isRegistered() {
+			w.store.drop("servers/" + w.id)
+		}
+	})
 	_ = w.server.Close()
 	w.mu.Lock()
 	defer w.mu.Unlock()
