review/1: sound jobs are shown as failed when workers go down and up by turns

Runs that are lost with their workers count against their tasks. Under load an isolated task finds only workers that have just restarted, so it is lost there again, and after five losses its job ends as failed, though no run has failed (LOST).

Cause: countLoss and failIfExhausted, with the limits in internal/control/isolator.

--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -181,3 +182,79 @@
 	time.Sleep(time.Until(stable) + 20*time.Second)
 	return s.log.unasked(acknowledged, stable, time.Now()), true
 }
+
+// flappingWorkers: two of 20 workers at a time go down and up with a period of 1.4 s, for 6.5 s.
+// All tasks are sound.
+func flappingWorkers(s *site, trouble bool) ([]string, bool) {
+	s.configure(newRoute("batch", 2))
+	fleet := s.newFleet(20, 64000)
+	s.startDaemons()
+	if !s.awaitReady("batch") {
+		return nil, false
+	}
+	k := work{cpu: 7000, length: 2200 * time.Millisecond, how: "done"}
+	first := step{Count: 8, Cpu: k.cpu, MemoryRequestMb: 512, EstimatedMs: 2200}
+	second := first
+	second.After = []int{0}
+	accepted := map[string]bool{}
+	stop := make(chan struct{})
+	var load sync.WaitGroup
+	load.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(80 * time.Millisecond):
+			}
+			id := s.jobID()
+			status, _ := s.call(s.daemons[s.random.IntN(3)], http.MethodPost, "batch", id, map[string]any{
+				"Specification": k.specification(), "Steps": []step{first, second},
+			})
+			if status == http.StatusOK {
+				accepted[id] = true
+			}
+		}
+	})
+	time.Sleep(8 * time.Second)
+	for i := 0; i+1 < 8; i += 2 {
+		for end := time.Now().Add(6500 * time.Millisecond); time.Now().Before(end); {
+			for at := i; at < i+2 && trouble; at++ {
+				fleet[at].crash()
+			}
+			time.Sleep(700 * time.Millisecond)
+			for at := i; at < i+2 && trouble; at++ {
+				w := fleet[at]
+				fleet[at] = newWorker(w.id, w.address, w.capacity, w.labels, w.zone, s.store, s.log)
+			}
+			time.Sleep(700 * time.Millisecond)
+		}
+		time.Sleep(6 * time.Second)
+	}
+	close(stop)
+	load.Wait()
+	time.Sleep(14 * time.Second)
+	return s.failedWithoutCause("batch", accepted), true
+}
+
+// failedWithoutCause returns the breaks of LOST by jobs of sound tasks that are shown as failed.
+func (s *site) failedWithoutCause(queue string, accepted map[string]bool) (broken []string) {
+	runs := s.log.byTask()
+	for id := range accepted {
+		_, text := s.call(s.daemons[0], http.MethodGet, queue, id, nil)
+		if !strings.Contains(text, "failed") {
+			continue
+		}
+		failed := 0
+		for task, list := range runs {
+			for _, r := range list {
+				if strings.HasPrefix(task, id) && r.how == "failed" {
+					failed++
+				}
+			}
+		}
+		if failed == 0 {
+			broken = append(broken, fmt.Sprintf("LOST: job %s is shown as failed, and no run of its tasks has ended failed", id))
+		}
+	}
+	return broken
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,6 +29,7 @@
 	"kind":  otherKind,
 	"route": removedRoute,
 	"late":  lateAcceptance,
+	"flap":  flappingWorkers,
 }
 
 // playLimit ends a play that takes too long.
