--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -163,17 +164,18 @@
 	s.start(d)
 }
 
-// owner returns the daemon that gives orders for the service's workers: the one that last
-// wrote to the store under a condition.
+// owner returns the daemon that owns the service's shard, by its record in the store, or nil.
+// It is the one that last wrote to the store under a condition.
 func (s *site) owner() *daemon {
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
 	for key, it := range s.store.items {
-		if len(key) > 11 && key[:11] == "view/owner/" {
-			for _, d := range s.daemons {
-				if bytes.Contains(it.Value, []byte(`"`+d.name+`"`)) {
-					return d
-				}
+		if !strings.HasPrefix(key, "view/owner/") {
+			continue
+		}
+		for _, d := range s.daemons {
+			if bytes.Contains(it.Value, []byte(`"`+d.name+`"`)) {
+				return d
 			}
 		}
 	}
@@ -228,7 +230,7 @@
 // step is a step of a job.
 type step struct {
 	Count           int
-	Cpu             int64
+	Cpu             int64 //nolint:revive // spelled as on the wire
 	MemoryRequestMb int64
 	EstimatedMs     int64
 	After           []int `json:",omitempty"`
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -292,7 +292,7 @@
 }
 
 func (s *store) grant(w http.ResponseWriter, r *http.Request) {
-	var in struct{ TtlMs int64 }
+	var in struct{ TtlMs int64 } //nolint:revive // spelled as on the wire
 	_ = json.NewDecoder(r.Body).Decode(&in)
 	s.mu.Lock()
 	s.last++
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -22,7 +22,7 @@
 
 // resources are what a worker has or a task needs.
 type resources struct {
-	Cpu             int64
+	Cpu             int64 //nolint:revive // spelled as on the wire
 	MemoryRequestMb int64
 	Gpu             int64
 }
