--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,7 +15,7 @@
 	var fleet []*worker
 	for i := range n {
 		fleet = append(fleet, newWorker(fmt.Sprintf("i-%08x", 0x7f3a91c0+i), s.daemons[0].ip+":0",
-			resources{Cpu: cpu, MemoryRequestMb: 256000}, []string{"a", fmt.Sprintf("r1-%d", i%2+1)}, zones[0], s.store, s.log))
+			resources{Cpu: cpu, MemoryRequestMb: 256000}, []string{"a", fmt.Sprintf("r1-%d", i%2+1)}, s.daemons[0].zone, s.store, s.log))
 	}
 	return fleet
 }
@@ -136,13 +136,19 @@
 	var mu sync.Mutex
 	began := time.Now()
 	lastDone := began
+	writes, lost := 0, 0
 	if trouble {
 		s.store.lose = func(tx *transaction) (bool, time.Duration) {
 			mu.Lock()
 			defer mu.Unlock()
-			if time.Since(began) > window || s.random.Float64() > share {
+			if time.Since(began) > window {
 				return false, 0
 			}
+			writes++
+			if s.random.Float64() > share {
+				return false, 0
+			}
+			lost++
 			delay := time.Second + time.Duration(s.random.Float64()*float64(longest-time.Second))
 			lastDone = later(lastDone, time.Now().Add(delay))
 			s.log.printf("store: write of %s lost, done in %d ms", tx.Write[len(tx.Write)-1].Key, delay.Milliseconds())
@@ -177,6 +183,7 @@
 	consumers.Wait()
 	mu.Lock()
 	stable := later(lastDone, began.Add(window))
+	s.log.printf("%d of %d writes of daemons lost so far", lost, writes)
 	mu.Unlock()
 	s.log.printf("%d jobs without an answer cancelled", len(acknowledged))
 	time.Sleep(time.Until(stable) + 20*time.Second)
--- a/review/standin/judge.go
+++ b/review/standin/judge.go
@@ -99,3 +99,17 @@
 	}
 	return b
 }
+
+// count records how the runs ended, and whether any end was passed by a lapse of its lease.
+func (l *record) count() {
+	ends, lapsed := map[string]int{}, 0
+	for _, runs := range l.byTask() {
+		for _, r := range runs {
+			ends[r.how]++
+			if r.lapsed {
+				lapsed++
+			}
+		}
+	}
+	l.printf("runs by outcome: %v; ends whose lease lapsed before they were taken note of: %d", ends, lapsed)
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -40,16 +40,20 @@
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER PROGRAM")
 		os.Exit(2)
 	}
-	os.Exit(play(scenarios[os.Args[1]], filepath.Join(os.Args[2], "record.txt"), os.Args[3]))
+	like := desk
+	if os.Args[1] == "flap" {
+		like = keeps // the page that names the disruption is its own
+	}
+	os.Exit(play(scenarios[os.Args[1]], like, filepath.Join(os.Args[2], "record.txt"), os.Args[3]))
 }
 
 // play plays a scenario and returns the exit status.
-func play(scenario scenario, path, program string) (status int) {
+func play(scenario scenario, like deployment, path, program string) (status int) {
 	seed, err := strconv.ParseUint(os.Getenv("SEED"), 10, 64)
 	if err != nil {
 		seed = 1
 	}
-	s := newSite(seed, program)
+	s := newSite(like, seed, program)
 	type outcome struct {
 		broken []string
 		ran    bool
@@ -80,6 +84,7 @@
 	default:
 		s.log.printf("verdict: held")
 	}
+	s.log.count()
 	for _, b := range broken {
 		s.log.printf("broken: %s", b)
 	}
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -105,22 +105,20 @@
 	version int
 }
 
-var zones = []string{"seq-bne", "seq-gc", "fnq-cns"}
-
-// newSite starts a store and the daemons of a deployment. The settings are those of the
-// example in the pages, but for addresses.
-func newSite(seed uint64, program string) *site {
+// newSite starts a store and prepares the daemons of a small deployment. Its settings are those
+// of the deployment that it follows, but for addresses.
+func newSite(like deployment, seed uint64, program string) *site {
 	s := &site{
 		log: &record{began: time.Now()}, program: program, dir: must(os.MkdirTemp("", "review")),
 		random: rand.New(rand.NewPCG(seed, 42)),
 	}
 	net := freeNetwork()
 	s.store = newStore(net + ".200")
-	for i, zone := range zones {
+	for i, zone := range like.zones {
 		d := &daemon{name: "frontend-" + zone + "-1", ip: fmt.Sprintf("%s.%d", net, i+1), zone: zone}
 		d.frontend = freeAddress(d.ip)
 		d.settings = filepath.Join(s.dir, d.name+".toml")
-		text := fmt.Sprintf(settings, d.name, d.ip, zone, regionOf(zone), d.frontend, freeAddress(d.ip), s.store.address)
+		text := fmt.Sprintf(like.settings, d.name, d.ip, zone, like.regions[zone], d.frontend, freeAddress(d.ip), s.store.address)
 		if err := os.WriteFile(d.settings, []byte(text), 0o644); err != nil {
 			panic(err)
 		}
@@ -129,8 +127,6 @@
 	return s
 }
 
-func regionOf(zone string) string { return zone[:3] }
-
 // startDaemons starts all daemons.
 func (s *site) startDaemons() {
 	for _, d := range s.daemons {
@@ -329,8 +325,29 @@
 	return l.Addr().String()
 }
 
-// settings is the settings file of a daemon, with the values of the pages' example.
-const settings = `NodeName = "%s"
+// deployment is the deployment whose zones and settings a small site follows.
+type deployment struct {
+	zones    []string
+	regions  map[string]string
+	settings string // with places for name, ip, zone, region, callers' and readiness address, and store
+}
+
+// desk follows the site qmts-cart, and keeps the site minara-keeps-grown.
+var (
+	desk = deployment{
+		zones:    []string{"seq-bne", "seq-gc", "fnq-cns"},
+		regions:  map[string]string{"seq-bne": "seq", "seq-gc": "seq", "fnq-cns": "fnq"},
+		settings: deskSettings,
+	}
+	keeps = deployment{
+		zones:    []string{"sindh-karachi", "sindh-keti", "makran-ormara"},
+		regions:  map[string]string{"sindh-karachi": "sindh", "sindh-keti": "sindh", "makran-ormara": "makran"},
+		settings: keepsSettings,
+	}
+)
+
+// deskSettings is the settings file of a daemon, with the values of the pages' example.
+const deskSettings = `NodeName = "%s"
 Role = "entry"
 MachineClass = "frontend"
 Serves = ["frontend"]
@@ -401,3 +418,76 @@
 ValueBytes = 1048576
 TtlMinimumMs = 1000
 `
+
+// keepsSettings is the settings file of a daemon of minara-keeps-grown, as the bench prints it.
+const keepsSettings = `NodeName = "%s"
+Role = "entry"
+MachineClass = "frontend"
+Serves = ["frontend"]
+IpAddress = "%s"
+Zone = "%s"
+Region = "%s"
+InternalPortRange = [7720,7735]
+SeedNodes = []
+Bootstrap = true
+LossCounts = false
+Discovery = "platform"
+Entry = "virtual_ip"
+HeartbeatMs = 1100
+Contracts = ["base","drain","config","cost","recover","health","sched","platform"]
+Commands = "invocation"
+[Zones]
+sindh-karachi = "sindh"
+makran-ormara = "makran"
+sindh-keti = "sindh"
+[ListenAddresses]
+Frontend = "%s"
+Readiness = "%s"
+[Limits]
+CpuShare = 0.8
+Cores = 1
+MemoryMb = 536
+FileDescriptors = 8192
+LinkMbps = 200.0
+DiskMb = 0
+[Bounds]
+SeedLagS = 3
+ReuseAfterS = 2
+ContactMs = 5000
+AcknowledgeMs = 8000
+CatchUpS = 6
+DrainMs = 4000
+GracePeriodS = 6
+LossSlackMs = 200
+ConfigApplyMs = 4000
+DowngradeSlackMs = 250
+OuterBoundMs = 8000
+RecoveryS = 15
+HoldMaximumMs = 10000
+StopTimeoutMs = 200
+GangTimeoutMs = 4000
+cancel_ms = 4000
+visible_ms = 3000
+early_ms = 250
+finish_s = 14
+status_s = 120
+RemoteFactor = 1.5
+CheckpointIntervalS = 2
+RestoreMs = 100
+NoticeMs = 6500
+MigrationS = 1.5
+MaintenanceS = 2
+EnforceFencing = true
+LeaseMs = 3000
+ThawMs = 300
+PacingMs = 100
+ImpactMs = 4500
+[platform]
+Address = "%s"
+form = "kv"
+WritesPerS = 1200
+ReadsPerS = 6000
+HistoryS = 20
+ValueBytes = 1048576
+TtlMinimumMs = 1000
+`
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -78,6 +78,7 @@
 	mux.HandleFunc("POST /run-start", w.guard(w.start))
 	mux.HandleFunc("POST /run-stop", w.guard(w.stopRun))
 	mux.HandleFunc("POST /hold", w.guard(w.hold))
+	mux.HandleFunc("GET /health", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("POST /pace", w.guard(func(http.ResponseWriter, *order) (int, string) { return http.StatusOK, "" }))
 	w.server = &http.Server{Handler: mux}
 	go func() { _ = w.server.Serve(listener) }()
