job/receiver: a log line for the cancellation of an unknown job

Callers of review/4 cancel a job, get 410, and the job runs for good. Three causes were possible: the job was unknown when it was cancelled and accepted later; its cancellation was written and not acted on; it was written to a shard that had passed the job on. The second and third log "cancellation accepted", the first logged nothing, and neither did a cancellation that never came.

--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -152,6 +152,9 @@
 // tryCancel writes the cancellation of a job that hasn't ended.
 func (r *Receiver) tryCancel(ctx context.Context, id string, received time.Time) error {
 	entry, revision, err := r.indexEntry(ctx, id)
+	if errors.Is(err, storer.ErrNotFound) {
+		r.log.Info().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation without effect, job unknown")
+	}
 	if err != nil {
 		return err
 	}
