job/receiver: an unknown job that is cancelled can't be accepted later

Cause: the store carries out a write whose answer it lost up to seconds later, if its condition still holds. That of an acceptance is that the job has no index entry, and the cancellation of a job without one wrote nothing. The host that had sent the acceptance knew that its outcome was open; nobody else did.

Now the cancellation of an unknown job writes a tombstone as its index entry, on the condition that there is none. Either the acceptance comes first, and the cancellation, which conflicts, cancels the job; or the tombstone does, and the acceptance fails whenever it is carried out. A submission that finds a tombstone is refused (410, "cancelled"): it reads the entry after a conflict, which was taken for acceptance before. GET answers 410, as before.

--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -18,6 +18,9 @@
 // stopped waiting still wants the job to end, and the store may answer again only later. An
 // attempt without an answer goes on beside the next one, since the answer may be late, on a
 // busy connection, or lost.
+//
+// A job that nobody knows may still be accepted, by a write of another host that had no answer.
+// Its cancellation leaves a tombstone, which makes that write fail.
 
 // Limits and delays of cancellations.
 const (
@@ -153,11 +156,14 @@
 func (r *Receiver) tryCancel(ctx context.Context, id string, received time.Time) error {
 	entry, revision, err := r.indexEntry(ctx, id)
 	if errors.Is(err, storer.ErrNotFound) {
-		r.log.Info().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation without effect, job unknown")
+		return r.writeTombstone(ctx, id, received)
 	}
 	if err != nil {
 		return err
 	}
+	if entry.IsTombstone() {
+		return unknownJob()
+	}
 	if entry.State.IsFinal() {
 		r.log.Info().Str("job", id).Str("state", string(entry.State)).Dur("age", time.Since(received)).
 			Msg("cancellation without effect, job has ended")
@@ -175,6 +181,20 @@
 	return nil
 }
 
+// writeTombstone makes the acceptance of an unknown job impossible. It returns the error of an
+// unknown job if it succeeds, and storer.ErrConflict if the job was accepted in the meantime.
+func (r *Receiver) writeTombstone(ctx context.Context, id string, received time.Time) error {
+	_, err := r.store.Commit(ctx, storer.Transaction{
+		If:  []storer.Condition{{Key: recorder.IndexKey(id)}},
+		Put: []storer.Write{{Key: recorder.IndexKey(id), Value: recorder.Encode(recorder.NewTombstone(time.Now()))}},
+	})
+	if err != nil {
+		return err
+	}
+	r.log.Info().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation of an unknown job, acceptance prevented")
+	return unknownJob()
+}
+
 // cancelWrites returns the cancellation of a job in its shard, and in those that
 // have tasks of it: they needn't wait for the owner of the job's shard, which cancels
 // the job there too.
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -134,6 +134,9 @@
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	revision, err := r.writeJob(ctx, decision.Shard, &job)
+	if errors.Is(err, errCancelled) {
+		return err
+	}
 	if err != nil {
 		r.countSubmission(queue.Name, "unknown")
 		r.log.Warn().Err(err).Str("job", job.ID).Msg("job acceptance failed")
@@ -183,10 +186,12 @@
 // refuse returns the error for a job that admission has refused, or nil if the
 // job was accepted before.
 func (r *Receiver) refuse(ctx context.Context, job *specifier.Job, d admitter.Decision) error {
-	if _, err := r.store.Get(ctx, recorder.IndexKey(job.ID)); !errors.Is(err, storer.ErrNotFound) {
-		if err == nil {
-			return nil
-		}
+	item, err := r.store.Get(ctx, recorder.IndexKey(job.ID))
+	if err == nil {
+		entry, err := decodeIndexEntry(item)
+		return r.checkAccepted(job, &entry, err)
+	}
+	if !errors.Is(err, storer.ErrNotFound) {
 		return r.storeError(err)
 	}
 	r.countSubmission(job.Queue, "refused")
@@ -232,7 +237,8 @@
 		case err == nil:
 			return revision, nil
 		case errors.Is(err, storer.ErrConflict):
-			return 0, nil
+			entry, _, err := r.indexEntry(ctx, job.ID)
+			return 0, r.checkAccepted(job, &entry, err)
 		}
 		r.recordFailure()
 		uncertain = uncertain || classifier.VerdictOf(err) != classifier.NotRun
@@ -245,10 +251,33 @@
 	}
 }
 
+// errCancelled is wrapped by the error for a job that was cancelled before its acceptance.
+var errCancelled = errors.New("receiver: job was cancelled")
+
+// checkAccepted returns nil if the job's index entry says that the job was accepted. err is the
+// outcome of reading the entry, which exists.
+func (r *Receiver) checkAccepted(job *specifier.Job, entry *recorder.IndexEntry, err error) error {
+	if err != nil {
+		return r.storeError(noAnswer(err))
+	}
+	if !entry.IsTombstone() {
+		return nil
+	}
+	r.countSubmission(job.Queue, "cancelled")
+	r.log.Info().Str("job", job.ID).Str("reason", "cancelled").Msg("job refused")
+	return &classifier.Error{
+		Verdict: classifier.NotRun, Status: http.StatusGone, Code: "cancelled", Message: "the job was cancelled before it was accepted",
+		Field: "id", Err: errCancelled,
+	}
+}
+
 // State returns the state of a job. Final states are durable. If the job is
 // unknown or the store doesn't answer, the error is a *classifier.Error.
 func (r *Receiver) State(ctx context.Context, id string) (specifier.State, error) {
 	entry, _, err := r.indexEntry(ctx, id)
+	if err == nil && entry.IsTombstone() {
+		err = unknownJob()
+	}
 	if err != nil {
 		return "", err
 	}
@@ -260,7 +289,15 @@
 	return entry.State, nil
 }
 
-// indexEntry reads the index entry of a job and its revision.
+// unknownJob returns the error for a job that was never accepted. It wraps storer.ErrNotFound.
+func unknownJob() error {
+	return &classifier.Error{
+		Verdict: classifier.NotRun, Status: http.StatusGone, Code: "unknown", Message: "no such job", Field: "id", Err: storer.ErrNotFound,
+	}
+}
+
+// indexEntry reads the index entry of a job and its revision. It repeats failed reads until ctx
+// ends.
 func (r *Receiver) indexEntry(ctx context.Context, id string) (recorder.IndexEntry, int64, error) {
 	delays := newDelays()
 	item, err := r.store.Get(ctx, recorder.IndexKey(id))
@@ -268,18 +305,21 @@
 		item, err = r.store.Get(ctx, recorder.IndexKey(id))
 	}
 	if errors.Is(err, storer.ErrNotFound) {
-		return recorder.IndexEntry{}, 0, &classifier.Error{
-			Verdict: classifier.NotRun, Status: http.StatusGone, Code: "unknown", Message: "no such job", Field: "id", Err: err,
-		}
+		return recorder.IndexEntry{}, 0, unknownJob()
 	}
 	if err != nil {
 		return recorder.IndexEntry{}, 0, r.storeError(err)
 	}
-	var entry recorder.IndexEntry
-	err = recorder.Decode(item.Value, &entry)
+	entry, err := decodeIndexEntry(item)
 	return entry, item.Revision, err
 }
 
+func decodeIndexEntry(item storer.Item) (recorder.IndexEntry, error) {
+	var entry recorder.IndexEntry
+	err := recorder.Decode(item.Value, &entry)
+	return entry, err
+}
+
 // Pending returns the number of the queue's accepted jobs of which no task has
 // started, according to the load summaries.
 func (r *Receiver) Pending(queue string) int {
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -12,7 +12,10 @@
 // earlier owner can't write, and a write that is repeated after a lost answer
 // takes effect at most once.
 //
-//	index/ID              IndexEntry  shard and state of the job
+// A job that is cancelled before its acceptance has taken effect gets a tombstone as
+// its index entry. An acceptance that is still on its way then fails.
+//
+//	index/ID              IndexEntry  shard and state of the job, or a tombstone
 //	shard/NAME/job/ID     Job       until the job has ended
 //	shard/NAME/cancel/ID            cancellation that the owner hasn't processed yet
 //	shard/NAME/claim      Claim     last claim, by which a replaced owner notices it
@@ -161,13 +164,22 @@
 
 // IndexEntry maps a job's id to its shard and state.
 type IndexEntry struct {
-	Shard string          `json:"shard"`
+	Shard string          `json:"shard"` // empty in a tombstone
 	Queue string          `json:"queue"`
 	State specifier.State `json:"state"`
 	Parts []string        `json:"parts,omitempty"` // other shards that have or had tasks of the job
 	Ended time.Time       `json:"ended,omitzero"`
 }
 
+// NewTombstone returns the index entry of a job that was cancelled before it was accepted, and
+// that must not be accepted later.
+func NewTombstone(now time.Time) IndexEntry {
+	return IndexEntry{State: specifier.Cancelled, Ended: now}
+}
+
+// IsTombstone reports whether the entry is that of a job that was never accepted.
+func (e *IndexEntry) IsTombstone() bool { return e.Shard == "" && e.State == specifier.Cancelled }
+
 // Cancellation is an accepted cancellation of a job.
 type Cancellation struct {
 	Received time.Time `json:"received,omitzero"` // when a host received it from the caller; zero if it is the owner's own
