job/dispatcher: a new owner doesn't wait for workers that had left

Cause: a new owner starts no inherited task before each worker in its predecessor's last worker list has answered or its leases have expired. That list had workers that drained and whose runs had all ended; they left before the claim, and nobody could ask them any more. Their leases counted as renewed until 8 s after the claim, and 6 s more. And each further owner counted anew.

The new line "inherited worker isn't registered" names them at once.

TestInvariants, which also has workers that drain and leave now, held in 400 and 500 schedules.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -1,17 +1,12 @@
 package dispatcher
 
-import (
-	"slices"
-	"time"
-
-	"dotterelcart.dev/dotterelcart/internal/job/recorder"
-)
+import "slices"
 
 // commit emits a commit of changed jobs and the worker list. At most one commit
 // is in progress at a time.
 func (s *Shard) commit() {
 	isClean := len(s.dirtyJobs) == 0 && len(s.staleTransfers) == 0 && len(s.staleCancels) == 0
-	if s.committing || isClean && !s.hasUnrecorded || s.now.Sub(s.lastCommit) < commitInterval {
+	if s.committing || isClean && !s.listOutdated || s.now.Sub(s.lastCommit) < commitInterval {
 		return
 	}
 	s.batch++
@@ -20,9 +15,7 @@
 	s.committing = true
 	s.lastCommit = s.now
 	s.updateWorkerList()
-	commit.Workers = s.batchWorkers
-	commit.Settled = s.knowsInheritedRuns()
-	s.settled = commit.Settled
+	commit.WorkerList = s.batchList
 	s.emit(commit)
 }
 
@@ -98,6 +91,9 @@
 	}
 	s.committing = false
 	s.confirmedAt = s.now
+	if s.lastCommit.After(s.confirmedFor) {
+		s.confirmedFor = s.lastCommit
+	}
 	s.balancing.committed(s.now.Sub(s.lastCommit))
 	for _, j := range s.batchJobs {
 		j.durable = j.sent
@@ -107,68 +103,9 @@
 			s.ended[j.spec.ID] = endedJob{s.now, s.isPart(j)}
 		}
 	}
-	for _, id := range s.batchWorkers {
-		if w := s.workers[id]; w != nil && !w.recorded {
-			w.recorded = true
-			s.placementDue = true
-		}
-	}
+	s.listCommitted()
 	for _, w := range s.workers {
 		w.acknowledge(s.knowsInheritedRuns())
 	}
 	s.orderPrepared()
 }
-
-// updateWorkerList sets the worker list of the next commit. Runs are started
-// only on workers in the durable list, so that a new owner knows all workers
-// that may have runs.
-func (s *Shard) updateWorkerList() {
-	s.batchWorkers = s.workersToRecord()
-	s.hasUnrecorded = false
-	for _, w := range s.sortedWorkers {
-		if _, ok := slices.BinarySearch(s.batchWorkers, w.reg.ID); !ok {
-			w.recorded = false
-		}
-	}
-}
-
-// workersToRecord returns the sorted ids of the workers that may have runs. A
-// new owner has to hear from them, or wait until their leases have expired,
-// before it starts tasks of inherited jobs.
-func (s *Shard) workersToRecord() []string {
-	used := make([]string, 0, len(s.sortedWorkers))
-	for _, w := range s.sortedWorkers {
-		_, inherited := s.inheritedExpiry[w.reg.ID]
-		if inherited || w.mayHaveRuns() {
-			used = append(used, w.reg.ID)
-		}
-	}
-	for id := range s.inheritedExpiry {
-		if s.workers[id] == nil {
-			used = append(used, id)
-		}
-	}
-	slices.Sort(used)
-	return used
-}
-
-// mayHaveRuns reports whether the worker has runs or may get some.
-func (w *worker) mayHaveRuns() bool {
-	isUnresponsive := w.failedPolls > 0 || w.replaced || !w.unregisteredAt.IsZero()
-	return len(w.runs) > 0 || len(w.pendingEnds) > 0 || !isUnresponsive
-}
-
-// WorkerLeases returns the workers that may have runs when the ownership ends
-// at now, and how long the leases on each may remain valid.
-func (s *Shard) WorkerLeases(now time.Time) []recorder.WorkerLease {
-	used := s.workersToRecord()
-	leases := make([]recorder.WorkerLease, 0, len(used))
-	for _, id := range used {
-		remaining := s.inheritedExpiry[id].Sub(now)
-		if w := s.workers[id]; w != nil {
-			remaining = max(remaining, w.leaseExpiry.Sub(now))
-		}
-		leases = append(leases, recorder.WorkerLease{Worker: id, Remaining: max(remaining, 0)})
-	}
-	return leases
-}
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -69,15 +69,15 @@
 	Domain  string // failure domain of the workers; empty if they are in several
 	Divided bool   // the service has several shards, see also WorkersListed
 
-	Epoch   int64    // number of earlier ownerships
-	Workers []string // ids of workers that may have runs of an earlier ownership
+	Epoch    int64               // number of earlier ownerships
+	Previous recorder.WorkerList // what the previous owner recorded last
 
-	// OwnerEnded is set if the previous owner gives no leases any more, and knew of all
-	// earlier ones.
+	// OwnerEnded is set if the previous owner gives no leases any more, and has recorded what
+	// it knew of earlier ones.
 	OwnerEnded bool
 
 	Released     bool                   // the previous owner released the shard
-	WorkerLeases []recorder.WorkerLease // replaces Workers if Released is set
+	WorkerLeases []recorder.WorkerLease // replaces Previous if Released is set
 
 	Lease       time.Duration     // granted to all runs on a worker with each poll
 	OutageLimit time.Duration     // how long an owner keeps working without the store
@@ -120,7 +120,7 @@
 	preparing       []*run                     // runs that aren't ordered before they are durable
 	workers         map[string]*worker
 	sortedWorkers   []*worker        // the values of workers, sorted by id
-	hasUnrecorded   bool             // a worker that answers isn't in the durable worker list
+	listOutdated    bool             // the durable worker list should be replaced soon
 	interference    *learner.Learner // learns how fillers slow down serving tasks, by image
 	estimates       estimateCache
 	runTimes        runTimes
@@ -135,21 +135,23 @@
 	settled         bool                 // a commit has said that no earlier leases are valid
 	workersListed   bool                 // WorkersListed has been received
 	confirmedAt     time.Time            // when the store last confirmed the ownership
+	confirmedFor    time.Time            // when it was asked for that confirmation
 	listedAt        time.Time            // the registrations are those of this time or later
 	roomVaries      bool                 // a worker's capacity has changed while it ran
 	resigned        bool
 	cancellations   cancellations
 	evacuation      evacuation
 
-	batch        int64    // number of the last commit
-	committing   bool     // a commit is in progress
-	batchJobs    []*job   // jobs in the last commit
-	batchWorkers []string // worker list in the last commit
-	lastCommit   time.Time
-	lastPublish  time.Time
-	lastReport   time.Time         // when waiting tasks were last reported
-	reported     [WaitReasons]bool // the last report had tasks that wait for the reason
-	dirtyJobs    []*job            // jobs with changes that aren't committed yet
+	batch       int64               // number of the last commit
+	committing  bool                // a commit is in progress
+	batchJobs   []*job              // jobs in the last commit
+	batchList   recorder.WorkerList // in the last commit
+	durableList recorder.WorkerList // in the last confirmed commit
+	lastCommit  time.Time
+	lastPublish time.Time
+	lastReport  time.Time         // when waiting tasks were last reported
+	reported    [WaitReasons]bool // the last report had tasks that wait for the reason
+	dirtyJobs   []*job            // jobs with changes that aren't committed yet
 
 	returning      []*task            // tasks of parts that are to return to the home of their job
 	staleTransfers []specifier.TaskID // transfer records to delete, of jobs that have ended
@@ -178,22 +180,9 @@
 		runTimes:        newRunTimes(o.RunTimes),
 		inheritedExpiry: make(map[string]time.Time),
 		confirmedAt:     now,
+		confirmedFor:    now,
 	}
-	if o.Released {
-		for _, lease := range o.WorkerLeases {
-			s.inheritedExpiry[lease.Worker] = now.Add(lease.Remaining)
-		}
-		return s
-	}
-	// An earlier owner that can't reach the store renews leases for OutageLimit.
-	renewal := o.OutageLimit
-	if o.OwnerEnded {
-		renewal = 0
-	}
-	expiry := now.Add(withDrift(renewal+o.Lease) + expiryMargin)
-	for _, id := range o.Workers {
-		s.inheritedExpiry[id] = expiry
-	}
+	s.inheritLeases()
 	return s
 }
 
@@ -280,9 +269,10 @@
 	case EvacuationsOutdated:
 		s.evacuation.set.Invalidate(s.now)
 	case OwnershipChecked:
-		s.confirmedAt = s.now
+		s.confirmedAt, s.confirmedFor = s.now, cmp.Or(e.SentAt, s.now)
 		if !e.Confirmed {
 			s.confirmedAt = s.now.Add(-s.options.OutageLimit)
+			s.confirmedFor = s.confirmedAt
 		}
 	}
 }
@@ -340,7 +330,7 @@
 	s.expireInherited()
 	s.openDueSteps()
 	s.reviewSuspects()
-	s.hasUnrecorded = s.hasUnrecorded || !s.settled && s.knowsInheritedRuns()
+	s.listOutdated = s.listOutdated || !s.settled && s.knowsInheritedRuns()
 	for _, w := range slices.Clone(s.sortedWorkers) {
 		s.reviewWorker(w)
 	}
@@ -385,27 +375,6 @@
 	})
 }
 
-// expireInherited forgets inherited workers whose leases have expired, unless
-// they may have answered without this owner noticing.
-func (s *Shard) expireInherited() {
-	if !s.isOwnershipConfirmed() {
-		return
-	}
-	for id, expiry := range s.inheritedExpiry {
-		w := s.workers[id]
-		if s.now.After(expiry) && (w == nil || s.isSilent(w)) {
-			s.emit(Log{Message: "inherited leases expired", Worker: id})
-			delete(s.inheritedExpiry, id)
-			s.inferLosses(id)
-			s.placementDue = true
-		}
-	}
-}
-
-// knowsInheritedRuns reports whether every worker that may have runs of an
-// earlier ownership has answered or its leases have expired.
-func (s *Shard) knowsInheritedRuns() bool { return len(s.inheritedExpiry) == 0 && s.workersListed }
-
 // JobCount returns the number of jobs whose end isn't durable.
 func (s *Shard) JobCount() int { return len(s.jobs) }
 
--- a/internal/job/dispatcher/duplicate_test.go
+++ b/internal/job/dispatcher/duplicate_test.go
@@ -232,7 +232,7 @@
 	// takenOver returns a new owner of a job whose first task it has adopted on w1, while w2
 	// doesn't answer.
 	takenOver := func() (*harness, specifier.TaskID) {
-		h := &harness{Shard: New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Workers: []string{"w1", "w2", "w3"}}, epoch)}
+		h := &harness{Shard: New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Previous: recorder.WorkerList{Workers: []string{"w1", "w2", "w3"}}}, epoch)}
 		var list []specifier.Worker
 		for _, id := range []string{"w1", "w2", "w3"} {
 			list = append(list, specifier.Worker{ID: id, Incarnation: 1, Capacity: describer.Resources{CPU: 4000, Memory: 1000}})
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -124,7 +124,10 @@
 // OwnershipChecked reports whether the store has confirmed that this daemon
 // owns the shard. If it hasn't, no runs are started and no leases are renewed
 // until the next confirmation.
-type OwnershipChecked struct{ Confirmed bool }
+type OwnershipChecked struct {
+	Confirmed bool
+	SentAt    time.Time // when the store was asked; zero: just now
+}
 
 func (Tick) event()             {}
 func (CatalogUpdated) event()   {}
@@ -187,8 +190,8 @@
 type Commit struct {
 	Batch   int64 // number of the commit, returned in Committed
 	Changes []Change
-	Workers []string // ids of workers that may have runs of this shard
-	Settled bool     // no leases of earlier owners are valid any more
+
+	recorder.WorkerList // workers that may have runs of this shard
 
 	StaleTransfers []specifier.TaskID // transfer records to delete
 	StaleCancels   []string           // cancellations to delete, by job id
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -99,6 +99,21 @@
 	w.lastRun = make(map[specifier.TaskID]int64)
 }
 
+// depart drains the worker for a while. Then it leaves, and comes back in a new incarnation as
+// long after that.
+func (w *fakeWorker) depart(drain time.Duration) {
+	w.sim.logf("%s drains for %s and leaves", w.id, drain)
+	w.draining = true
+	w.sim.schedule(drain, func() {
+		w.registered = false
+		w.crash()
+	})
+	w.sim.schedule(2*drain, func() {
+		w.draining, w.registered = false, true
+		w.restart()
+	})
+}
+
 // crash ends all runs without reporting their ends.
 func (w *fakeWorker) crash() {
 	w.crashed = true
--- /dev/null
+++ b/internal/job/dispatcher/inherited.go
@@ -0,0 +1,91 @@
+package dispatcher
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+)
+
+// inheritLeases sets when the leases of earlier owners expire, by what the previous owner has
+// recorded.
+func (s *Shard) inheritLeases() {
+	o := &s.options
+	if o.Released {
+		s.inheritEach(o.WorkerLeases)
+		return
+	}
+	// An owner that can't reach the store renews leases for OutageLimit, and those of workers
+	// that leave for confirmationTime.
+	renewal := o.OutageLimit
+	if o.OwnerEnded {
+		renewal = 0
+	}
+	s.inheritAll(o.Previous.Workers, renewal)
+	s.inheritAll(o.Previous.Leaving, min(renewal, confirmationTime))
+	s.inheritEach(o.Previous.Inherited)
+}
+
+// inheritAll sets the expiry for workers on which the previous owner has renewed leases until
+// renewal after the claim, at the latest.
+func (s *Shard) inheritAll(workers []string, renewal time.Duration) {
+	expiry := s.now.Add(withDrift(renewal+s.options.Lease) + expiryMargin)
+	for _, id := range workers {
+		s.inheritedExpiry[id] = expiry
+	}
+}
+
+// inheritEach sets the expiry for workers whose remaining leases are known.
+func (s *Shard) inheritEach(leases []recorder.WorkerLease) {
+	for _, lease := range leases {
+		s.inheritedExpiry[lease.Worker] = s.now.Add(lease.Remaining)
+	}
+}
+
+// inheritedLeases returns the inherited workers that don't answer or aren't registered, sorted
+// by id, and how long leases there may remain valid. isComplete is false if others haven't
+// answered yet.
+func (s *Shard) inheritedLeases() (leases []recorder.WorkerLease, isComplete bool) {
+	for id, expiry := range s.inheritedExpiry {
+		if w := s.workers[id]; w == nil || w.failedPolls > 0 {
+			leases = append(leases, recorder.WorkerLease{Worker: id, Remaining: max(expiry.Sub(s.now), 0)})
+		}
+	}
+	slices.SortFunc(leases, compareLeases)
+	return leases, s.workersListed && len(leases) == len(s.inheritedExpiry)
+}
+
+func compareLeases(a, b recorder.WorkerLease) int { return strings.Compare(a.Worker, b.Worker) }
+
+// reportInherited logs the inherited workers that aren't registered when the registrations are
+// first known: until they expire, leases there delay tasks of inherited jobs.
+func (s *Shard) reportInherited() {
+	for _, id := range slices.Sorted(maps.Keys(s.inheritedExpiry)) {
+		if s.workers[id] == nil {
+			s.emit(Log{Message: "inherited worker isn't registered", Worker: id, Age: s.inheritedExpiry[id].Sub(s.now)})
+		}
+	}
+}
+
+// expireInherited forgets inherited workers whose leases have expired, unless
+// they may have answered without this owner noticing.
+func (s *Shard) expireInherited() {
+	if !s.isOwnershipConfirmed() {
+		return
+	}
+	for id, expiry := range s.inheritedExpiry {
+		w := s.workers[id]
+		if s.now.After(expiry) && (w == nil || s.isSilent(w)) {
+			s.emit(Log{Message: "inherited leases expired", Worker: id})
+			delete(s.inheritedExpiry, id)
+			s.inferLosses(id)
+			s.placementDue = true
+		}
+	}
+}
+
+// knowsInheritedRuns reports whether every worker that may have runs of an
+// earlier ownership has answered or its leases have expired.
+func (s *Shard) knowsInheritedRuns() bool { return len(s.inheritedExpiry) == 0 && s.workersListed }
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -55,7 +55,7 @@
 	isFirst := !w.reported
 	w.failedPolls = 0
 	w.reported = true
-	s.hasUnrecorded = s.hasUnrecorded || !w.recorded
+	s.reviewListing(w)
 	w.noteClock(s.now, e.Inventory.Clock)
 	w.grantedLeaseEnd = max(w.grantedLeaseEnd, w.pollLeaseEnd)
 	s.processEnds(w, e.Inventory.Ended)
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -72,7 +72,7 @@
 // Range of the faults of causeFault.
 const (
 	firstFault = 6
-	lastFault  = 16
+	lastFault  = 17
 )
 
 // causeFault causes one of the faults from firstFault to lastFault.
@@ -120,6 +120,8 @@
 		s.schedule(length, func() { w.stalled = false })
 	case 16:
 		sh.release()
+	case 17:
+		w.depart(length)
 	case 14:
 		s.logf("%s is unregistered and cut off from the owner for %s", w.id, length)
 		w.registered = false
--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -21,8 +21,7 @@
 	load    recorder.Load // last summary
 
 	resignation     *recorder.Resignation  // the last one, or nil
-	recordedWorkers []string               // workers named by the last commit
-	settled         bool                   // the last commit was settled
+	recordedWorkers recorder.WorkerList    // of the last commit
 	ownerEnded      bool                   // the last owner has crashed, and its successor is another process of its daemon
 	released        bool                   // the last owner released the shard
 	workerLeases    []recorder.WorkerLease // left by the last owner if released
@@ -70,14 +69,15 @@
 		unreachable: make(map[*fakeWorker]bool), heard: make(map[string]time.Time), epoch: sh.epoch,
 	}
 	o.shard = New(Options{
-		Name: sh.name, Service: "desk", Divided: len(s.shards) > 1, Epoch: sh.epoch, Workers: slices.Clone(sh.recordedWorkers),
-		Released: sh.released, WorkerLeases: sh.workerLeases, OwnerEnded: sh.ownerEnded && sh.settled,
+		Name: sh.name, Service: "desk", Divided: len(s.shards) > 1, Epoch: sh.epoch, Previous: sh.recordedWorkers,
+		Released: sh.released, WorkerLeases: sh.workerLeases, OwnerEnded: sh.ownerEnded && (sh.recordedWorkers.Settled || sh.recordedWorkers.InheritedKnown),
 		Lease: simLease, OutageLimit: simOutageLimit, PollWait: 500 * time.Millisecond, RoomNotice: 4 * time.Second,
 		MaxEvacuationAge: s.evacuation.maxAge, Reservations: true,
 	}, s.now)
 	sh.epoch++
 	sh.released, sh.workerLeases = false, nil
-	sh.ownerEnded, sh.settled = false, false
+	sh.ownerEnded = false
+	sh.recordedWorkers = recorder.WorkerList{Workers: sh.recordedWorkers.Workers}
 	sh.owner = o
 	s.logf("%s: claim %d", sh.name, o.token)
 	events := append([]Event{CatalogUpdated{Catalog: s.catalog}}, sh.records()...)
@@ -154,9 +154,9 @@
 	s.logf("owner %d shuts down", o.token)
 	o.alive = false
 	sh.workerLeases, sh.released = o.shard.WorkerLeases(s.now), true
-	sh.recordedWorkers = nil
+	sh.recordedWorkers = recorder.WorkerList{}
 	for _, lease := range sh.workerLeases {
-		sh.recordedWorkers = append(sh.recordedWorkers, lease.Worker)
+		sh.recordedWorkers.Workers = append(sh.recordedWorkers.Workers, lease.Worker)
 	}
 	s.schedule(s.delay(), sh.claim)
 }
@@ -197,7 +197,7 @@
 	for i := range e.Changes {
 		sh.applyChange(&e.Changes[i])
 	}
-	sh.recordedWorkers, sh.settled = e.Workers, e.Settled
+	sh.recordedWorkers = e.WorkerList
 }
 
 // checkEntries checks that a commit fits into a transaction, which also has a
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -45,7 +45,7 @@
 	})
 
 	It("starts no inherited task before the earlier owner's workers have answered or their leases have expired", func() {
-		h := newSuccessor(Options{Workers: []string{"gone"}}, queue, oneStep(1, nil), "w1")
+		h := newSuccessor(Options{Previous: recorder.WorkerList{Workers: []string{"gone"}}}, queue, oneStep(1, nil), "w1")
 		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute}})
 		h.advance(time.Second)
 		Expect(takeEffects[StartRun](h)).To(BeEmpty())
@@ -58,7 +58,7 @@
 
 	It("waits after a restart of its own process only until the leases of the former one have expired", func() {
 		for ended, wait := range map[bool]time.Duration{true: simLease, false: simOutageLimit + simLease} {
-			h := newSuccessor(Options{Workers: []string{"gone"}, OwnerEnded: ended}, queue, oneStep(1, nil), "w1")
+			h := newSuccessor(Options{Previous: recorder.WorkerList{Workers: []string{"gone"}}, OwnerEnded: ended}, queue, oneStep(1, nil), "w1")
 			h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute}})
 			h.advance(wait)
 			Expect(takeEffects[StartRun](h)).To(BeEmpty())
@@ -124,7 +124,7 @@
 	})
 
 	It("releases with the leases that an even earlier owner may still renew", func() {
-		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Workers: []string{"gone"}}, epoch)
+		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Previous: recorder.WorkerList{Workers: []string{"gone"}}}, epoch)
 		leases := s.WorkerLeases(epoch.Add(time.Second))
 		Expect(leases).To(HaveLen(1))
 		Expect(leases[0].Worker).To(Equal("gone"))
@@ -134,7 +134,7 @@
 	It("restarts a task that it has seen running without waiting for other workers", func() {
 		job := oneStep(1, nil)
 		job.Steps = append(job.Steps, specifier.Step{Count: 1, Needs: resources(1000), Estimate: time.Second, After: []int{0}})
-		h := newSuccessor(Options{Workers: []string{"gone", "w1"}}, queue, job, "w1")
+		h := newSuccessor(Options{Previous: recorder.WorkerList{Workers: []string{"gone", "w1"}}}, queue, job, "w1")
 		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{
 			Incarnation: 1, Clock: time.Minute, Active: []specifier.Run{{Task: first, Number: 1}},
 		}})
@@ -151,7 +151,7 @@
 	})
 
 	It("starts an adopted task again only after it knows all earlier failures", func() {
-		h := newSuccessor(Options{Workers: []string{"w1", "w2"}}, queue, oneStep(1, nil), "w1", "w2", "w3")
+		h := newSuccessor(Options{Previous: recorder.WorkerList{Workers: []string{"w1", "w2"}}}, queue, oneStep(1, nil), "w1", "w2", "w3")
 		h.feed(PollAnswered{Worker: "w3", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute}})
 		h.feed(PollAnswered{Worker: "w2", Sent: h.now, Inventory: specifier.Inventory{
 			Incarnation: 1, Clock: time.Minute, Active: []specifier.Run{{Task: first, Number: 2}},
--- a/internal/job/dispatcher/transfer_test.go
+++ b/internal/job/dispatcher/transfer_test.go
@@ -188,7 +188,7 @@
 	})
 
 	It("starts under a new owner at once if the earlier one can't have started it", func() {
-		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Workers: []string{"w1", "gone"}}, epoch)
+		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Previous: recorder.WorkerList{Workers: []string{"w1", "gone"}}}, epoch)
 		h := &harness{Shard: s}
 		h.feed(CatalogUpdated{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}}, arrived(0),
 			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Incarnation: 1, Capacity: room}}})
@@ -198,7 +198,7 @@
 	})
 
 	It("waits under a new owner for the runs of the earlier one", func() {
-		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Workers: []string{"w1", "gone"}}, epoch)
+		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Previous: recorder.WorkerList{Workers: []string{"w1", "gone"}}}, epoch)
 		h := &harness{Shard: s}
 		loaded := arrived(0)
 		loaded.Progress = recorder.Progress{Tasks: []recorder.TaskProgress{{Hop: 1}}}
--- a/internal/job/dispatcher/wait_test.go
+++ b/internal/job/dispatcher/wait_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -74,7 +75,7 @@
 	})
 
 	It("names runs by an earlier owner that aren't known", func() {
-		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Workers: []string{"gone"}}, epoch)
+		s := New(Options{Name: "desk", Lease: simLease, OutageLimit: simOutageLimit, Epoch: 1, Previous: recorder.WorkerList{Workers: []string{"gone"}}}, epoch)
 		h := &harness{Shard: s}
 		h.feed(CatalogUpdated{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{queue}}}, JobLoaded{Job: longRunning(1)},
 			WorkersListed{Workers: []specifier.Worker{{ID: "w1", Incarnation: 1, Capacity: resources(4000)}}})
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -115,6 +115,7 @@
 
 // listWorkers updates the workers from the current registrations.
 func (s *Shard) listWorkers(list []specifier.Worker) {
+	isFirst := !s.workersListed
 	s.workersListed = true
 	listed := make(map[string]bool, len(list))
 	for _, reg := range list {
@@ -131,6 +132,9 @@
 		}
 	}
 	s.endReplaced(list)
+	if isFirst {
+		s.reportInherited()
+	}
 	s.placementDue = true
 }
 
@@ -171,7 +175,7 @@
 // addWorker adds a worker to the shard.
 func (s *Shard) addWorker(w *worker) {
 	s.workers[w.reg.ID] = w
-	s.hasUnrecorded = true
+	s.listOutdated = true
 	at, _ := slices.BinarySearchFunc(s.sortedWorkers, w, compareWorkers)
 	s.sortedWorkers = slices.Insert(s.sortedWorkers, at, w)
 }
@@ -179,6 +183,7 @@
 // removeWorker removes a worker that has no runs.
 func (s *Shard) removeWorker(w *worker) {
 	delete(s.workers, w.reg.ID)
+	s.listOutdated = s.listOutdated || w.recorded
 	if at, ok := slices.BinarySearchFunc(s.sortedWorkers, w, compareWorkers); ok {
 		s.sortedWorkers = slices.Delete(s.sortedWorkers, at, at+1)
 	}
@@ -268,6 +273,7 @@
 		s.loseRuns(w, s.lossCause(w))
 	}
 	s.stopDraining(w)
+	s.reviewListing(w)
 	s.poll(w)
 }
 
@@ -293,9 +299,7 @@
 		return
 	}
 	order := PollWorker{Worker: w.reg, Acknowledged: w.ackedEnd}
-	if w.failedPolls == 0 {
-		// The leases of a worker that doesn't answer aren't renewed, so that
-		// they expire at a known time.
+	if s.mayRenewLeases(w) {
 		order.LeaseEnd = s.newLeaseEnd(w)
 	}
 	if w.reported && len(w.pendingEnds) == 0 && w.failedPolls == 0 {
--- /dev/null
+++ b/internal/job/dispatcher/workerlist.go
@@ -0,0 +1,130 @@
+package dispatcher
+
+import (
+	"slices"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+)
+
+// Each commit tells the next owner which workers may have runs. A new owner has to hear from
+// them, or wait until their leases have expired, before it starts tasks of inherited jobs. So a
+// worker that leaves isn't listed any more once its runs have ended, and while it still has
+// runs, its leases expire soon after this owner has ended.
+
+// updateWorkerList sets the worker list of the next commit. Runs are started
+// only on workers in the durable list, so that a new owner knows all workers
+// that may have runs.
+func (s *Shard) updateWorkerList() {
+	list := recorder.WorkerList{Workers: s.workersToRecord(), Settled: s.knowsInheritedRuns()}
+	list.Inherited, list.InheritedKnown = s.inheritedLeases()
+	for _, w := range s.sortedWorkers {
+		if !isListed(&list, w) {
+			w.recorded = false
+			continue
+		}
+		if _, inherited := s.inheritedExpiry[w.reg.ID]; !inherited && w.isLeaving() {
+			list.Leaving = append(list.Leaving, w.reg.ID)
+		}
+	}
+	s.batchList, s.settled, s.listOutdated = list, list.Settled, false
+}
+
+// listCommitted handles the confirmation of the commit with the last worker list.
+func (s *Shard) listCommitted() {
+	s.durableList = s.batchList
+	for _, w := range s.sortedWorkers {
+		if !w.recorded && isListed(&s.durableList, w) {
+			w.recorded = true
+			s.placementDue = true
+		}
+	}
+}
+
+// isListed reports whether a list has the worker as one on which the owner may have started
+// runs.
+func isListed(list *recorder.WorkerList, w *worker) bool {
+	_, ok := slices.BinarySearch(list.Workers, w.reg.ID)
+	return ok && !isInherited(list, w)
+}
+
+// isInherited reports whether a list has the worker as one that didn't answer the owner.
+func isInherited(list *recorder.WorkerList, w *worker) bool {
+	_, ok := slices.BinarySearchFunc(list.Inherited, recorder.WorkerLease{Worker: w.reg.ID}, compareLeases)
+	return ok
+}
+
+// isListedAsInherited reports whether a list in which the worker is inherited is durable, or
+// may be.
+func (s *Shard) isListedAsInherited(w *worker) bool {
+	return isInherited(&s.durableList, w) || isInherited(&s.batchList, w)
+}
+
+// isListedAsLeaving reports whether a list in which the worker is leaving is durable, or may be.
+func (s *Shard) isListedAsLeaving(w *worker) bool {
+	return slices.Contains(s.durableList.Leaving, w.reg.ID) || slices.Contains(s.batchList.Leaving, w.reg.ID)
+}
+
+// reviewListing makes the worker list be committed soon if the entry of a worker in it should
+// change.
+func (s *Shard) reviewListing(w *worker) {
+	departs := w.recorded && w.isDeparting() && (!w.mayHaveRuns() || !s.isListedAsLeaving(w))
+	returns := !w.recorded && w.reported && w.mayHaveRuns()
+	s.listOutdated = s.listOutdated || departs || returns
+}
+
+// workersToRecord returns the sorted ids of the workers that may have runs.
+func (s *Shard) workersToRecord() []string {
+	used := make([]string, 0, len(s.sortedWorkers))
+	for _, w := range s.sortedWorkers {
+		_, inherited := s.inheritedExpiry[w.reg.ID]
+		if inherited || w.mayHaveRuns() {
+			used = append(used, w.reg.ID)
+		}
+	}
+	for id := range s.inheritedExpiry {
+		if s.workers[id] == nil {
+			used = append(used, id)
+		}
+	}
+	slices.Sort(used)
+	return used
+}
+
+// mayHaveRuns reports whether the worker has runs or may get some.
+func (w *worker) mayHaveRuns() bool {
+	return len(w.runs) > 0 || len(w.pendingEnds) > 0 || !w.isLeaving()
+}
+
+// isDeparting reports whether the worker drains, or isn't registered any more.
+func (w *worker) isDeparting() bool {
+	return w.reg.Draining || w.replaced || !w.unregisteredAt.IsZero()
+}
+
+// isLeaving reports whether the worker departs or may have failed. It gets no runs.
+func (w *worker) isLeaving() bool { return w.failedPolls > 0 || w.isDeparting() }
+
+// mayRenewLeases reports whether the next poll of the worker may renew its leases. Those of a
+// worker that doesn't answer aren't renewed, so that they expire at a known time, and a new
+// owner relies on what the list says of those that leave or are inherited.
+func (s *Shard) mayRenewLeases(w *worker) bool {
+	if w.failedPolls > 0 || s.isListedAsInherited(w) {
+		return false
+	}
+	return !w.isLeaving() && !s.isListedAsLeaving(w) || s.now.Sub(s.confirmedFor) < confirmationTime
+}
+
+// WorkerLeases returns the workers that may have runs when the ownership ends
+// at now, and how long the leases on each may remain valid.
+func (s *Shard) WorkerLeases(now time.Time) []recorder.WorkerLease {
+	used := s.workersToRecord()
+	leases := make([]recorder.WorkerLease, 0, len(used))
+	for _, id := range used {
+		remaining := s.inheritedExpiry[id].Sub(now)
+		if w := s.workers[id]; w != nil {
+			remaining = max(remaining, w.leaseExpiry.Sub(now))
+		}
+		leases = append(leases, recorder.WorkerLease{Worker: id, Remaining: max(remaining, 0)})
+	}
+	return leases
+}
--- a/internal/job/manager/commit.go
+++ b/internal/job/manager/commit.go
@@ -17,7 +17,7 @@
 func (o *ownedShard) commit(ctx context.Context, e dispatcher.Commit) {
 	puts, removes := o.commitEntries(e)
 	began := time.Now()
-	err := o.fence.Write(ctx, e.Workers, e.Settled, puts, removes)
+	err := o.fence.Write(ctx, e.WorkerList, puts, removes)
 	o.manager.metrics.commits.RecordDuration(time.Since(began))
 	switch {
 	case err == nil:
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -293,9 +293,9 @@
 
 // leaseRenewed confirms the ownership of all shards after a renewal of the
 // lease.
-func (m *Manager) leaseRenewed() {
+func (m *Manager) leaseRenewed(sent time.Time) {
 	m.recordContact()
-	m.post(dispatcher.OwnershipChecked{Confirmed: true})
+	m.post(dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
 }
 
 // leaseEnded writes the owner records again with a new lease. A shard that
@@ -317,6 +317,7 @@
 func (m *Manager) renewOwner(ctx context.Context, o *ownedShard) {
 	for ctx.Err() == nil && m.shard(o.spec.Name) == o {
 		limited, cancel := context.WithTimeout(ctx, claimTimeout)
+		sent := time.Now()
 		owner, err := m.ownerWrite(limited, o.spec.Name)
 		if err == nil {
 			err = o.fence.RestoreOwner(limited, owner)
@@ -325,7 +326,7 @@
 		switch {
 		case err == nil:
 			m.log.Info().Str("shard", o.spec.Name).Msg("ownership confirmed")
-			o.post(dispatcher.OwnershipChecked{Confirmed: true})
+			o.post(dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
 			return
 		case errors.Is(err, fencer.ErrFenced):
 			o.giveUp("another owner has claimed the shard")
@@ -341,7 +342,7 @@
 func (m *Manager) removeOwner(ctx context.Context, fence *fencer.Fence) {
 	limited, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	m.logRelease(fence, fence.Write(limited, fence.Workers, fence.Settled, nil, []string{recorder.OwnerKey(fence.Shard)}))
+	m.logRelease(fence, fence.Write(limited, fence.Workers, nil, []string{recorder.OwnerKey(fence.Shard)}))
 }
 
 // logRelease logs the outcome of a release. After a failure the owner record
--- a/internal/job/manager/reclaim_test.go
+++ b/internal/job/manager/reclaim_test.go
@@ -36,7 +36,7 @@
 					Put: []storer.Write{
 						{Key: recorder.ClaimKey("desk@bne"), Value: recorder.Encode(foreign)},
 						{Key: recorder.FenceKey("desk@bne"), Value: recorder.Encode(recorder.Fence{
-							Owner: "a", Epoch: 5, WriteID: "foreign", Workers: []string{"gone"}, Settled: true,
+							Owner: "a", Epoch: 5, WriteID: "foreign", WorkerList: recorder.WorkerList{Workers: []string{"gone"}, Settled: true},
 						})},
 					},
 					Remove: []string{recorder.OwnerKey("desk@bne")},
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -232,14 +232,11 @@
 // Fence is replaced by every write of a shard's owner, so that only the current
 // owner can write.
 type Fence struct {
-	Owner   string   `json:"owner"`
-	Epoch   int64    `json:"epoch"`             // number of earlier claims
-	WriteID string   `json:"write"`             // random id of the write
-	Workers []string `json:"workers,omitempty"` // ids of workers that may have runs of this shard
+	Owner   string `json:"owner"`
+	Epoch   int64  `json:"epoch"` // number of earlier claims
+	WriteID string `json:"write"` // random id of the write
 
-	// Settled is set when the owner knows all runs of earlier owners. Only its own leases
-	// are valid then.
-	Settled bool `json:"settled,omitempty"`
+	WorkerList
 
 	// Released is set when the owner has released the shard. WorkerLeases then
 	// replaces Workers.
@@ -247,10 +244,30 @@
 	WorkerLeases []WorkerLease `json:"leftovers,omitempty"`
 }
 
-// WorkerLease is a worker that may have runs of an owner that shut down.
+// WorkerList tells the next owner of a shard which workers may have runs of it.
+type WorkerList struct {
+	Workers []string `json:"workers,omitempty"` // ids of all of them
+
+	// Settled is set when the owner knows all runs of earlier owners. Only its own leases
+	// are valid then.
+	Settled bool `json:"settled,omitempty"`
+
+	// Inherited are those of Workers that didn't answer the owner. It grants no lease there
+	// while they are listed, but earlier owners may have.
+	Inherited []WorkerLease `json:"inherited,omitempty"`
+
+	// InheritedKnown is set when no other workers have leases of earlier owners.
+	InheritedKnown bool `json:"inheritedKnown,omitempty"`
+
+	// Leaving are those of Workers that drain, don't answer or aren't registered any more.
+	// The owner renews leases there only while the store confirms its ownership.
+	Leaving []string `json:"leaving,omitempty"`
+}
+
+// WorkerLease is a worker that may have runs, and how long leases there may remain valid.
 type WorkerLease struct {
 	Worker    string        `json:"worker"`
-	Remaining time.Duration `json:"lapse"` // time from the shutdown until all leases there have expired
+	Remaining time.Duration `json:"lapse"` // time from the write of this record until all have expired
 }
 
 // Resignation is written by an owner that lost its shard, after its last order. It
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -13,7 +13,7 @@
 //
 //	f := fencer.New("menus/seq-bne", "bne-1", store)
 //	if err := f.Claim(ctx, ownerWrite); err != nil { ... } // ErrAlreadyOwned, ErrFenced
-//	err := f.Write(ctx, workers, settled, puts, removes)   // ErrFenced: another owner has claimed the shard
+//	err := f.Write(ctx, workers, puts, removes)            // ErrFenced: another owner has claimed the shard
 package fencer
 
 import (
@@ -57,23 +57,22 @@
 
 // Fence is a daemon's access to the fence of one shard. Its methods may be
 // called concurrently. Claim sets the fields below Daemon, and Write replaces
-// Workers and Settled.
+// Workers.
 type Fence struct {
 	Shard  string
 	Daemon string
 	Token  int64 // fencing token: store revision of the claim, increases across all shards
 	Epoch  int64 // number of earlier claims of the shard
 
-	// Workers are the workers that may have runs of the shard. Claim sets it to
-	// those that the previous owner recorded.
-	Workers []string
+	// Previous is what the previous owner recorded of the workers that may have runs.
+	Previous recorder.WorkerList
 
-	// Settled reports whether this owner knows all runs of earlier owners.
-	Settled bool
+	// Workers is what this owner has recorded of them.
+	Workers recorder.WorkerList
 
-	// OwnerEnded reports whether the previous owner was this daemon and knew all runs of
-	// earlier owners. If that was an earlier process, which has ended, only its leases
-	// may still be valid.
+	// OwnerEnded reports whether the previous owner was this daemon and has recorded what it
+	// knew of the leases of earlier owners. If that was an earlier process, which has ended,
+	// only those and its own leases may still be valid.
 	OwnerEnded bool
 
 	// Released reports whether the previous owner released the shard in a
@@ -126,12 +125,13 @@
 	}
 	f.revision = item.Revision
 	f.Epoch = previous.Epoch + 1
-	f.Workers, f.Released, f.WorkerLeases = previous.Workers, previous.Released, previous.WorkerLeases
+	f.Previous, f.Released, f.WorkerLeases = previous.WorkerList, previous.Released, previous.WorkerLeases
 	for _, left := range f.WorkerLeases {
-		f.Workers = append(f.Workers, left.Worker)
+		f.Previous.Workers = append(f.Previous.Workers, left.Worker)
 	}
-	f.Settled = false
-	f.OwnerEnded = previous.Owner == f.Daemon && previous.Settled
+	// This owner may grant leases on all of them before its next write.
+	f.Workers = recorder.WorkerList{Workers: f.Previous.Workers}
+	f.OwnerEnded = previous.Owner == f.Daemon && (previous.Settled || previous.InheritedKnown)
 	ownerRevision, err := f.replaceableRevision(ctx, owner.Key)
 	if err != nil {
 		return err
@@ -198,16 +198,15 @@
 	})
 }
 
-// Write stores puts, deletes the keys in removes and records workers as those
-// that may have runs, and settled. It returns when the outcome is known, or when
-// ctx ends.
-func (f *Fence) Write(ctx context.Context, workers []string, settled bool, puts []storer.Write, removes []string) error {
+// Write stores puts, deletes the keys in removes and records the workers that may
+// have runs. It returns when the outcome is known, or when ctx ends.
+func (f *Fence) Write(ctx context.Context, workers recorder.WorkerList, puts []storer.Write, removes []string) error {
 	unlock, err := f.lock(ctx)
 	if err != nil {
 		return err
 	}
 	defer unlock()
-	f.Workers, f.Settled = workers, settled
+	f.Workers = workers
 	return f.commitWithRetry(ctx, f.newRecord(), storer.Transaction{Put: puts, Remove: removes})
 }
 
@@ -236,14 +235,14 @@
 	}
 	defer unlock()
 	record := f.newRecord()
-	record.Workers, record.Released, record.WorkerLeases = nil, true, leftovers
+	record.WorkerList, record.Released, record.WorkerLeases = recorder.WorkerList{}, true, leftovers
 	return f.commitWithRetry(ctx, record, storer.Transaction{Remove: []string{ownerKey}})
 }
 
 // newRecord returns the value of the fence for the next write. The random id in
 // Write tells this write from all others.
 func (f *Fence) newRecord() recorder.Fence {
-	return recorder.Fence{Owner: f.Daemon, Epoch: f.Epoch, WriteID: uuid.NewString(), Workers: f.Workers, Settled: f.Settled}
+	return recorder.Fence{Owner: f.Daemon, Epoch: f.Epoch, WriteID: uuid.NewString(), WorkerList: f.Workers}
 }
 
 // commitWithRetry adds the fence to tx and retries the transaction until its
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -45,14 +45,14 @@
 		a, b := store.Client("a"), store.Client("b")
 		first, second := New("menus", "a", a), New("menus", "b", b)
 		g.Expect(first.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
-		g.Expect(first.Write(ctx, []string{"w1"}, false, put("1"), nil)).To(Succeed())
+		g.Expect(first.Write(ctx, recorder.WorkerList{Workers: []string{"w1"}}, put("1"), nil)).To(Succeed())
 		g.Expect(second.Claim(ctx, ownerWrite(ctx, g, b, "b"))).To(MatchError(ErrAlreadyOwned))
 		time.Sleep(4 * time.Second) // the first owner's lease expires
 		g.Expect(second.Claim(ctx, ownerWrite(ctx, g, b, "b"))).To(Succeed())
 		g.Expect(second.Epoch).To(Equal(int64(1)))
 		g.Expect(second.Token).To(BeNumerically(">", first.Token))
-		g.Expect(second.Workers).To(Equal([]string{"w1"}))
-		g.Expect(first.Write(ctx, nil, false, put("late"), nil)).To(MatchError(ErrFenced))
+		g.Expect(second.Previous.Workers).To(Equal([]string{"w1"}))
+		g.Expect(first.Write(ctx, recorder.WorkerList{}, put("late"), nil)).To(MatchError(ErrFenced))
 		g.Expect(valueOf(ctx, g, b)).To(Equal("1"))
 	})
 }
@@ -70,10 +70,20 @@
 		}
 		first := claim("a", a)
 		g.Expect(first.OwnerEnded).To(BeFalse())
-		g.Expect(first.Write(ctx, []string{"w1"}, true, put("1"), nil)).To(Succeed())
+		g.Expect(first.Write(ctx, recorder.WorkerList{Workers: []string{"w1"}, Settled: true}, put("1"), nil)).To(Succeed())
 		second := claim("a", a)
 		g.Expect(second.OwnerEnded).To(BeTrue())
-		g.Expect(claim("a", a).OwnerEnded).To(BeFalse(), "the second hasn't settled")
+		third := claim("a", a)
+		g.Expect(third.OwnerEnded).To(BeFalse(), "the second hasn't settled")
+		unsettled := recorder.WorkerList{
+			Workers: []string{"w1", "w2"}, Inherited: []recorder.WorkerLease{{Worker: "w1", Remaining: time.Second}},
+			InheritedKnown: true, Leaving: []string{"w2"},
+		}
+		g.Expect(third.Write(ctx, unsettled, put("2"), nil)).To(Succeed())
+		fourth := claim("a", a)
+		g.Expect(fourth.OwnerEnded).To(BeTrue(), "the third has recorded the leases of earlier owners")
+		g.Expect(fourth.Previous).To(Equal(unsettled))
+		g.Expect(claim("a", a).Previous).To(Equal(recorder.WorkerList{Workers: []string{"w1", "w2"}}), "the fourth may have granted leases on all of them")
 		time.Sleep(4 * time.Second) // its lease expires
 		g.Expect(claim("b", b).OwnerEnded).To(BeFalse(), "another daemon")
 	})
@@ -95,8 +105,8 @@
 			}
 			return faker.Succeed
 		})
-		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
-		g.Expect(f.Write(ctx, nil, false, put("2"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("2"), nil)).To(Succeed())
 		g.Expect(valueOf(ctx, g, a)).To(Equal("2"))
 	})
 }
@@ -110,7 +120,7 @@
 		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 		a.SetDown(true)
 		time.AfterFunc(30*time.Second, func() { a.SetDown(false) })
-		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
 		g.Expect(f.RestoreOwner(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
 	})
@@ -131,11 +141,11 @@
 		g.Expect(second.Claim(ctx, ownerWrite(ctx, g, client, "b"))).To(Succeed())
 		g.Expect(second.Released).To(BeTrue())
 		g.Expect(second.WorkerLeases).To(Equal(left))
-		g.Expect(second.Workers).To(Equal([]string{"w1"}))
+		g.Expect(second.Previous.Workers).To(Equal([]string{"w1"}))
 		time.Sleep(4 * time.Second) // the second owner's lease expires
 		g.Expect(third.Claim(ctx, ownerWrite(ctx, g, client, "c"))).To(Succeed())
 		g.Expect(third.Released).To(BeFalse())
-		g.Expect(third.Workers).To(Equal([]string{"w1"}))
+		g.Expect(third.Previous.Workers).To(Equal([]string{"w1"}))
 	})
 }
 
@@ -146,7 +156,7 @@
 		a := store.Client("a")
 		f := New("menus", "a", a)
 		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
-		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
 		g.Expect(f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "k"}}, Put: put("2")})).To(MatchError(ErrConditionFailed))
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
 		g.Expect(f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "other"}}, Put: put("3")})).To(Succeed())
@@ -201,7 +211,7 @@
 		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 		f.store = &silentStore{Client: a}
 		began := time.Now()
-		g.Expect(f.Write(ctx, nil, false, put("1"), nil)).To(Succeed())
+		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
 		g.Expect(time.Since(began)).To(BeNumerically("<", 2*attemptTimeout))
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
 	})
