job/manager: a renewed lease confirms no shard whose record ended with the former one

A daemon whose lease in the store has ended gets a new one, and writes the owner records of its shards again. Until that succeeds another daemon may have claimed them, but each renewal of the new lease confirmed all shards. A replaced owner whose writes got no answer renewed leases on its workers for good, while its successor counts on 8 s, or 1.5 s on workers that leave.

TestRenewalConfirmsNoLostOwnership fails without the condition in leaseRenewed: leases are renewed up to the end of the test, 24 s after the claim.

--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -34,8 +34,9 @@
 	ended    map[string][]specifier.End
 	lastEnd  map[string]int64
 	starts   map[specifier.TaskID]int
-	runTime  time.Duration    // run time of a task
-	maxToken map[string]int64 // calls with a higher token don't reach the worker, by worker
+	runTime  time.Duration       // run time of a task
+	maxToken map[string]int64    // calls with a higher token don't reach the worker, by worker
+	renewed  map[int64]time.Time // when leases were last renewed, by fencing token
 	ids      []string
 	domain   map[string]string // by worker; "bne" by default
 }
@@ -45,7 +46,7 @@
 	f := &fleet{
 		start: time.Now(), token: make(map[string]int64), active: make(map[string]map[specifier.TaskID]specifier.Run),
 		ended: make(map[string][]specifier.End), lastEnd: make(map[string]int64), starts: make(map[specifier.TaskID]int),
-		runTime: 500 * time.Millisecond, ids: ids,
+		runTime: 500 * time.Millisecond, ids: ids, renewed: make(map[int64]time.Time),
 	}
 	for _, id := range ids {
 		f.active[id] = make(map[specifier.TaskID]specifier.Run)
@@ -172,6 +173,9 @@
 	for len(f.ended[id]) > 0 && f.ended[id][0].Number <= o.Acknowledged {
 		f.ended[id] = f.ended[id][1:]
 	}
+	if o.LeaseEnd > 0 {
+		f.renewed[token] = time.Now()
+	}
 	out := specifier.Inventory{Incarnation: 1, Clock: time.Since(f.start), Ended: append([]specifier.End(nil), f.ended[id]...)}
 	for _, r := range f.active[id] {
 		r.ProgressPercent = int(time.Since(f.start) / time.Millisecond) // increases with time
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -30,6 +31,7 @@
 	done          chan struct{}      // closed when run has returned
 	stopOnce      sync.Once          // guards closing stop
 	calls         sync.WaitGroup     // goroutines started by run
+	recordLost    atomic.Bool        // the owner record has ended with its lease
 	resigns       bool               // resign follows after run; set before stop is closed
 	lastLoad      recorder.Load      // load summary that was last published
 	publishedAt   time.Time          // when it was published
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -292,10 +292,16 @@
 }
 
 // leaseRenewed confirms the ownership of all shards after a renewal of the
-// lease.
+// lease, but of those whose owner record hasn't been attached to it yet.
 func (m *Manager) leaseRenewed(sent time.Time) {
 	m.recordContact()
-	m.post(dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.owned {
+		if !o.recordLost.Load() {
+			o.post(dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
+		}
+	}
 }
 
 // leaseEnded writes the owner records again with a new lease. A shard that
@@ -308,6 +314,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, o := range m.owned {
+		o.recordLost.Store(true)
 		m.background.Go(func() { m.renewOwner(ctx, o) })
 	}
 }
@@ -325,6 +332,7 @@
 		cancel()
 		switch {
 		case err == nil:
+			o.recordLost.Store(false)
 			m.log.Info().Str("shard", o.spec.Name).Msg("ownership confirmed")
 			o.post(dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
 			return
