state/fencer: an owner knows an earlier write of its own

An owner whose write is cut short, since the shard is being released, doesn't know whether the store will still carry it out. Found by looking for what forgets a write that is still open.

The fence remembers the ids of writes whose outcome isn't known, until a later write makes them impossible, and goes on from such a write if it finds it. TestLateWriteOfTheSameOwner failed before with "shard has another owner".

--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -84,6 +85,7 @@
 	store     Store
 	writeLock chan struct{} // holds one value while a write is in progress
 	revision  int64         // store revision of the fence after the last write
+	open      []string      // ids of writes after it that may still take effect
 }
 
 // New returns a fence of the shard for the daemon. The shard is not claimed yet.
@@ -257,7 +259,7 @@
 	for {
 		revision, err := f.tryCommit(ctx, tx)
 		if err == nil {
-			f.revision = revision
+			f.revision, f.open = revision, nil
 			return nil
 		}
 		if errors.Is(err, storer.ErrNoLease) {
@@ -268,8 +270,10 @@
 			if err == nil || errors.Is(err, ErrFenced) || errors.Is(err, ErrAlreadyOwned) {
 				return err
 			}
+			tx.If[0].Revision = f.revision // an earlier write may have taken effect
 		}
 		if !waiter.Sleep(ctx, delays.NextBackOff()) {
+			f.open = append(f.open, fence.WriteID)
 			return err
 		}
 	}
@@ -284,8 +288,9 @@
 
 // resolveConflict reads the fence after a conflict. It returns nil if an
 // earlier attempt of this write took effect, ErrAlreadyOwned if the fence is
-// unchanged, so that another condition of the transaction failed, and ErrFenced
-// if another owner has replaced the fence.
+// unchanged, so that another condition of the transaction failed, errOpenWrite if
+// an earlier write of this owner took effect, and ErrFenced if another owner has
+// replaced the fence.
 func (f *Fence) resolveConflict(ctx context.Context, key, writeID string) error {
 	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
@@ -304,8 +309,15 @@
 		return err
 	}
 	if current.WriteID == writeID {
-		f.revision = item.Revision
+		f.revision, f.open = item.Revision, nil
 		return nil
 	}
+	if slices.Contains(f.open, current.WriteID) {
+		f.revision, f.open = item.Revision, nil // the others required the revision before
+		return errOpenWrite
+	}
 	return ErrFenced
 }
+
+// errOpenWrite is returned when a write whose outcome was unknown has taken effect.
+var errOpenWrite = errors.New("fencer: an earlier write took effect")
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -111,6 +111,26 @@
 	})
 }
 
+// TestLateWriteOfTheSameOwner guards against an owner that takes an earlier write of its own, which
+// was carried out after its time was over, for that of another owner, and can't release its shard.
+func TestLateWriteOfTheSameOwner(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a, key := store.Client("a"), recorder.OwnerKey("menus")
+		f := New("menus", "a", a)
+		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		a.SetDelay(func(c faker.Call) time.Duration { return 2 * time.Second })
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		g.Expect(f.Write(limited, recorder.WorkerList{}, put("1"), nil)).NotTo(Succeed())
+		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
+		a.SetDelay(nil)
+		g.Expect(f.Release(ctx, key, nil)).To(Succeed())
+		_, err := a.Get(ctx, key)
+		g.Expect(err).To(MatchError(storer.ErrNotFound))
+	})
+}
+
 // A write that is started during a store outage must take effect after it.
 func TestOutageIsRiddenOut(t *testing.T) {
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
