job/receiver: an acceptance without an answer is settled

The host that sent the write now settles it: it puts a tombstone in the place of the index entry that the write would create. After that the write has failed for good, or the job turns out to be accepted. A later submission may replace such a tombstone, unlike that of a cancellation. The cost is one write for each submission without an answer. A refusal that writes by itself was weighed: it would cost a write for each refused submission, just when the store has most to do.

--- a/internal/job/receiver/cancellation.go
+++ b/internal/job/receiver/cancellation.go
@@ -10,6 +10,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/traffic/classifier"
 )
@@ -20,7 +21,7 @@
 // busy connection, or lost.
 //
 // A job that nobody knows may still be accepted, by a write of another host that had no answer.
-// Its cancellation leaves a tombstone, which makes that write fail.
+// Its cancellation leaves a tombstone, which makes that write fail: see settlement.go.
 
 // Limits and delays of cancellations.
 const (
@@ -41,10 +42,6 @@
 
 // cancellations are the cancellations in progress.
 type cancellations struct {
-	ctx    context.Context // ends when the receiver is closed
-	cancel context.CancelFunc
-	active sync.WaitGroup
-
 	mu     sync.Mutex
 	closed bool
 	byJob  map[string]*cancellation
@@ -85,8 +82,8 @@
 	c := &cancellation{done: make(chan struct{})}
 	cs.byJob[id] = c
 	received := time.Now()
-	cs.active.Go(func() {
-		c.err = r.carryOut(cs.ctx, id, received)
+	r.background.Go(func() {
+		c.err = r.carryOut(r.ctx, id, received)
 		close(c.done)
 		cs.mu.Lock()
 		defer cs.mu.Unlock()
@@ -103,7 +100,7 @@
 	running := 0
 	begin := func() {
 		running++
-		r.cancellations.active.Go(func() {
+		r.background.Go(func() {
 			attempt, end := context.WithTimeout(ctx, cancelAttempt)
 			defer end()
 			select {
@@ -155,13 +152,14 @@
 // tryCancel writes the cancellation of a job that hasn't ended.
 func (r *Receiver) tryCancel(ctx context.Context, id string, received time.Time) error {
 	entry, revision, err := r.indexEntry(ctx, id)
-	if errors.Is(err, storer.ErrNotFound) {
-		return r.writeTombstone(ctx, id, received)
-	}
-	if err != nil {
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		return r.cancelUnknown(ctx, id, 0, received)
+	case err != nil:
 		return err
-	}
-	if entry.IsTombstone() {
+	case entry.IsSettled():
+		return r.cancelUnknown(ctx, id, revision, received)
+	case entry.IsTombstone():
 		return unknownJob()
 	}
 	if entry.State.IsFinal() {
@@ -181,14 +179,11 @@
 	return nil
 }
 
-// writeTombstone makes the acceptance of an unknown job impossible. It returns the error of an
-// unknown job if it succeeds, and storer.ErrConflict if the job was accepted in the meantime.
-func (r *Receiver) writeTombstone(ctx context.Context, id string, received time.Time) error {
-	_, err := r.store.Commit(ctx, storer.Transaction{
-		If:  []storer.Condition{{Key: recorder.IndexKey(id)}},
-		Put: []storer.Write{{Key: recorder.IndexKey(id), Value: recorder.Encode(recorder.NewTombstone(time.Now()))}},
-	})
-	if err != nil {
+// cancelUnknown makes the acceptance of an unknown job impossible, whose index entry has the
+// revision. It returns the error of an unknown job if it succeeds, and storer.ErrConflict if the
+// entry has changed.
+func (r *Receiver) cancelUnknown(ctx context.Context, id string, revision int64, received time.Time) error {
+	if err := r.writeTombstone(ctx, id, specifier.Cancelled, revision); err != nil {
 		return err
 	}
 	r.log.Info().Str("job", id).Dur("age", time.Since(received)).Msg("cancellation of an unknown job, acceptance prevented")
@@ -210,13 +205,14 @@
 	return writes
 }
 
-// Shutdown waits for the cancellations in progress until ctx ends, and closes the receiver.
+// Shutdown waits for the cancellations and settlements in progress until ctx ends, and closes the
+// receiver.
 func (r *Receiver) Shutdown(ctx context.Context) {
 	ended := make(chan struct{})
 	r.cancellations.refuse()
 	go func() {
 		defer close(ended)
-		r.cancellations.active.Wait()
+		r.background.Wait()
 	}()
 	select {
 	case <-ended:
@@ -225,11 +221,11 @@
 	r.Close()
 }
 
-// Close abandons the cancellations in progress.
+// Close abandons the cancellations and settlements in progress.
 func (r *Receiver) Close() {
 	r.cancellations.refuse()
-	r.cancellations.cancel()
-	r.cancellations.active.Wait()
+	r.cancel()
+	r.background.Wait()
 	r.closeOnce.Do(func() { close(r.Done) })
 }
 
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -22,6 +22,7 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -74,7 +75,7 @@
 
 // Receiver accepts, cancels and looks up jobs. It is safe for concurrent use.
 type Receiver struct {
-	Done chan struct{} // closed when it is closed and no cancellation is in progress
+	Done chan struct{} // closed when it is closed and nothing is in progress in the background
 
 	closeOnce     sync.Once // guards closing Done
 	options       Options
@@ -82,6 +83,11 @@
 	shards        Shards
 	store         Store
 	cancellations cancellations
+	settling      atomic.Int64   // settlements in progress
+	background    sync.WaitGroup // cancellations and settlements
+
+	ctx    context.Context // ends when the receiver is closed
+	cancel context.CancelFunc
 
 	mu          sync.Mutex              // guards recent, lastFailure and options.Random
 	recent      map[string][]recentWork // by shard name
@@ -104,7 +110,8 @@
 		Done:    make(chan struct{}),
 		options: o, log: o.Log.With().Str("part", "receiver").Logger(),
 		shards: shards, store: store, recent: make(map[string][]recentWork),
-		cancellations: cancellations{ctx: ctx, cancel: cancel, byJob: make(map[string]*cancellation)},
+		cancellations: cancellations{byJob: make(map[string]*cancellation)},
+		ctx:           ctx, cancel: cancel,
 	}
 }
 
@@ -187,12 +194,14 @@
 // job was accepted before.
 func (r *Receiver) refuse(ctx context.Context, job *specifier.Job, d admitter.Decision) error {
 	item, err := r.store.Get(ctx, recorder.IndexKey(job.ID))
+	if err != nil && !errors.Is(err, storer.ErrNotFound) {
+		return r.storeError(err)
+	}
 	if err == nil {
 		entry, err := decodeIndexEntry(item)
-		return r.checkAccepted(job, &entry, err)
-	}
-	if !errors.Is(err, storer.ErrNotFound) {
-		return r.storeError(err)
+		if err != nil || !entry.IsSettled() {
+			return r.checkAccepted(job, &entry, err)
+		}
 	}
 	r.countSubmission(job.Queue, "refused")
 	r.log.Info().Str("job", job.ID).Str("queue", job.Queue).Str("reason", d.Reason).Str("shard", d.Shard).
@@ -237,13 +246,18 @@
 		case err == nil:
 			return revision, nil
 		case errors.Is(err, storer.ErrConflict):
-			entry, _, err := r.indexEntry(ctx, job.ID)
-			return 0, r.checkAccepted(job, &entry, err)
+			entry, revision, err := r.indexEntry(ctx, job.ID)
+			if err != nil || !entry.IsSettled() {
+				return 0, r.checkAccepted(job, &entry, err)
+			}
+			tx.If[0].Revision, uncertain = revision, false // the attempts so far have failed for good
+			continue
 		}
 		r.recordFailure()
 		uncertain = uncertain || classifier.VerdictOf(err) != classifier.NotRun
 		if !uncertain || !waiter.Sleep(ctx, delays.NextBackOff()) {
 			if uncertain {
+				r.settle(job.ID, tx.If[0].Revision)
 				err = &classifier.Error{Verdict: classifier.MayHaveRun, Code: "store", Message: "no answer from the store", Err: err}
 			}
 			return 0, r.storeError(err)
@@ -254,8 +268,8 @@
 // errCancelled is wrapped by the error for a job that was cancelled before its acceptance.
 var errCancelled = errors.New("receiver: job was cancelled")
 
-// checkAccepted returns nil if the job's index entry says that the job was accepted. err is the
-// outcome of reading the entry, which exists.
+// checkAccepted returns nil if the job's index entry says that the job was accepted, and an error
+// if it is the tombstone of a cancellation. err is the outcome of reading the entry, which exists.
 func (r *Receiver) checkAccepted(job *specifier.Job, entry *recorder.IndexEntry, err error) error {
 	if err != nil {
 		return r.storeError(noAnswer(err))
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -13,7 +13,9 @@
 // takes effect at most once.
 //
 // A job that is cancelled before its acceptance has taken effect gets a tombstone as
-// its index entry. An acceptance that is still on its way then fails.
+// its index entry. An acceptance that is still on its way then fails. So does one whose
+// caller was told that its outcome isn't known; that tombstone doesn't keep a later
+// submission from being accepted.
 //
 //	index/ID              IndexEntry  shard and state of the job, or a tombstone
 //	shard/NAME/job/ID     Job       until the job has ended
@@ -171,14 +173,18 @@
 	Ended time.Time       `json:"ended,omitzero"`
 }
 
-// NewTombstone returns the index entry of a job that was cancelled before it was accepted, and
-// that must not be accepted later.
-func NewTombstone(now time.Time) IndexEntry {
-	return IndexEntry{State: specifier.Cancelled, Ended: now}
+// NewTombstone returns the index entry of a job that was never accepted. The state is
+// specifier.Cancelled if it must not be accepted any more, and specifier.Failed if only the
+// attempts so far must not succeed.
+func NewTombstone(state specifier.State, now time.Time) IndexEntry {
+	return IndexEntry{State: state, Ended: now}
 }
 
 // IsTombstone reports whether the entry is that of a job that was never accepted.
-func (e *IndexEntry) IsTombstone() bool { return e.Shard == "" && e.State == specifier.Cancelled }
+func (e *IndexEntry) IsTombstone() bool { return e.Shard == "" && e.State.IsFinal() }
+
+// IsSettled reports whether the entry is a tombstone that a later submission may replace.
+func (e *IndexEntry) IsSettled() bool { return e.IsTombstone() && e.State == specifier.Failed }
 
 // Cancellation is an accepted cancellation of a job.
 type Cancellation struct {
