job/dispatcher: a run isn't lost while its end may be on a later page

Cause: a run that is neither active nor among the listed ends counted as lost. A worker with more than 500 ends lists only the first until they are acknowledged, which takes as long as the store is away.

While a worker may have more ends, its missing runs stay as they are. A new owner waits for the rest of the ends of an inherited worker before it starts inherited tasks; ends are acknowledged meanwhile, as that only needs that no earlier owner can start any more.

TestEndOnALaterPage and TestNewOwnerWaitsForLaterPages fail without the two conditions.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -105,7 +105,7 @@
 	}
 	s.listCommitted()
 	for _, w := range s.workers {
-		w.acknowledge(s.knowsInheritedRuns())
+		w.acknowledge(s.haveInheritedAnswered())
 	}
 	s.orderPrepared()
 }
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -132,6 +132,7 @@
 	lastFiniteStart time.Time                 // last start of a finite task that reserves CPU
 
 	inheritedExpiry map[string]time.Time // when the last leases of earlier owners expire, by worker id
+	partlyListed    map[string]bool      // inherited workers that have answered, but haven't listed all ends, by id
 	settled         bool                 // a commit has said that no earlier leases are valid
 	workersListed   bool                 // WorkersListed has been received
 	confirmedAt     time.Time            // when the store last confirmed the ownership
@@ -179,6 +180,7 @@
 		interference:    newInterferenceLearner(),
 		runTimes:        newRunTimes(o.RunTimes),
 		inheritedExpiry: make(map[string]time.Time),
+		partlyListed:    make(map[string]bool),
 		confirmedAt:     now,
 		confirmedFor:    now,
 	}
--- a/internal/job/dispatcher/duplicate.go
+++ b/internal/job/dispatcher/duplicate.go
@@ -140,8 +140,8 @@
 }
 
 // mayStillStart reports whether another run of the task may start after the end.
-func (e *pendingEnd) mayStillStart(inheritedKnown bool) bool {
-	if e.inherited && !inheritedKnown {
+func (e *pendingEnd) mayStillStart(inheritedAnswered bool) bool {
+	if e.inherited && !inheritedAnswered {
 		return true
 	}
 	for _, r := range e.others {
@@ -154,8 +154,8 @@
 
 // pollDelay returns the delay until the next poll of a worker whose oldest end that isn't
 // acknowledged is e. Other runs take longer to become known than commits.
-func (e *pendingEnd) pollDelay(inheritedKnown bool) time.Duration {
-	if e.mayStillStart(inheritedKnown) {
+func (e *pendingEnd) pollDelay(inheritedAnswered bool) time.Duration {
+	if e.mayStillStart(inheritedAnswered) {
 		return pollRetryDelay
 	}
 	return pendingPollDelay
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -248,6 +248,9 @@
 	return NoFault
 }
 
+// maxListedEnds is the number of ends that a worker lists at a time.
+const maxListedEnds = 3
+
 func (w *fakeWorker) poll(token int64, e PollWorker) (specifier.Inventory, Fault) {
 	if w.isFenced(token) {
 		return specifier.Inventory{}, Fenced
@@ -257,7 +260,10 @@
 		w.sim.recordAckedEnd(w.pendingEnds[0])
 		w.pendingEnds = w.pendingEnds[1:]
 	}
-	inventory := specifier.Inventory{Incarnation: w.incarnation, Clock: w.clock(), Ended: append([]specifier.End(nil), w.pendingEnds...)}
+	ended := w.pendingEnds[:min(len(w.pendingEnds), maxListedEnds)]
+	inventory := specifier.Inventory{
+		Incarnation: w.incarnation, Clock: w.clock(), Ended: slices.Clone(ended), MoreEnds: len(ended) == maxListedEnds,
+	}
 	for _, id := range sortedFakeRuns(w.runs) {
 		inventory.Active = append(inventory.Active, specifier.Run{Task: id, Number: w.runs[id].number, ProgressPercent: w.progress(w.runs[id])})
 	}
--- a/internal/job/dispatcher/inherited.go
+++ b/internal/job/dispatcher/inherited.go
@@ -86,6 +86,12 @@
 	}
 }
 
-// knowsInheritedRuns reports whether every worker that may have runs of an
-// earlier ownership has answered or its leases have expired.
-func (s *Shard) knowsInheritedRuns() bool { return len(s.inheritedExpiry) == 0 && s.workersListed }
+// haveInheritedAnswered reports whether every worker that may have runs of an earlier ownership
+// has answered or its leases have expired, so that no earlier owner can start any more.
+func (s *Shard) haveInheritedAnswered() bool { return len(s.inheritedExpiry) == 0 && s.workersListed }
+
+// knowsInheritedRuns reports whether all runs of earlier ownerships are known, and the ends of
+// those that have ended.
+func (s *Shard) knowsInheritedRuns() bool {
+	return s.haveInheritedAnswered() && len(s.partlyListed) == 0
+}
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -38,10 +38,10 @@
 		s.refuteLosses(w, e.Inventory.Clock)
 	}
 	s.applyInventory(w, e)
-	w.acknowledge(s.knowsInheritedRuns())
+	w.acknowledge(s.haveInheritedAnswered())
 	w.nextPoll = s.now
 	if len(w.pendingEnds) > 0 {
-		w.nextPoll = s.now.Add(w.pendingEnds[0].pollDelay(s.knowsInheritedRuns()))
+		w.nextPoll = s.now.Add(w.pendingEnds[0].pollDelay(s.haveInheritedAnswered()))
 	}
 	s.measureSpeeds(w)
 	s.paceFillers(w)
@@ -63,9 +63,16 @@
 	if isFirst {
 		w.proveInheritedRuns()
 	}
+	if !e.Inventory.MoreEnds && s.partlyListed[w.reg.ID] {
+		delete(s.partlyListed, w.reg.ID)
+		s.placementDue = true
+	}
 	if _, wasInherited := s.inheritedExpiry[w.reg.ID]; wasInherited {
 		delete(s.inheritedExpiry, w.reg.ID)
 		s.placementDue = true
+		if e.Inventory.MoreEnds {
+			s.partlyListed[w.reg.ID] = true
+		}
 		if e.Inventory.Clock < recentStart {
 			s.inferLosses(w.reg.ID)
 		}
@@ -193,6 +200,9 @@
 		listed[a.Task] = a.Number
 		s.reconcileRun(w, a)
 	}
+	if e.Inventory.MoreEnds {
+		return // the ends of missing runs may follow
+	}
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
 		if number, ok := listed[id]; ok && number >= r.number {
@@ -323,11 +333,11 @@
 }
 
 // acknowledge advances ackedEnd over the ends whose changes are durable and after which
-// no other run of the task can start.
-func (w *worker) acknowledge(inheritedKnown bool) {
+// no other run of the task can start. inheritedAnswered is as of haveInheritedAnswered.
+func (w *worker) acknowledge(inheritedAnswered bool) {
 	n := 0
 	for _, end := range w.pendingEnds {
-		if end.job != nil && end.job.durable < end.jobVersion || end.mayStillStart(inheritedKnown) {
+		if end.job != nil && end.job.durable < end.jobVersion || end.mayStillStart(inheritedAnswered) {
 			break
 		}
 		w.ackedEnd = end.number
--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -71,6 +71,10 @@
 // loseRuns removes all runs of a worker, which have ended with it, and requeues
 // their tasks.
 func (s *Shard) loseRuns(w *worker, cause LossCause) {
+	if s.partlyListed[w.reg.ID] {
+		delete(s.partlyListed, w.reg.ID) // the ends are lost, too
+		s.placementDue = true
+	}
 	if len(w.runs) == 0 {
 		return
 	}
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -262,13 +262,14 @@
 func (s *Shard) reviewWorker(w *worker) {
 	s.retryStops(w)
 	_, inherited := s.inheritedExpiry[w.reg.ID]
-	if !w.unregisteredAt.IsZero() && !w.polling && !inherited && (len(w.runs) == 0 || s.haveLeasesExpired(w)) {
+	hasRuns := len(w.runs) > 0 || s.partlyListed[w.reg.ID]
+	if !w.unregisteredAt.IsZero() && !w.polling && !inherited && (!hasRuns || s.haveLeasesExpired(w)) {
 		s.loseRuns(w, s.lossCause(w))
 		s.removeWorker(w)
 		s.emit(Log{Message: "worker removed", Worker: w.reg.ID})
 		return
 	}
-	if w.failedPolls > 0 && len(w.runs) > 0 && s.haveLeasesExpired(w) && s.isSilent(w) {
+	if w.failedPolls > 0 && hasRuns && s.haveLeasesExpired(w) && s.isSilent(w) {
 		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID})
 		s.loseRuns(w, s.lossCause(w))
 	}
--- a/internal/job/specifier/worker.go
+++ b/internal/job/specifier/worker.go
@@ -93,10 +93,11 @@
 }
 
 // Inventory is a worker's list of its active runs and of the ends that haven't
-// been acknowledged.
+// been acknowledged. A worker may list only the first of many ends.
 type Inventory struct {
 	Incarnation int64
 	Clock       time.Duration // reading of the worker's monotonic clock
 	Active      []Run
 	Ended       []End
+	MoreEnds    bool // there may be ends after those in Ended
 }
