job/dispatcher: a restarted worker is used once its new registration is known

Cause: a poll that a new incarnation answered reset the worker, which was usable at once, by the capacity and labels of the former one, until its registration was read up to 500 ms later.

Now it isn't usable before a registration of its incarnation has been read. That holds for its labels, failure domain and rack as well.

--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -26,7 +26,7 @@
 	s.congestion.answered(s.now, s.now.Sub(e.Sent), w.pollWait)
 	if e.Inventory.Incarnation > w.reg.Incarnation {
 		s.resetWorker(w, e.Inventory.Incarnation)
-		w.polling = false
+		w.polling, w.outdated = false, true
 	}
 	if w.replaced || e.Inventory.Incarnation != 0 && e.Inventory.Incarnation < w.reg.Incarnation {
 		return
--- a/internal/job/dispatcher/room_test.go
+++ b/internal/job/dispatcher/room_test.go
@@ -86,3 +86,23 @@
 	h.advance(50 * time.Millisecond)
 	g.Expect(takeEffects[StartRun](h)).To(HaveLen(1))
 }
+
+// TestRestartedWorkerOfASmallerKind guards against starts by the capacity that a worker had before it
+// was started again: its answer to a poll may come before its new registration.
+func TestRestartedWorkerOfASmallerKind(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(departureQueue, "w1")
+	h.answer("w1", 2)
+	job := oneStep(3, nil)
+	h.feed(JobArrived{Job: job})
+	h.advance(100 * time.Millisecond)
+	h.register([]string{"w1"}) // read before the restart
+	h.advance(100 * time.Millisecond)
+	g.Expect(takeEffects[StartRun](h)).To(BeEmpty())
+
+	smaller := specifier.Worker{ID: "w1", Incarnation: 2, Service: "desk", Capacity: resources(job.Steps[0].Needs.CPU)}
+	h.feed(WorkersListed{Workers: []specifier.Worker{smaller}})
+	h.advance(100 * time.Millisecond)
+	g.Expect(takeEffects[StartRun](h)).To(HaveLen(1))
+	g.Expect(h.roomVaries).To(BeFalse(), "the capacity hasn't changed while the worker ran")
+}
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -21,6 +21,7 @@
 
 	unregisteredAt time.Time     // when it disappeared from the registered workers; zero if it is registered
 	reported       bool          // this incarnation has answered a poll
+	outdated       bool          // reg is of an earlier incarnation, which may have had another capacity
 	recorded       bool          // the durable worker list contains it
 	polling        bool          // a poll is in progress
 	nextPoll       time.Time     // earliest time of the next poll
@@ -158,7 +159,7 @@
 	if reg.Draining && !w.reg.Draining {
 		s.emit(Log{Message: "worker drain started", Worker: reg.ID})
 	}
-	if reg.Incarnation == w.reg.Incarnation && reg.Capacity != w.reg.Capacity {
+	if reg.Incarnation == w.reg.Incarnation && !w.outdated && reg.Capacity != w.reg.Capacity {
 		s.roomVaries = true
 		s.emit(Log{Message: "worker capacity changed", Worker: reg.ID, Reason: fmt.Sprintf("CPU from %d to %d millicores, memory from %d to %d MiB", w.reg.Capacity.CPU, reg.Capacity.CPU, w.reg.Capacity.Memory, reg.Capacity.Memory)})
 	}
@@ -166,6 +167,7 @@
 	incarnation := w.reg.Incarnation
 	w.reg = reg
 	w.reg.Incarnation = max(incarnation, reg.Incarnation)
+	w.outdated = reg.Incarnation < incarnation
 	w.rack = reg.Rack()
 	s.updateEvacuated(w)
 	s.updateCold(w)
@@ -384,7 +386,7 @@
 
 // isUsable reports whether runs may be started on the worker.
 func (w *worker) isUsable(now time.Time) bool {
-	return !w.evacuated && w.reported && w.recorded && w.failedPolls == 0 && w.unknownRuns == 0 && w.unregisteredAt.IsZero() && !w.reg.Draining && !now.Before(w.avoidUntil)
+	return !w.evacuated && w.reported && !w.outdated && w.recorded && w.failedPolls == 0 && w.unknownRuns == 0 && w.unregisteredAt.IsZero() && !w.reg.Draining && !now.Before(w.avoidUntil)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
