job/specifier: a job keeps the terms of its queue

The users' rule has no exception for a removed route: "A start after Attempts runs of the task have ended failed".

Cause: a new owner takes a job's queue from the current configuration. Without it the job had no limit of attempts, and no priority, target or advice either.

A job is stored with its queue as it was accepted, which applies if the configuration has none of its name. Jobs accepted by earlier versions have none.

--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -109,8 +109,10 @@
 
 // newJob creates the steps and tasks of a job.
 func (s *Shard) newJob(spec specifier.Job) *job {
-	j := &job{spec: spec, home: s.options.Name}
-	j.queue, _ = s.catalog.Queue(spec.Queue)
+	j := &job{spec: spec, home: s.options.Name, queue: spec.Terms}
+	if queue, ok := s.catalog.Queue(spec.Queue); ok {
+		j.queue = queue
+	}
 	for occurrence := range spec.Occurrences() {
 		for number := range spec.Steps {
 			st := &step{job: j, spec: &j.spec.Steps[number], occurrence: occurrence, number: number, due: spec.Due(occurrence)}
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -126,7 +126,7 @@
 		r.log.Info().Err(err).Str("job", job.ID).Msg("job refused")
 		return invalidJob(err)
 	}
-	job.Queue = queue.Name
+	job.Queue, job.Terms = queue.Name, queue
 	job.Accepted = time.Now()
 	if !r.isStoreReachable() {
 		r.countSubmission(queue.Name, "unreachable")
--- a/internal/job/specifier/catalog.go
+++ b/internal/job/specifier/catalog.go
@@ -16,25 +16,25 @@
 
 // Queue accepts the jobs that are submitted to one host name and path prefix.
 type Queue struct {
-	Name       string
-	Hostname   string
-	Prefix     string        // path prefix
-	Service    string        // service whose workers run the tasks
-	Priority   int           // 0 is the most urgent
-	Attempts   int           // failed runs of a task after which its job fails; 0 is no limit
-	Slack      float64       // factor on the critical path in the completion target
-	Completion time.Duration // constant part of the completion target
-	Timeout    time.Duration // timeout of a request to the queue
-	Advice     Advice        // zero if every worker may run its steps
+	Name       string        `json:"name"`
+	Hostname   string        `json:"host,omitempty"`
+	Prefix     string        `json:"prefix,omitempty"`     // path prefix
+	Service    string        `json:"service"`              // service whose workers run the tasks
+	Priority   int           `json:"priority,omitempty"`   // 0 is the most urgent
+	Attempts   int           `json:"attempts,omitempty"`   // failed runs of a task after which its job fails; 0 is no limit
+	Slack      float64       `json:"slack,omitempty"`      // factor on the critical path in the completion target
+	Completion time.Duration `json:"completion,omitempty"` // constant part of the completion target
+	Timeout    time.Duration `json:"timeout,omitempty"`    // timeout of a request to the queue
+	Advice     Advice        `json:"advice,omitzero"`      // zero if every worker may run its steps
 }
 
 // Advice describes the service that decides which workers may run a step, and
 // issues tickets for them.
 type Advice struct {
-	Needed        bool          // a start needs a ticket
-	RequestTime   time.Duration // constant duration of a request
-	PerWorkerTime time.Duration // additional duration for each worker in a request
-	Validity      time.Duration // lifetime of a ticket
+	Needed        bool          `json:"needed"`             // a start needs a ticket
+	RequestTime   time.Duration `json:"request,omitempty"`  // constant duration of a request
+	PerWorkerTime time.Duration `json:"each,omitempty"`     // additional duration for each worker in a request
+	Validity      time.Duration `json:"validity,omitempty"` // lifetime of a ticket
 }
 
 // Service is a pool of workers that run the same kind of tasks.
--- a/internal/job/specifier/job.go
+++ b/internal/job/specifier/job.go
@@ -29,6 +29,7 @@
 	Every        time.Duration `json:"every,omitempty"`   // interval between due times
 	Accepted     time.Time     `json:"accepted,omitzero"` // when the job was accepted
 	FormerShards []string      `json:"former,omitempty"`  // shards that the job was moved away from
+	Terms        Queue         `json:"terms,omitzero"`    // the queue when the job was accepted; applies if the queue is removed
 }
 
 // Step is a number of identical tasks.
