job/dispatcher: nothing starts on a worker while it is listed as leaving

Workers that only don't answer aren't listed as leaving any more, as answers are missed all the time. TestReturnedWorkerIsListedFirst fails without the condition.

--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -19,19 +19,20 @@
 	fillerCPU int64         // cached by expectedFillerCPU, millicores; unknownCPU if outdated
 	perStep   map[*step]int // number of runs, by step
 
-	unregisteredAt time.Time     // when it disappeared from the registered workers; zero if it is registered
-	reported       bool          // this incarnation has answered a poll
-	outdated       bool          // reg is of an earlier incarnation, which may have had another capacity
-	recorded       bool          // the durable worker list contains it
-	polling        bool          // a poll is in progress
-	nextPoll       time.Time     // earliest time of the next poll
-	failedPolls    int           // failed polls in a row
-	pollSent       time.Time     // when the last poll was ordered
-	failedPollSent time.Time     // when the last failed poll was ordered
-	silentSince    time.Time     // when the first of the failed polls in a row was ordered
-	leavesAt       time.Time     // while draining: the announced time, at the earliest
-	replaced       bool          // another worker has started later at its address
-	pollWait       time.Duration // how long the worker may delay the answer to the last poll
+	unregisteredAt  time.Time     // when it disappeared from the registered workers; zero if it is registered
+	reported        bool          // this incarnation has answered a poll
+	outdated        bool          // reg is of an earlier incarnation, which may have had another capacity
+	recorded        bool          // the durable worker list contains it
+	listedAsLeaving bool          // a worker list in which it is leaving is durable, or may be
+	polling         bool          // a poll is in progress
+	nextPoll        time.Time     // earliest time of the next poll
+	failedPolls     int           // failed polls in a row
+	pollSent        time.Time     // when the last poll was ordered
+	failedPollSent  time.Time     // when the last failed poll was ordered
+	silentSince     time.Time     // when the first of the failed polls in a row was ordered
+	leavesAt        time.Time     // while draining: the announced time, at the earliest
+	replaced        bool          // another worker has started later at its address
+	pollWait        time.Duration // how long the worker may delay the answer to the last poll
 
 	polledAt    time.Time     // when the last inventory arrived
 	polledClock time.Duration // the worker's monotonic clock in the last inventory
@@ -386,7 +387,9 @@
 
 // isUsable reports whether runs may be started on the worker.
 func (w *worker) isUsable(now time.Time) bool {
-	return !w.evacuated && w.reported && !w.outdated && w.recorded && w.failedPolls == 0 && w.unknownRuns == 0 && w.unregisteredAt.IsZero() && !w.reg.Draining && !now.Before(w.avoidUntil)
+	isKnown := w.reported && !w.outdated && w.failedPolls == 0 && w.unknownRuns == 0
+	isListed := w.recorded && !w.listedAsLeaving
+	return isKnown && isListed && !w.isDeparting() && !w.evacuated && !now.Before(w.avoidUntil)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/job/dispatcher/workerlist.go
+++ b/internal/job/dispatcher/workerlist.go
@@ -23,8 +23,9 @@
 			w.recorded = false
 			continue
 		}
-		if _, inherited := s.inheritedExpiry[w.reg.ID]; !inherited && w.isLeaving() {
+		if _, inherited := s.inheritedExpiry[w.reg.ID]; !inherited && w.isDeparting() {
 			list.Leaving = append(list.Leaving, w.reg.ID)
+			w.listedAsLeaving = true
 		}
 	}
 	s.batchList, s.settled, s.listOutdated = list, list.Settled, false
@@ -34,10 +35,11 @@
 func (s *Shard) listCommitted() {
 	s.durableList = s.batchList
 	for _, w := range s.sortedWorkers {
-		if !w.recorded && isListed(&s.durableList, w) {
-			w.recorded = true
-			s.placementDue = true
-		}
+		_, isLeaving := slices.BinarySearch(s.durableList.Leaving, w.reg.ID)
+		isNew := !w.recorded && isListed(&s.durableList, w)
+		s.placementDue = s.placementDue || isNew || w.listedAsLeaving && !isLeaving
+		w.recorded = w.recorded || isNew
+		w.listedAsLeaving = isLeaving
 	}
 }
 
@@ -60,16 +62,12 @@
 	return isInherited(&s.durableList, w) || isInherited(&s.batchList, w)
 }
 
-// isListedAsLeaving reports whether a list in which the worker is leaving is durable, or may be.
-func (s *Shard) isListedAsLeaving(w *worker) bool {
-	return slices.Contains(s.durableList.Leaving, w.reg.ID) || slices.Contains(s.batchList.Leaving, w.reg.ID)
-}
-
 // reviewListing makes the worker list be committed soon if the entry of a worker in it should
 // change.
 func (s *Shard) reviewListing(w *worker) {
-	departs := w.recorded && w.isDeparting() && (!w.mayHaveRuns() || !s.isListedAsLeaving(w))
-	returns := !w.recorded && w.reported && w.mayHaveRuns()
+	departs := w.recorded && w.isDeparting() && (!w.mayHaveRuns() || !w.listedAsLeaving)
+	isLimited := !w.recorded || w.listedAsLeaving && !w.isDeparting()
+	returns := isLimited && w.reported && w.mayHaveRuns()
 	s.listOutdated = s.listOutdated || departs || returns
 }
 
@@ -93,17 +91,14 @@
 
 // mayHaveRuns reports whether the worker has runs or may get some.
 func (w *worker) mayHaveRuns() bool {
-	return len(w.runs) > 0 || len(w.pendingEnds) > 0 || !w.isLeaving()
+	return len(w.runs) > 0 || len(w.pendingEnds) > 0 || w.failedPolls == 0 && !w.isDeparting()
 }
 
-// isDeparting reports whether the worker drains, or isn't registered any more.
+// isDeparting reports whether the worker drains, or isn't registered any more. It gets no runs.
 func (w *worker) isDeparting() bool {
 	return w.reg.Draining || w.replaced || !w.unregisteredAt.IsZero()
 }
 
-// isLeaving reports whether the worker departs or may have failed. It gets no runs.
-func (w *worker) isLeaving() bool { return w.failedPolls > 0 || w.isDeparting() }
-
 // mayRenewLeases reports whether the next poll of the worker may renew its leases. Those of a
 // worker that doesn't answer aren't renewed, so that they expire at a known time, and a new
 // owner relies on what the list says of those that leave or are inherited.
@@ -111,7 +106,7 @@
 	if w.failedPolls > 0 || s.isListedAsInherited(w) {
 		return false
 	}
-	return !w.isLeaving() && !s.isListedAsLeaving(w) || s.now.Sub(s.confirmedFor) < confirmationTime
+	return !w.isDeparting() && !w.listedAsLeaving || s.now.Sub(s.confirmedFor) < confirmationTime
 }
 
 // WorkerLeases returns the workers that may have runs when the ownership ends
--- a/internal/job/dispatcher/workerlist_test.go
+++ b/internal/job/dispatcher/workerlist_test.go
@@ -6,6 +6,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
@@ -24,7 +25,7 @@
 func (h *harness) register(workers []string, draining ...string) {
 	var regs []specifier.Worker
 	for _, id := range append(workers, draining...) {
-		regs = append(regs, specifier.Worker{ID: id, Incarnation: 1, Service: "desk", Capacity: resources(workerCPU)})
+		regs = append(regs, specifier.Worker{ID: id, Incarnation: 1, Service: "desk", Capacity: describer.Resources{CPU: workerCPU, Memory: 1000}})
 	}
 	for i := range draining {
 		regs[len(workers)+i].Draining = true
@@ -186,3 +187,25 @@
 	h.feed(answer)
 	g.Expect(takeEffects[PollWorker](h)).To(ContainElement(HaveField("LeaseEnd", Not(BeZero()))))
 }
+
+// TestReturnedWorkerIsListedFirst guards against an owner that starts runs on a worker which drained
+// and stays after all, while the durable list says that its leases expire soon.
+func TestReturnedWorkerIsListedFirst(t *testing.T) {
+	g := NewWithT(t)
+	h, run := newDrainingHarness(g, false)
+	g.Expect(lastList(g, h).Leaving).To(Equal([]string{"w1"}))
+	h.register([]string{"w1"})
+	second := longRunningJob()
+	second.ID = "0000000000000002"
+	effects := h.Reduce(h.now, JobArrived{Job: second})
+	g.Expect(effects).NotTo(ContainElement(BeAssignableToTypeOf(StartRun{})))
+	h.now = h.now.Add(confirmationTime)
+	effects = append(effects, h.Reduce(h.now, PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{
+		Incarnation: 1, Clock: time.Minute + h.now.Sub(epoch), Active: []specifier.Run{run},
+	}})...)
+	g.Expect(effects).To(ContainElement(And(BeAssignableToTypeOf(PollWorker{}), HaveField("LeaseEnd", BeZero()))))
+	g.Expect(effects).To(ContainElement(And(BeAssignableToTypeOf(Commit{}), HaveField("Leaving", BeEmpty()))))
+	h.effects = append(h.effects, effects...)
+	h.feed(Committed{Batch: h.Shard.batch})
+	g.Expect(takeEffects[StartRun](h)).To(HaveLen(1))
+}
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -265,8 +265,9 @@
 	// InheritedKnown is set when no other workers have leases of earlier owners.
 	InheritedKnown bool `json:"inheritedKnown,omitempty"`
 
-	// Leaving are those of Workers that drain, don't answer or aren't registered any more.
-	// The owner renews leases there only while the store confirms its ownership.
+	// Leaving are those of Workers that drain or aren't registered any more. While they are
+	// listed, the owner starts nothing there, and renews leases only while the store confirms its
+	// ownership.
 	Leaving []string `json:"leaving,omitempty"`
 }
 
