--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -263,7 +263,7 @@
 	Inherited []WorkerLease `json:"inherited,omitempty"`
 
 	// InheritedKnown is set when no other workers have leases of earlier owners.
-	InheritedKnown bool `json:"inheritedKnown,omitempty"`
+	InheritedKnown bool `json:"complete,omitempty"`
 
 	// Leaving are those of Workers that drain or aren't registered any more. While they are
 	// listed, the owner starts nothing there, and renews leases only while the store confirms its
