--- a/internal/job/manager/renewal_test.go
+++ b/internal/job/manager/renewal_test.go
@@ -39,6 +39,7 @@
 		f.mu.Lock()
 		renewed := f.renewed[token]
 		f.mu.Unlock()
+		g.Expect(renewed).NotTo(BeZero(), "the replaced owner has renewed leases before")
 		g.Expect(renewed.Sub(claimed)).To(BeNumerically("<=", outageLimit))
 	})
 }
