job/receiver: a settlement that finds a changed index entry is logged

The outcome was the only one without a line. The set-up that three tests of settlements had alike is one function; their assertions are the same.

--- a/internal/job/receiver/settlement.go
+++ b/internal/job/receiver/settlement.go
@@ -56,7 +56,9 @@
 			r.log.Info().Str("job", id).Msg("acceptance without an answer settled, job not accepted")
 			return
 		case errors.Is(err, storer.ErrConflict):
-			return // an attempt took effect, here or at another host, or the job was cancelled
+			// An attempt took effect, here or at another host, or the job was cancelled.
+			r.log.Info().Str("job", id).Msg("acceptance without an answer settled, index entry has changed")
+			return
 		case !waiter.Sleep(ctx, delays.NextBackOff()):
 			r.log.Warn().Err(err).Str("job", id).Msg("acceptance not settled")
 			return
--- a/internal/job/receiver/settlement_test.go
+++ b/internal/job/receiver/settlement_test.go
@@ -17,23 +17,30 @@
 // acceptAttempts is the number of writes that a host makes for a submission without an answer.
 const acceptAttempts = 2
 
-// submitInVain hands in the job at a host whose writes for it get no answer, and checks that the
+// submitWithoutAnswer hands in the job at a host whose writes for it get no answer, and checks that the
 // caller is told so.
-func (h *host) submitInVain(t *testing.T, g Gomega) {
+func (h *host) submitWithoutAnswer(t *testing.T, g Gomega) {
 	e := asError(g, h.Submit(t.Context(), queue, testJob()))
 	g.Expect(e.Verdict).To(Equal(classifier.MayHaveRun))
 	g.Expect(e.Status).To(Equal(http.StatusGatewayTimeout))
 }
 
+// newSettledJob returns two hosts, of which the first has handed in the job without an answer and
+// settled it. The store carries out its writes for it later.
+func newSettledJob(t *testing.T, g Gomega) (store *faker.Store, a, b *host) {
+	store = faker.New()
+	a, b = newHost(t, store, "a", acceptAttempts), newHost(t, store, "b", 0)
+	a.submitWithoutAnswer(t, g)
+	synctest.Wait()
+	return store, a, b
+}
+
 // TestOpenAcceptanceIsSettled guards against a job that runs although its caller was told at
 // another host, after a submission without an answer, that it was refused and never runs.
 func TestOpenAcceptanceIsSettled(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store := faker.New()
-		a, b := newHost(t, store, "a", acceptAttempts), newHost(t, store, "b", 0)
-		a.submitInVain(t, g)
-		synctest.Wait()
+		store, _, b := newSettledJob(t, g)
 		b.shards.load = fullLoad()
 		e := asError(g, b.Submit(t.Context(), queue, testJob()))
 		g.Expect(e.Status).To(Equal(http.StatusTooManyRequests))
@@ -51,10 +58,7 @@
 func TestSettledJobIsAcceptedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store := faker.New()
-		a, b := newHost(t, store, "a", acceptAttempts), newHost(t, store, "b", 0)
-		a.submitInVain(t, g)
-		synctest.Wait()
+		store, a, b := newSettledJob(t, g)
 		g.Expect(b.Submit(t.Context(), queue, testJob())).To(Succeed())
 		time.Sleep(2 * lateDelay)
 		g.Expect(isStored(store)).To(BeTrue())
@@ -86,7 +90,7 @@
 					}
 					return faker.LoseResponse
 				})
-				a.submitInVain(t, g)
+				a.submitWithoutAnswer(t, g)
 				if resubmit {
 					g.Expect(b.Submit(t.Context(), queue, testJob())).To(Succeed())
 				}
@@ -103,10 +107,7 @@
 func TestCancellationAfterASettlement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		store := faker.New()
-		a, b := newHost(t, store, "a", acceptAttempts), newHost(t, store, "b", 0)
-		a.submitInVain(t, g)
-		synctest.Wait()
+		store, a, b := newSettledJob(t, g)
 		g.Expect(asError(g, b.Cancel(t.Context(), testJob().ID)).Status).To(Equal(http.StatusGone))
 		time.Sleep(time.Second) // the store answers the first host again
 		g.Expect(asError(g, a.Submit(t.Context(), queue, testJob())).Status).To(Equal(http.StatusGone))
@@ -120,7 +121,7 @@
 		g := NewWithT(t)
 		store := faker.New()
 		a := newHost(t, store, "a", allWrites)
-		a.submitInVain(t, g)
+		a.submitWithoutAnswer(t, g)
 		time.Sleep(settleTimeout)
 		synctest.Wait()
 		left := a.store.late.Load()
