job/dispatcher: an inherited worker that drains causes no commits

A new owner committed its worker list with each tick while an inherited worker that drains had neither answered nor missed a poll: such a worker isn't listed as leaving, as an earlier owner's leases may last longer, and each tick asked for that. TestInheritedWorkerThatDrainsCausesNoCommits counted 10 commits in a second before, none now.

--- a/internal/job/dispatcher/workerlist.go
+++ b/internal/job/dispatcher/workerlist.go
@@ -65,7 +65,8 @@
 // reviewListing makes the worker list be committed soon if the entry of a worker in it should
 // change.
 func (s *Shard) reviewListing(w *worker) {
-	departs := w.recorded && w.isDeparting() && (!w.mayHaveRuns() || !w.listedAsLeaving)
+	_, inherited := s.inheritedExpiry[w.reg.ID]
+	departs := !inherited && w.recorded && w.isDeparting() && (!w.mayHaveRuns() || !w.listedAsLeaving)
 	isLimited := !w.recorded || w.listedAsLeaving && !w.isDeparting()
 	returns := isLimited && w.reported && w.mayHaveRuns()
 	s.listOutdated = s.listOutdated || departs || returns
--- a/internal/job/dispatcher/workerlist_test.go
+++ b/internal/job/dispatcher/workerlist_test.go
@@ -209,3 +209,17 @@
 	h.feed(Committed{Batch: h.Shard.batch})
 	g.Expect(takeEffects[StartRun](h)).To(HaveLen(1))
 }
+
+// TestInheritedWorkerThatDrainsCausesNoCommits guards against a new owner that writes its worker list
+// again with each tick, until a worker that drains has answered.
+func TestInheritedWorkerThatDrainsCausesNoCommits(t *testing.T) {
+	g := NewWithT(t)
+	h := newSuccessor(Options{Previous: recorder.WorkerList{Workers: []string{"w1"}}}, departureQueue, longRunningJob(), "w1")
+	h.register(nil, "w1")
+	h.advance(100 * time.Millisecond)
+	takeEffects[Commit](h)
+	for range 10 {
+		h.advance(100 * time.Millisecond)
+	}
+	g.Expect(takeEffects[Commit](h)).To(BeEmpty())
+}
