job/dispatcher: log lines for acknowledgements and durable ends

'ends acknowledged' and 'end acknowledged without a change' tell an end that is acknowledged too early from one that a worker which was forgotten lists later; 'worker removed' has the ends that aren't acknowledged, 'worker leases expired' the age of the store's confirmation, and 'job end durable' says when callers see the final state. The code of acknowledgements has a file of its own; no change of logic.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -99,13 +99,14 @@
 		j.durable = j.sent
 		s.placementDue = s.placementDue || j.otherShards != nil || s.isPart(j)
 		if j.final != "" && !j.dirty {
+			s.emit(Log{Message: "job end durable", Job: j.spec.ID, Reason: string(j.final), Age: s.now.Sub(s.lastCommit)})
 			delete(s.jobs, j.spec.ID)
 			s.ended[j.spec.ID] = endedJob{s.now, s.isPart(j)}
 		}
 	}
 	s.listCommitted()
 	for _, w := range s.workers {
-		w.acknowledge(s.haveInheritedAnswered())
+		s.acknowledge(w)
 	}
 	s.orderPrepared()
 }
--- a/internal/job/dispatcher/duplicate.go
+++ b/internal/job/dispatcher/duplicate.go
@@ -1,11 +1,5 @@
 package dispatcher
 
-import (
-	"time"
-
-	"dotterelcart.dev/dotterelcart/internal/job/specifier"
-)
-
 // A task of a step that allows duplicates may have two runs, on different workers. One is
 // that on task.worker, the first run, the other is task.duplicate. When the first run
 // ends, the duplicate takes its place; the task waits for a new run only when it has none
@@ -113,50 +107,3 @@
 	s.emit(DuplicateStarted{})
 	return r
 }
-
-// newPendingEnd returns the end of a run for its acknowledgement. r is the run, or nil if
-// it wasn't known any more.
-func (s *Shard) newPendingEnd(w *worker, end specifier.End, r *run) pendingEnd {
-	pending := pendingEnd{number: end.Number}
-	var t *task
-	if r != nil {
-		t = r.task
-	}
-	if j := s.jobs[end.Task.Job]; j != nil && t == nil {
-		t = j.task(end.Task)
-	}
-	switch {
-	case t == nil:
-		pending.inherited = s.options.Epoch > 0
-	case t.mayHaveDuplicate():
-		pending.inherited = t.step.job.arrivedAt.IsZero()
-		for _, other := range t.runs() {
-			if other.worker != w {
-				pending.others = append(pending.others, other)
-			}
-		}
-	}
-	return pending
-}
-
-// mayStillStart reports whether another run of the task may start after the end.
-func (e *pendingEnd) mayStillStart(inheritedAnswered bool) bool {
-	if e.inherited && !inheritedAnswered {
-		return true
-	}
-	for _, r := range e.others {
-		if r.worker.runs[r.id] == r && r.startedAt.IsZero() {
-			return true
-		}
-	}
-	return false
-}
-
-// pollDelay returns the delay until the next poll of a worker whose oldest end that isn't
-// acknowledged is e. Other runs take longer to become known than commits.
-func (e *pendingEnd) pollDelay(inheritedAnswered bool) time.Duration {
-	if e.mayStillStart(inheritedAnswered) {
-		return pollRetryDelay
-	}
-	return pendingPollDelay
-}
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -38,7 +38,7 @@
 		s.refuteLosses(w, e.Inventory.Clock)
 	}
 	s.applyInventory(w, e)
-	w.acknowledge(s.haveInheritedAnswered())
+	s.acknowledge(w)
 	w.nextPoll = s.now
 	if len(w.pendingEnds) > 0 {
 		w.nextPoll = s.now.Add(w.pendingEnds[0].pollDelay(s.haveInheritedAnswered()))
@@ -332,22 +332,6 @@
 	}
 }
 
-// acknowledge advances ackedEnd over the ends whose changes are durable and after which
-// no other run of the task can start. inheritedAnswered is as of haveInheritedAnswered.
-func (w *worker) acknowledge(inheritedAnswered bool) {
-	n := 0
-	for _, end := range w.pendingEnds {
-		if end.job != nil && end.job.durable < end.jobVersion || end.mayStillStart(inheritedAnswered) {
-			break
-		}
-		w.ackedEnd = end.number
-		n++
-	}
-	if n > 0 {
-		w.pendingEnds = w.pendingEnds[n:]
-	}
-}
-
 // orderedRun returns the run that an answer refers to, or nil if the run isn't
 // in the expected phase any more. It resigns if the worker fenced off the order.
 func (s *Shard) orderedRun(e StartAnswered, phase runPhase) *run {
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -68,16 +68,6 @@
 // unknownCPU marks worker.fillerCPU as outdated.
 const unknownCPU = -1
 
-// pendingEnd is the end of a run that isn't acknowledged to the worker yet.
-type pendingEnd struct {
-	number     int64
-	job        *job  // the job that the end changed, or nil if it changed none
-	jobVersion int64 // version of the job that has to be durable first
-
-	others    []*run // other runs of the task when the end was processed, see duplicate.go
-	inherited bool   // an earlier owner may have ordered another run of the task
-}
-
 // runPhase is the state of a run as the owner knows it.
 type runPhase uint8
 
@@ -269,11 +259,11 @@
 	if !w.unregisteredAt.IsZero() && !w.polling && !inherited && (!hasRuns || s.haveLeasesExpired(w)) {
 		s.loseRuns(w, s.lossCause(w))
 		s.removeWorker(w)
-		s.emit(Log{Message: "worker removed", Worker: w.reg.ID})
+		s.emit(Log{Message: "worker removed", Worker: w.reg.ID, Reason: w.describePendingEnds()})
 		return
 	}
 	if w.failedPolls > 0 && hasRuns && s.haveLeasesExpired(w) && s.isSilent(w) {
-		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID})
+		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID, Age: s.now.Sub(s.confirmedAt)})
 		s.loseRuns(w, s.lossCause(w))
 	}
 	s.stopDraining(w)
