--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -19,6 +19,7 @@
 	paused       bool
 	unreachable  map[*fakeWorker]bool
 	reachesStore bool // can reach the store
+	losesWrites  bool // the store doesn't carry out its writes, but answers all else
 	queuedEvents []Event
 	heard        map[string]time.Time // when it first received a cancellation, by job id
 	epoch        int64
@@ -201,7 +202,7 @@
 	switch {
 	case !o.alive:
 		return false
-	case !o.reachesStore:
+	case !o.reachesStore || o.losesWrites && o.home.owner == o:
 		o.sim.schedule(200*time.Millisecond, retry)
 		return false
 	case o.home.owner != o:
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -163,7 +163,7 @@
 		if !sh.owner.alive {
 			sh.claim()
 		}
-		sh.owner.reachesStore, sh.owner.paused = true, false
+		sh.owner.reachesStore, sh.owner.paused, sh.owner.losesWrites = true, false, false
 		clear(sh.owner.unreachable)
 	}
 }
