job/dispatcher: an end is acknowledged once its job's state is durable

Cause: the acknowledgement of an end waited for a commit only if this very end had changed a task. An end whose job had its final state in memory changed none, nor did one of a task that was on its way back to another shard, and both were acknowledged at once. That is harmless while the end is listed once. But a worker whose registration expires while the store is away is removed and registered again, and its ends are processed anew; meanwhile their job has ended in memory, while the store carries out no write. The worker forgets them, the next owner loads the job without them and starts its tasks again. The same holds for the end of a task whose job has failed meanwhile on another worker.

Change: an end waits until the state that its job has after it is durable, whatever the end has changed. Only ends of jobs that the shard doesn't have wait for nothing: their own end is durable, or nothing of them is in the store.

TestEndIsAcknowledgedOnlyWhenDurable and TestEndBesideAFailureIsAcknowledgedOnlyWhenDurable failed before and pass.

--- a/internal/job/dispatcher/acknowledgement.go
+++ b/internal/job/dispatcher/acknowledgement.go
@@ -7,11 +7,13 @@
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
-// pendingEnd is the end of a run that isn't acknowledged to the worker yet.
+// pendingEnd is the end of a run that isn't acknowledged to the worker yet. What the end has
+// changed may be part of an earlier change: of the end of the job, or of the same end when the
+// worker listed it before. So it waits for the job's state as a whole.
 type pendingEnd struct {
 	specifier.End
 
-	job        *job  // the job that the end changed, or nil if it changed none
+	job        *job  // job of the run, or nil if the shard doesn't have it
 	jobVersion int64 // version of the job that has to be durable first
 
 	others    []*run // other runs of the task when the end was processed, see duplicate.go
@@ -22,7 +24,7 @@
 // no other run of the task can start. The next poll tells the worker.
 func (s *Shard) acknowledge(w *worker) {
 	inheritedAnswered := s.haveInheritedAnswered()
-	durable, unchanged := 0, 0
+	durable, unknown := 0, 0
 	for i := range w.pendingEnds {
 		end := &w.pendingEnds[i]
 		if !end.isDurable() || end.mayStillStart(inheritedAnswered) {
@@ -33,32 +35,38 @@
 			durable++
 			continue
 		}
-		unchanged++
-		s.logUnchanged(w, end)
+		unknown++
+		s.logUnknown(w, end)
 	}
-	if durable+unchanged == 0 {
+	if durable+unknown == 0 {
 		return
 	}
-	w.pendingEnds = w.pendingEnds[durable+unchanged:]
+	w.pendingEnds = w.pendingEnds[durable+unknown:]
 	s.emit(Log{
 		Message: "ends acknowledged", Worker: w.reg.ID,
-		Reason: fmt.Sprintf("up to %d: %d with a durable change, %d without a change", w.ackedEnd, durable, unchanged),
+		Reason: fmt.Sprintf("up to %d: %d of durable jobs, %d of jobs not known", w.ackedEnd, durable, unknown),
 	})
 }
 
-// isDurable reports whether the change that the end caused is durable.
+// waitFor makes the acknowledgement wait until the state that the job has now is durable.
+func (e *pendingEnd) waitFor(j *job) {
+	if j == nil {
+		return
+	}
+	e.job, e.jobVersion = j, j.version
+}
+
+// isDurable reports whether the job's state after the end is durable.
 func (e *pendingEnd) isDurable() bool { return e.job == nil || e.job.durable >= e.jobVersion }
 
-// logUnchanged logs an end that is acknowledged without waiting for a commit.
-func (s *Shard) logUnchanged(w *worker, end *pendingEnd) {
+// logUnknown logs an end of a job that the shard doesn't have. Such an end waits for no commit.
+func (s *Shard) logUnknown(w *worker, end *pendingEnd) {
 	reason := "job not known"
-	if j := s.jobs[end.Task.Job]; j != nil {
-		reason = fmt.Sprintf("job version %d, durable %d", j.version, j.durable)
-	} else if _, ended := s.ended[end.Task.Job]; ended {
+	if _, ended := s.ended[end.Task.Job]; ended {
 		reason = "end of the job durable"
 	}
 	s.emit(Log{
-		Message: "end acknowledged without a change", Task: end.Task.String(), Job: end.Task.Job, Worker: w.reg.ID,
+		Message: "end of an unknown job acknowledged", Task: end.Task.String(), Job: end.Task.Job, Worker: w.reg.ID,
 		Run: end.Run, Reason: string(end.Outcome) + ", " + reason,
 	})
 }
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -119,11 +119,9 @@
 	if t != nil {
 		t.lastRun = max(t.lastRun, end.Run)
 		s.refuteLoss(t, end.Run)
-		if s.applyEnd(w, t, end) {
-			pending.job = t.step.job
-			pending.jobVersion = t.step.job.version
-		}
+		s.applyEnd(w, t, end)
 	}
+	pending.waitFor(s.jobs[end.Task.Job])
 	w.pendingEnds = append(w.pendingEnds, pending)
 	s.emit(Log{
 		Message: "run ended", Task: end.Task.String(), Job: end.Task.Job, Worker: w.reg.ID,
@@ -131,34 +129,33 @@
 	})
 }
 
-// applyEnd updates a task after the end of one of its runs. It reports whether
-// the job has changed, so that the end may be acknowledged only when the change
-// is durable.
-func (s *Shard) applyEnd(w *worker, t *task, end specifier.End) bool {
+// applyEnd updates a task after the end of one of its runs.
+func (s *Shard) applyEnd(w *worker, t *task, end specifier.End) {
 	switch end.Outcome {
 	case specifier.OutcomeDone:
 		w.failuresInRow = 0
-		if t.step.spec.LongRunning || t.elsewhere {
-			return false
-		}
-		if s.isPart(t.step.job) {
-			t.completedHere = true
-			s.returnTask(t)
-			return true
-		}
-		s.completeWithGang(w, t)
-		return true
+		s.applyCompletion(w, t)
 	case specifier.OutcomeFailed:
 		s.countFailure(w)
 		s.failTask(t, w, end.Run)
-		return true
+	default:
+		if end.Checkpoint != "" && end.Checkpoint != t.checkpoint {
+			t.checkpoint = end.Checkpoint
+			s.markDirty(t.step.job)
+		}
 	}
-	if end.Checkpoint != "" && end.Checkpoint != t.checkpoint {
-		t.checkpoint = end.Checkpoint
-		s.markDirty(t.step.job)
-		return true
+}
+
+// applyCompletion updates a task of which a run is done.
+func (s *Shard) applyCompletion(w *worker, t *task) {
+	switch {
+	case t.step.spec.LongRunning || t.elsewhere:
+	case s.isPart(t.step.job):
+		t.completedHere = true
+		s.returnTask(t)
+	default:
+		s.completeWithGang(w, t)
 	}
-	return false
 }
 
 // completeWithGang completes a task and the other tasks of its gang. A run of a
