job/dispatcher: a worker with ends that aren't durable isn't forgotten

A worker that isn't registered was removed as soon as it had no runs, also with ends whose change wasn't durable, and a worker that had listed only some of its ends and then didn't answer was left out of the durable list. A new owner doesn't wait for such a worker. If the change wasn't durable when the owner ended, the new one starts the tasks again, and the worker lists their ends later.

Now both stay until their ends are durable and known, or their leases have expired.

--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -256,7 +256,8 @@
 	s.retryStops(w)
 	_, inherited := s.inheritedExpiry[w.reg.ID]
 	hasRuns := len(w.runs) > 0 || s.partlyListed[w.reg.ID]
-	if !w.unregisteredAt.IsZero() && !w.polling && !inherited && (!hasRuns || s.haveLeasesExpired(w)) {
+	isNeeded := hasRuns || len(w.pendingEnds) > 0
+	if !w.unregisteredAt.IsZero() && !w.polling && !inherited && (!isNeeded || s.haveLeasesExpired(w)) {
 		s.loseRuns(w, s.lossCause(w))
 		s.removeWorker(w)
 		s.emit(Log{Message: "worker removed", Worker: w.reg.ID, Reason: w.describePendingEnds()})
--- a/internal/job/dispatcher/workerlist.go
+++ b/internal/job/dispatcher/workerlist.go
@@ -66,9 +66,9 @@
 // change.
 func (s *Shard) reviewListing(w *worker) {
 	_, inherited := s.inheritedExpiry[w.reg.ID]
-	departs := !inherited && w.recorded && w.isDeparting() && (!w.mayHaveRuns() || !w.listedAsLeaving)
+	departs := !inherited && w.recorded && w.isDeparting() && (!s.mayHaveRuns(w) || !w.listedAsLeaving)
 	isLimited := !w.recorded || w.listedAsLeaving && !w.isDeparting()
-	returns := isLimited && w.reported && w.mayHaveRuns()
+	returns := isLimited && w.reported && s.mayHaveRuns(w)
 	s.listOutdated = s.listOutdated || departs || returns
 }
 
@@ -77,7 +77,7 @@
 	used := make([]string, 0, len(s.sortedWorkers))
 	for _, w := range s.sortedWorkers {
 		_, inherited := s.inheritedExpiry[w.reg.ID]
-		if inherited || w.mayHaveRuns() {
+		if inherited || s.mayHaveRuns(w) {
 			used = append(used, w.reg.ID)
 		}
 	}
@@ -90,9 +90,11 @@
 	return used
 }
 
-// mayHaveRuns reports whether the worker has runs or may get some.
-func (w *worker) mayHaveRuns() bool {
-	return len(w.runs) > 0 || len(w.pendingEnds) > 0 || w.failedPolls == 0 && !w.isDeparting()
+// mayHaveRuns reports whether the worker has runs or may get some, or has ends that aren't
+// durable or not known.
+func (s *Shard) mayHaveRuns(w *worker) bool {
+	hasEnds := len(w.pendingEnds) > 0 || s.partlyListed[w.reg.ID]
+	return len(w.runs) > 0 || hasEnds || w.failedPolls == 0 && !w.isDeparting()
 }
 
 // isDeparting reports whether the worker drains, or isn't registered any more. It gets no runs.
