job/dispatcher: a loaded job whose tasks are all done ends

What callers would see: a job with more than 16 tasks that were transferred and came back, for balance or since no worker of the shard could run them, is shown as running for ever, although all of its tasks are done (LOST).

Cause: a job ends by the completion of its last task. The records of its transfers go before its final state, 16 with each commit, and the progress in the commits before the last one has all tasks as done. An owner that loads it has no task left to complete.

Evidence: TestNewOwnerEndsAJobWhoseCleanupWasInterrupted, which drops the owner between the two commits: the new one wrote nothing about the job. Other ends aren't lost in this way: the failed runs, the losses and the cancellation are in the store until the final state is.

Change: loadJob ends such a job, as it does one that has failed too often. Part of a job in another shard are not loaded by it, and end by their cancellation.

The test passes.

--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -169,7 +169,11 @@
 		st.assumeLongWait(s.now)
 	}
 	s.placementDue = true
-	if j.hasFailedTooOften() {
+	switch {
+	case j.remainingSteps == 0:
+		// The earlier owner ended while the records of the job's transfers were being removed.
+		s.endJob(j, specifier.Succeeded, "all tasks completed")
+	case j.hasFailedTooOften():
 		s.endJob(j, specifier.Failed, "task failed too often")
 	}
 }
