control/reducer: a reply has only what was durable by then

What callers of the product's own interface would see: a job is shown as done, with its results, and as running again after the shard's owner has crashed; a run with other results may follow.

Cause: a status request, a submission or a cancellation waits until the records behind the job's state are durable, and is then answered with the state of the view. The view may have later records by then, which are in another append. A status request that finds the end of one task on its way to the store says done, if the last task has ended meanwhile.

Evidence: TestStatusReplyHasOnlyDurableEnds, with two appends of which one is durable.

Change: the reply has the state as of the request, all records of which it waits for. Waiting once more for the later records was weighed: a job whose tasks end all the time would get no answer.

The test passes, and so do the others of the package.

--- a/internal/control/reducer/journal.go
+++ b/internal/control/reducer/journal.go
@@ -36,8 +36,9 @@
 	batch          int64
 	start          *task           // task whose run is started on its worker
 	token          describer.Token // token of the run of start or grown
-	request        RequestID       // request to answer with key or the status of job
+	request        RequestID       // request to answer with key or status
 	job            *job
+	status         *JobStatus // of job when the follow-up was added: later records may not be durable yet
 	key            *KeyClaim
 	grown          *task  // task whose larger grant is sent to its worker
 	stopRuns       bool   // whether to stop the runs of job, which was cancelled
@@ -64,6 +65,9 @@
 	if j.allSent() {
 		f.batch = j.lastSent
 	}
+	if f.job != nil {
+		f.status = j.shard.jobStatus(f.job)
+	}
 	if j.isDurable(f.batch) {
 		j.shard.runFollowUp(f)
 		return
@@ -197,7 +201,7 @@
 		if f.stopRuns {
 			sh.stopRuns(f.job)
 		}
-		sh.state.reply(Reply{Request: f.request, Job: sh.jobStatus(f.job)})
+		sh.state.reply(Reply{Request: f.request, Job: f.status})
 	}
 }
 
