job/dispatcher: leases of earlier owners count until they have expired

What callers would see: a task of a crashed worker waits for ever (LOST), or it is started while its earlier run goes on (TWICE).

Cause: what is known of earlier owners' leases on a worker is forgotten when the worker first answers, since the next poll grants a lease of the new owner. It grants none while the durable worker list has the worker as one that doesn't answer, as during an outage of the store, or while it leaves. If the worker crashes then, its leases never count as expired: its runs stay, and a worker whose ends were listed in part keeps all inherited tasks from starting. If the owner ends then, it says that no lease there is valid, and the next one doesn't wait.

Evidence: TestAdoptedRunIsLostWithoutALeaseOfItsOwner (no start within 25 s) and TestWorkerLeasesHaveThoseOfEarlierOwners (remaining 0 s for a run with a lease).

Change: with its first answer a worker gets the earliest of the inherited expiry and a full lease from now; from then on it refuses renewals by earlier owners.

Both tests pass. Of the package's tests TestAcceptedFillersEnd and TestReplayOfDuplicates (both known red) fail, and no others.

--- a/internal/job/dispatcher/inherited.go
+++ b/internal/job/dispatcher/inherited.go
@@ -57,6 +57,19 @@
 	return leases, s.workersListed && len(leases) == len(s.inheritedExpiry)
 }
 
+// inheritLease sets when the leases of earlier owners on a worker that has answered expire, at the
+// latest at expiry: this owner may grant none there, and may end. From now on the worker refuses
+// renewals by earlier owners.
+func (s *Shard) inheritLease(w *worker, expiry time.Time) {
+	latest := s.now.Add(withDrift(s.options.Lease) + expiryMargin)
+	if expiry.Before(latest) {
+		latest = expiry
+	}
+	if latest.After(w.leaseExpiry) {
+		w.leaseExpiry = latest
+	}
+}
+
 func compareLeases(a, b recorder.WorkerLease) int { return strings.Compare(a.Worker, b.Worker) }
 
 // reportInherited logs the inherited workers that aren't registered when the registrations are
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -67,7 +67,8 @@
 		delete(s.partlyListed, w.reg.ID)
 		s.placementDue = true
 	}
-	if _, wasInherited := s.inheritedExpiry[w.reg.ID]; wasInherited {
+	if expiry, wasInherited := s.inheritedExpiry[w.reg.ID]; wasInherited {
+		s.inheritLease(w, expiry)
 		delete(s.inheritedExpiry, w.reg.ID)
 		s.placementDue = true
 		if e.Inventory.MoreEnds {
