state/fencer: an owner replaces its own record when it restores it

Seen: an owner writes its owner record again after its lease has ended. If an attempt whose outcome is unknown is carried out after its time was over, each later one ends with "owner record already exists" until the lease ends. The shard keeps its owner, but no renewal confirms the ownership: no lease counts as expired, and lost runs aren't started again.

Cause: RestoreOwner required that no record exists. The fence in the same transaction proves already that the record is this owner's: every other owner replaces the fence together with the record.

Evidence: TestRestoreAfterLateAttempt fails before ("owner record already exists") and passes now.

--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -187,17 +187,15 @@
 }
 
 // RestoreOwner writes the owner record again after the store deleted it along
-// with its lease. It returns ErrAlreadyOwned if the record exists.
+// with its lease. A record that exists is this owner's, such as by an earlier attempt whose
+// outcome was unknown, since other owners replace the fence with theirs. It is replaced.
 func (f *Fence) RestoreOwner(ctx context.Context, owner storer.Write) error {
 	unlock, err := f.lock(ctx)
 	if err != nil {
 		return err
 	}
 	defer unlock()
-	return f.commitWithRetry(ctx, f.newRecord(), storer.Transaction{
-		If:  []storer.Condition{{Key: owner.Key}},
-		Put: []storer.Write{owner},
-	})
+	return f.commitWithRetry(ctx, f.newRecord(), storer.Transaction{Put: []storer.Write{owner}})
 }
 
 // Write stores puts, deletes the keys in removes and records the workers that may
--- /dev/null
+++ b/internal/state/fencer/restore_test.go
@@ -0,0 +1,34 @@
+package fencer
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
+	"dotterelcart.dev/dotterelcart/internal/state/faker"
+)
+
+// TestRestoreAfterLateAttempt guards against an owner whose ownership is never confirmed again: an
+// attempt to write its owner record was carried out after its time was over, so that the record
+// exists already.
+func TestRestoreAfterLateAttempt(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a := store.Client("a")
+		f := New("menus", "a", a)
+		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		time.Sleep(4 * time.Second) // the lease ends
+		record := ownerWrite(ctx, g, a, "a")
+		a.SetDelay(func(faker.Call) time.Duration { return 2 * time.Second })
+		limited, cancel := context.WithTimeout(ctx, time.Second)
+		defer cancel()
+		g.Expect(f.RestoreOwner(limited, record)).NotTo(Succeed())
+		g.Expect(store.Items(recorder.OwnerKey("menus"))).To(HaveLen(1), "the attempt was carried out")
+		a.SetDelay(nil)
+		g.Expect(f.RestoreOwner(ctx, record)).To(Succeed())
+		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
+	})
+}
