job/manager: a renewal confirms the shards whose owner record is bound to that lease

Would be seen: two daemons that act for one shard. A replaced owner takes the renewals of its store lease for confirmations for as long as they succeed; it goes on renewing leases and starting runs on workers that the new owner doesn't reach, beyond the 8 s that the new owner waits for.

Cause: whether a record had ended with its lease was a flag of the shard. - A lease that ended while the jobs of a claimed shard were read flagged only the shards that had started. The new one began without a record, and nobody wrote it again. - Each end of a lease began another goroutine that wrote the record again. One that heard late of its write, when the lease of that write had ended as well, reset the flag.

Change: a shard knows the lease to which its record is bound.

--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -165,7 +165,7 @@
 	m.catalog.Store(&specifier.Catalog{})
 	m.evacuations.maxAge = evacuator.MaxAge(o.EvacuationNotice, callTimeout)
 	m.lease = leaser.New(leaser.Options{
-		TTL: o.TTL, Renewed: m.leaseRenewed, Ended: func(int64) { m.leaseEnded(ctx) }, Log: o.Log,
+		TTL: o.TTL, Renewed: m.leaseRenewed, Ended: func(old int64) { m.leaseEnded(ctx, old) }, Log: o.Log,
 	}, store)
 	m.presence = leaser.New(leaser.Options{TTL: hostTTL, Ended: func(int64) { m.losePresence() }, Log: o.Log}, store)
 	m.background.Go(func() { m.followView(ctx) })
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,7 +30,6 @@
 	done          chan struct{}      // closed when run has returned
 	stopOnce      sync.Once          // guards closing stop
 	calls         sync.WaitGroup     // goroutines started by run
-	recordLost    atomic.Bool        // the owner record has ended with its lease
 	resigns       bool               // resign follows after run; set before stop is closed
 	lastLoad      recorder.Load      // load summary that was last published
 	publishedAt   time.Time          // when it was published
@@ -39,7 +37,8 @@
 
 	suspension suspension
 
-	members shardSpec // spec with the racks that were added; guarded by Manager.mu
+	members     shardSpec // spec with the racks that were added; guarded by Manager.mu
+	recordLease int64     // store lease of the owner record; 0 once the lease has ended; guarded by Manager.mu
 
 	mu    sync.Mutex // guards state
 	state *dispatcher.Shard
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -152,6 +152,7 @@
 	for limited.Err() == nil {
 		o, err := m.loadShard(limited, spec, fence)
 		if err == nil {
+			o.recordLease = owner.Lease
 			m.startShard(ctx, o)
 			return
 		}
@@ -270,6 +271,9 @@
 	}
 	o.startedAt = time.Now()
 	m.owned[o.spec.Name] = o
+	if lease, _ := m.lease.Renewal(); lease != o.recordLease {
+		m.loseRecord(ctx, o) // the lease has ended during the claim
+	}
 	m.background.Go(func() {
 		o.run(ctx)
 		if o.resigns {
@@ -291,60 +295,6 @@
 	m.log.Warn().Str("shard", o.spec.Name).Str("reason", reason).Msg("shard lost")
 }
 
-// leaseRenewed confirms the ownership of all shards after a renewal of the
-// lease, but of those whose owner record hasn't been attached to it yet.
-func (m *Manager) leaseRenewed(sent time.Time) {
-	m.recordContact()
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, o := range m.owned {
-		if !o.recordLost.Load() {
-			o.post(dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
-		}
-	}
-}
-
-// leaseEnded writes the owner records again with a new lease. A shard that
-// another daemon has claimed in the meantime is lost.
-func (m *Manager) leaseEnded(ctx context.Context) {
-	if m.shuttingDown.Load() {
-		return
-	}
-	m.log.Warn().Msg("lease lost, ownership confirmation started")
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, o := range m.owned {
-		o.recordLost.Store(true)
-		m.background.Go(func() { m.renewOwner(ctx, o) })
-	}
-}
-
-// renewOwner writes the owner record of a shard again until that succeeds or the
-// shard is lost.
-func (m *Manager) renewOwner(ctx context.Context, o *ownedShard) {
-	for ctx.Err() == nil && m.shard(o.spec.Name) == o {
-		limited, cancel := context.WithTimeout(ctx, claimTimeout)
-		sent := time.Now()
-		owner, err := m.ownerWrite(limited, o.spec.Name)
-		if err == nil {
-			err = o.fence.RestoreOwner(limited, owner)
-		}
-		cancel()
-		switch {
-		case err == nil:
-			o.recordLost.Store(false)
-			m.log.Info().Str("shard", o.spec.Name).Msg("ownership confirmed")
-			o.post(dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
-			return
-		case errors.Is(err, fencer.ErrFenced):
-			o.giveUp("another owner has claimed the shard")
-			return
-		}
-		m.log.Warn().Err(err).Str("shard", o.spec.Name).Msg("ownership confirmation failed")
-		waiter.Sleep(ctx, retryDelay)
-	}
-}
-
 // removeOwner removes the owner record of a shard that was claimed but not
 // started.
 func (m *Manager) removeOwner(ctx context.Context, fence *fencer.Fence) {
--- a/internal/state/leaser/leaser.go
+++ b/internal/state/leaser/leaser.go
@@ -69,6 +69,7 @@
 
 	mu         sync.Mutex // guards the fields below
 	id         int64      // 0 if there is no lease
+	renewedAt  time.Time  // when its grant or its last successful renewal was sent
 	validUntil time.Time
 }
 
@@ -136,6 +137,14 @@
 	return l.id
 }
 
+// Renewal returns the ID of the current lease, and when its grant or its last successful
+// renewal was sent. The ID is 0 if there is no lease.
+func (l *Lease) Renewal() (id int64, sent time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.id, l.renewedAt
+}
+
 // IsValid reports whether the lease is certainly still valid in the store.
 func (l *Lease) IsValid() bool {
 	l.mu.Lock()
@@ -205,7 +214,7 @@
 func (l *Lease) setGranted(id int64, sent time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.id = id
+	l.id, l.renewedAt = id, sent
 	l.validUntil = sent.Add(l.options.TTL - l.options.Margin)
 }
 
@@ -217,6 +226,7 @@
 	if l.id != id {
 		return false
 	}
+	l.renewedAt = sent
 	l.validUntil = sent.Add(l.options.TTL - l.options.Margin)
 	return true
 }
@@ -228,6 +238,6 @@
 	if l.id != id {
 		return false
 	}
-	l.id, l.validUntil = 0, time.Time{}
+	l.id, l.renewedAt, l.validUntil = 0, time.Time{}, time.Time{}
 	return true
 }
