job/dispatcher: a confirmation of the ownership counts from its request

Would be seen: a replaced owner that gives orders for longer than the new owner waits (8 s and the lease after its claim), on workers that the new one doesn't reach.

Cause: confirmations counted from when they were processed. - After a pause, or from a full inbox, the answer to an old renewal or commit gave 8 more seconds. - A suspension of the host makes the ownership unconfirmed, but an answer from before it confirmed it again. - A shard that was read for 6 s counted as confirmed when all was read.

Change: the manager passes on when the call was sent; for a write that was sent several times, the attempt that took effect, or the read that found it, so that an outage leaves no owner unconfirmed for longer than before. A new shard is confirmed as of the request for its jobs, and as of the last renewal of its store lease. How old the cancellations may be is compared with the time of the answer, as before.

--- a/internal/job/dispatcher/cancellation.go
+++ b/internal/job/dispatcher/cancellation.go
@@ -17,7 +17,7 @@
 // start runs.
 func (s *Shard) areCancellationsKnown() bool {
 	limit := s.options.MaxCancellationAge
-	return limit == 0 || s.confirmedAt.Sub(s.cancellations.readAt) < limit
+	return limit == 0 || s.ownership.answeredAt.Sub(s.cancellations.readAt) < limit
 }
 
 // reviewCancellations logs when starts are paused and when they go on.
@@ -30,7 +30,7 @@
 	c.isPaused = isPaused
 	line := Log{Message: "run starts resumed", Reason: "cancellations known"}
 	if isPaused {
-		line = Log{Message: "run starts paused", Reason: "cancellations read late", Age: s.confirmedAt.Sub(c.readAt)}
+		line = Log{Message: "run starts paused", Reason: "cancellations read late", Age: s.ownership.answeredAt.Sub(c.readAt)}
 	}
 	s.emit(line)
 }
--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -1,6 +1,9 @@
 package dispatcher
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // commit emits a commit of changed jobs and the worker list. At most one commit
 // is in progress at a time.
@@ -85,15 +88,12 @@
 
 // batchCommitted handles the confirmation of a commit: jobs with a final state
 // are removed, and the ends that caused the changes may be acknowledged.
-func (s *Shard) batchCommitted(batch int64) {
-	if batch != s.batch || !s.committing {
+func (s *Shard) batchCommitted(e Committed) {
+	if e.Batch != s.batch || !s.committing {
 		return
 	}
 	s.committing = false
-	s.confirmedAt = s.now
-	if s.lastCommit.After(s.confirmedFor) {
-		s.confirmedFor = s.lastCommit
-	}
+	s.confirmOwnership(cmp.Or(e.SentAt, s.lastCommit))
 	s.balancing.committed(s.now.Sub(s.lastCommit))
 	for _, j := range s.batchJobs {
 		j.durable = j.sent
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -135,10 +135,9 @@
 	partlyListed    map[string]bool      // inherited workers that have answered, but haven't listed all ends, by id
 	settled         bool                 // a commit has said that no earlier leases are valid
 	workersListed   bool                 // WorkersListed has been received
-	confirmedAt     time.Time            // when the store last confirmed the ownership
-	confirmedFor    time.Time            // when it was asked for that confirmation
-	listedAt        time.Time            // the registrations are those of this time or later
-	roomVaries      bool                 // a worker's capacity has changed while it ran
+	ownership       ownership
+	listedAt        time.Time // the registrations are those of this time or later
+	roomVaries      bool      // a worker's capacity has changed while it ran
 	resigned        bool
 	cancellations   cancellations
 	evacuation      evacuation
@@ -181,8 +180,7 @@
 		runTimes:        newRunTimes(o.RunTimes),
 		inheritedExpiry: make(map[string]time.Time),
 		partlyListed:    make(map[string]bool),
-		confirmedAt:     now,
-		confirmedFor:    now,
+		ownership:       ownership{confirmedAt: now, answeredAt: now},
 	}
 	s.inheritLeases()
 	return s
@@ -265,17 +263,13 @@
 	case EarlierOwnerResigned:
 		s.applyResignation(e)
 	case Committed:
-		s.batchCommitted(e.Batch)
+		s.batchCommitted(e)
 	case EvacuationsListed:
 		s.applyEvacuations(e)
 	case EvacuationsOutdated:
 		s.evacuation.set.Invalidate(s.now)
 	case OwnershipChecked:
-		s.confirmedAt, s.confirmedFor = s.now, cmp.Or(e.SentAt, s.now)
-		if !e.Confirmed {
-			s.confirmedAt = s.now.Add(-s.options.OutageLimit)
-			s.confirmedFor = s.confirmedAt
-		}
+		s.ownershipChecked(e)
 	}
 }
 
@@ -309,11 +303,6 @@
 	s.placementDue = true
 }
 
-// mayAct reports whether the shard may start runs and renew leases. An owner
-// that the store hasn't confirmed for OutageLimit must not: a new owner relies
-// on it when it computes the expiry of inherited leases.
-func (s *Shard) mayAct() bool { return s.now.Sub(s.confirmedAt) < s.options.OutageLimit }
-
 // orderTime is how long a start may take from the decision to the worker.
 const orderTime = 500 * time.Millisecond
 
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -119,7 +119,10 @@
 }
 
 // Committed reports that a Commit is durable.
-type Committed struct{ Batch int64 }
+type Committed struct {
+	Batch  int64
+	SentAt time.Time // when the write that took effect was sent, or a later read that found it; zero: when the commit was emitted
+}
 
 // OwnershipChecked reports whether the store has confirmed that this daemon
 // owns the shard. If it hasn't, no runs are started and no leases are renewed
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -264,7 +264,7 @@
 		return
 	}
 	if w.failedPolls > 0 && hasRuns && s.haveLeasesExpired(w) && s.isSilent(w) {
-		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID, Age: s.now.Sub(s.confirmedAt)})
+		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID, Age: s.now.Sub(s.ownership.confirmedAt)})
 		s.loseRuns(w, s.lossCause(w))
 	}
 	s.stopDraining(w)
@@ -279,15 +279,6 @@
 	return s.isOwnershipConfirmed() && !w.leaseExpiry.IsZero() && s.now.After(w.leaseExpiry)
 }
 
-// isOwnershipConfirmed reports whether the store's last confirmation is recent
-// enough that no other daemon can own the shard.
-func (s *Shard) isOwnershipConfirmed() bool { return s.now.Sub(s.confirmedAt) < confirmationTime }
-
-// confirmationTime is how long no other daemon can own the shard after the
-// store has confirmed the ownership. It is shorter than the lease of the
-// owner's record.
-const confirmationTime = 1500 * time.Millisecond
-
 // poll requests a worker's inventory and renews its leases, if a poll is due.
 func (s *Shard) poll(w *worker) {
 	if w.polling || w.replaced || s.now.Before(w.nextPoll) || !s.mayAct() {
--- a/internal/job/manager/commit.go
+++ b/internal/job/manager/commit.go
@@ -22,7 +22,7 @@
 	switch {
 	case err == nil:
 		o.manager.recordContact()
-		o.post(dispatcher.Committed{Batch: e.Batch})
+		o.post(dispatcher.Committed{Batch: e.Batch, SentAt: o.fence.ConfirmedAt()})
 	case errors.Is(err, fencer.ErrFenced):
 		o.giveUp("another owner has written to the store")
 	case ctx.Err() == nil:
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -45,8 +45,9 @@
 }
 
 // newOwnedShard returns a claimed shard that isn't started yet. Its jobs were
-// read at the given revision of the store.
-func newOwnedShard(m *Manager, spec shardSpec, fence *fencer.Fence, revision int64) *ownedShard {
+// read at the given revision of the store, by a request that was sent at readAt: no other
+// daemon had claimed the shard by then.
+func newOwnedShard(m *Manager, spec shardSpec, fence *fencer.Fence, revision int64, readAt time.Time) *ownedShard {
 	o := &ownedShard{
 		manager: m, spec: spec, members: spec, fence: fence, revision: revision,
 		log:   m.options.Log.With().Str("part", "shard").Str("shard", spec.Name).Logger(),
@@ -69,7 +70,7 @@
 
 		MaxCancellationAge: maxCancellationAge(m.options.CancellationNotice),
 		MaxEvacuationAge:   m.evacuations.maxAge,
-	}, time.Now())
+	}, readAt)
 	return o
 }
 
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -209,7 +209,7 @@
 		}
 		progress[item.Key] = p
 	}
-	o := newOwnedShard(m, spec, fence, revision)
+	o := newOwnedShard(m, spec, fence, revision, readAt)
 	o.initialEvents = append(o.initialEvents, dispatcher.CatalogUpdated{Catalog: m.Catalog()})
 	for _, item := range items {
 		if o.isOtherClaim(item) {
@@ -271,7 +271,9 @@
 	}
 	o.startedAt = time.Now()
 	m.owned[o.spec.Name] = o
-	if lease, _ := m.lease.Renewal(); lease != o.recordLease {
+	if lease, sent := m.lease.Renewal(); lease == o.recordLease {
+		o.initialEvents = append(o.initialEvents, dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
+	} else {
 		m.loseRecord(ctx, o) // the lease has ended during the claim
 	}
 	m.background.Go(func() {
--- a/internal/job/manager/record_test.go
+++ b/internal/job/manager/record_test.go
@@ -104,3 +104,52 @@
 		g.Expect(renewed.Sub(claimed)).To(BeNumerically("<=", outageLimit))
 	})
 }
+
+// TestOwnershipDuringSlowLoad guards against an owner that acts for longer than its successor
+// waits: the shard was claimed by another daemon while its jobs were still being read.
+func TestOwnershipDuringSlowLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const outageLimit = 8 * time.Second
+		store, workers := faker.New(), newFleet("w1")
+		a := newDaemon("a", store, workers)
+		defer a.Close()
+		ownerOfShard := func() string {
+			items := store.Items(recorder.OwnerKey("desk"))
+			if len(items) == 0 {
+				return ""
+			}
+			var owner recorder.Owner
+			g.Expect(recorder.Decode(items[0].Value, &owner)).To(Succeed())
+			return owner.Daemon
+		}
+		a.store.SetDelay(func(c faker.Call) time.Duration {
+			if c.Operation == "list" && c.Key == recorder.ProgressPrefix("desk") {
+				return 6 * time.Second
+			}
+			return 0
+		})
+		for ownerOfShard() != "a" {
+			time.Sleep(50 * time.Millisecond)
+		}
+		token := store.Items(recorder.FenceKey("desk"))[0].Revision
+		workers.maxToken = map[string]int64{"w1": token} // the next owner doesn't reach it
+		a.store.SetFault(func(c faker.Call) faker.Outcome {
+			if c.Operation == "list" || c.Operation == "watch" && c.Key == workers.Prefix() {
+				return faker.Succeed
+			}
+			return faker.Drop
+		})
+		b := newDaemon("b", store, workers)
+		defer b.Close()
+		for ownerOfShard() != "b" {
+			time.Sleep(50 * time.Millisecond)
+		}
+		claimed := time.Now()
+		time.Sleep(3 * outageLimit)
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		g.Expect(workers.renewed).To(HaveKey(token), "the first owner acts for a while")
+		g.Expect(workers.renewed[token].Sub(claimed)).To(BeNumerically("<=", outageLimit))
+	})
+}
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -20,6 +20,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -86,6 +87,18 @@
 	writeLock chan struct{} // holds one value while a write is in progress
 	revision  int64         // store revision of the fence after the last write
 	open      []string      // ids of writes after it that may still take effect
+
+	confirmedAt atomic.Pointer[time.Time] // see ConfirmedAt
+}
+
+// ConfirmedAt returns when the store was last asked for something that it would have answered
+// differently if another daemon had claimed the shard: a write that took effect, or a read that
+// found it. It is zero before the claim.
+func (f *Fence) ConfirmedAt() time.Time {
+	if at := f.confirmedAt.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
 }
 
 // New returns a fence of the shard for the daemon. The shard is not claimed yet.
@@ -282,7 +295,12 @@
 func (f *Fence) tryCommit(ctx context.Context, tx storer.Transaction) (int64, error) {
 	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return f.store.Commit(callCtx, tx)
+	sent := time.Now()
+	revision, err := f.store.Commit(callCtx, tx)
+	if err == nil {
+		f.confirmedAt.Store(&sent)
+	}
+	return revision, err
 }
 
 // resolveConflict reads the fence after a conflict. It returns nil if an
@@ -293,6 +311,7 @@
 func (f *Fence) resolveConflict(ctx context.Context, key, writeID string) error {
 	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	sent := time.Now()
 	item, err := f.store.Get(callCtx, key)
 	if err != nil && !errors.Is(err, storer.ErrNotFound) {
 		return err
@@ -308,6 +327,7 @@
 		return err
 	}
 	if current.WriteID == writeID {
+		f.confirmedAt.Store(&sent)
 		f.revision, f.open = item.Revision, nil
 		return nil
 	}
