state/fencer: a release is the last write of an owner

Would be seen: a shard that was released to a host with more capacity stays with its former owner, which doesn't run it, and is claimed by that again; the next owner doesn't know what the release said of leases and waits up to 14.6 s for workers that don't answer.

Cause: the owner record is written again when its lease has ended. A write that waits while the shard is released followed the release, whose revision of the fence it took.

Evidence: TestReleaseIsFinal fails before (the record is written again) and passes now.

--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -33,7 +33,7 @@
 
 // Errors returned by a Fence, to be tested with errors.Is.
 var (
-	// ErrFenced is returned when another owner has claimed the shard.
+	// ErrFenced is returned when another owner has claimed the shard, or may do so after a release.
 	ErrFenced = errors.New("fencer: shard has another owner")
 	// ErrAlreadyOwned is returned when the owner record of the shard exists.
 	ErrAlreadyOwned = errors.New("fencer: owner record already exists")
@@ -87,6 +87,7 @@
 	writeLock chan struct{} // holds one value while a write is in progress
 	revision  int64         // store revision of the fence after the last write
 	open      []string      // ids of writes after it that may still take effect
+	released  bool          // Release was called
 
 	confirmedAt atomic.Pointer[time.Time] // see ConfirmedAt
 }
@@ -116,6 +117,17 @@
 	}
 }
 
+// lockOwned does the same as lock, but returns ErrFenced after a release: from then on the shard
+// may have another owner.
+func (f *Fence) lockOwned(ctx context.Context) (unlock func(), err error) {
+	unlock, err = f.lock(ctx)
+	if err == nil && f.released {
+		unlock()
+		return nil, ErrFenced
+	}
+	return unlock, err
+}
+
 // Claim makes the daemon the owner of the shard by writing the owner record. It
 // returns ErrAlreadyOwned if another daemon's owner record exists. A record
 // with the daemon's own name is replaced: an earlier process of the daemon
@@ -203,7 +215,7 @@
 // with its lease. A record that exists is this owner's, such as by an earlier attempt whose
 // outcome was unknown, since other owners replace the fence with theirs. It is replaced.
 func (f *Fence) RestoreOwner(ctx context.Context, owner storer.Write) error {
-	unlock, err := f.lock(ctx)
+	unlock, err := f.lockOwned(ctx)
 	if err != nil {
 		return err
 	}
@@ -214,7 +226,7 @@
 // Write stores puts, deletes the keys in removes and records the workers that may
 // have runs. It returns when the outcome is known, or when ctx ends.
 func (f *Fence) Write(ctx context.Context, workers recorder.WorkerList, puts []storer.Write, removes []string) error {
-	unlock, err := f.lock(ctx)
+	unlock, err := f.lockOwned(ctx)
 	if err != nil {
 		return err
 	}
@@ -226,7 +238,7 @@
 // Commit applies tx if this daemon still owns the shard. It returns
 // ErrConditionFailed if a condition in tx does not hold.
 func (f *Fence) Commit(ctx context.Context, tx storer.Transaction) error {
-	unlock, err := f.lock(ctx)
+	unlock, err := f.lockOwned(ctx)
 	if err != nil {
 		return err
 	}
@@ -247,6 +259,7 @@
 		return err
 	}
 	defer unlock()
+	f.released = true
 	record := f.newRecord()
 	record.WorkerList, record.Released, record.WorkerLeases = recorder.WorkerList{}, true, leftovers
 	return f.commitWithRetry(ctx, record, storer.Transaction{Remove: []string{ownerKey}})
--- a/internal/state/fencer/restore_test.go
+++ b/internal/state/fencer/restore_test.go
@@ -69,3 +69,26 @@
 		g.Expect(f.RestoreOwner(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
 	})
 }
+
+// TestReleaseIsFinal guards against a shard that its former owner, which doesn't run it any more,
+// seems to own: the owner record is written again behind the release, since the lease has ended.
+func TestReleaseIsFinal(t *testing.T) {
+	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
+		ctx := t.Context()
+		a, key := store.Client("a"), recorder.OwnerKey("menus")
+		f := New("menus", "a", a)
+		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		a.SetDelay(func(faker.Call) time.Duration { return time.Second })
+		restored := make(chan error)
+		record := ownerWrite(ctx, g, a, "a")
+		time.AfterFunc(time.Millisecond, func() { restored <- f.RestoreOwner(ctx, record) })
+		leases := []recorder.WorkerLease{{Worker: "w1", Remaining: time.Second}}
+		g.Expect(f.Release(ctx, key, leases)).To(Succeed())
+		g.Expect(<-restored).To(MatchError(ErrFenced))
+		a.SetDelay(nil)
+		g.Expect(store.Items(key)).To(BeEmpty())
+		next := New("menus", "b", store.Client("b"))
+		g.Expect(next.Claim(ctx, ownerWrite(ctx, g, a, "b"))).To(Succeed())
+		g.Expect(next.WorkerLeases).To(Equal(leases))
+	})
+}
