job/manager: a late resignation replaces none of a later owner

Would be seen: an owner that waits up to 14.6 s for workers that don't answer, although the one before it has resigned: the resignation of the owner before that one was carried out late and has replaced it. Its epoch isn't the expected one, so it is ignored.

Now the key is read first, and the write requires its revision; after a resignation of a later epoch nothing is written. One read more for each resignation.

A resignation with the expected epoch isn't wrong: it is written after the last call to a worker has returned, and the ends of leases in orders that are still on their way are by the worker's clock and counted in it. What the resigning owner has itself inherited is counted too, also if it has never written anything.

Evidence: TestLateResignation fails before (epoch 0 instead of 1) and passes now. TestResignationOfAnOwnerThatWasWaiting passed before, too.

--- a/internal/job/manager/resignation.go
+++ b/internal/job/manager/resignation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
@@ -30,14 +31,30 @@
 	}
 }
 
-// writeResignation writes the shard's resignation with the leases as they are now.
+// writeResignation writes the shard's resignation with the leases as they are now, unless a
+// later owner has resigned already. The write may be carried out late, so it requires that
+// nobody has resigned in the meantime.
 func (o *ownedShard) writeResignation(ctx context.Context) error {
+	key := recorder.ResignationKey(o.spec.Name)
+	readCtx, cancelRead := context.WithTimeout(ctx, callTimeout)
+	defer cancelRead()
+	item, err := o.manager.store.Get(readCtx, key)
+	var last recorder.Resignation
+	switch {
+	case errors.Is(err, storer.ErrNotFound):
+		item.Revision = 0
+	case err != nil:
+		return err
+	case recorder.Decode(item.Value, &last) == nil && last.Epoch > o.fence.Epoch:
+		return nil
+	}
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	resignation := o.state.Resignation(time.Now())
 	resignation.Epoch = o.fence.Epoch
-	_, err := o.manager.store.Commit(limited, storer.Transaction{
-		Put: []storer.Write{{Key: recorder.ResignationKey(o.spec.Name), Value: recorder.Encode(resignation)}},
+	_, err = o.manager.store.Commit(limited, storer.Transaction{
+		If:  []storer.Condition{{Key: key, Revision: item.Revision}},
+		Put: []storer.Write{{Key: key, Value: recorder.Encode(resignation)}},
 	})
 	return err
 }
