job/dispatcher: an end is acknowledged once its checkpoint is durable

What callers would see: a task starts from its beginning, or from an old checkpoint, although its run had saved a later one; the work since then is done twice.

Cause: a checkpoint that an active run lists is kept in memory only, since its worker lists it to the next owner, too. An end that stopped, lapsed or broke the run and that has the same checkpoint changed nothing, so its acknowledgement waited for no commit. The same holds for the failure of a long-running task. After it, only this owner knew the checkpoint.

Evidence: TestEndIsAcknowledgedOnceItsCheckpointIsDurable, in which both kinds of ends were acknowledged while the store answered no write, and no commit had the checkpoint.

Change: when a run is removed, however it has ended, a checkpoint that isn't in the last commit of its job makes the job due for one. Completed tasks need none.

The test passes.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -73,7 +73,7 @@
 	if j.final == "" {
 		j.sent = j.version
 		change.Handovers, j.handovers = j.handovers, nil
-		change.Progress = j.progress()
+		change.Progress = j.takeProgress()
 		return change, true
 	}
 	j.handovers = nil
@@ -81,7 +81,7 @@
 		j.sent = j.version
 		change.State, change.SameIndex = j.final, false
 	} else {
-		change.Progress = j.progress()
+		change.Progress = j.takeProgress()
 	}
 	return change, complete
 }
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -84,6 +84,7 @@
 	completedHere  bool            // in a part: it has completed, and the home may not know
 	returns        bool            // in a part: it is to return to the home
 	checkpoint     string
+	sentCheckpoint string    // in the last commit that contains the job
 	lastFailedOn   string    // id of the worker of the last failed or stalled run
 	notBefore      time.Time // no start before this time
 	waitingSince   time.Time // when it began to wait for a run
--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -24,7 +24,7 @@
 // restoreTask applies durable progress to a task.
 func (s *Shard) restoreTask(t *task, p *recorder.TaskProgress) {
 	t.failed = p.Failed
-	t.checkpoint = p.Checkpoint
+	t.checkpoint, t.sentCheckpoint = p.Checkpoint, p.Checkpoint
 	t.hop = p.Hop
 	s.restoreLosses(t, p.Losses)
 	isPart := s.isPart(t.step.job)
@@ -55,6 +55,24 @@
 	}
 }
 
+// saveCheckpoint schedules a commit if the checkpoint of a task whose run has ended isn't in the
+// store. While the run is active its worker lists it, so that it needn't be durable.
+func (s *Shard) saveCheckpoint(t *task) {
+	if t.checkpoint != t.sentCheckpoint && !t.done && t.step.job.final == "" {
+		s.markDirty(t.step.job)
+	}
+}
+
+// takeProgress returns the job's state for a commit.
+func (j *job) takeProgress() recorder.Progress {
+	for _, st := range j.steps {
+		for _, t := range st.tasks {
+			t.sentCheckpoint = t.checkpoint
+		}
+	}
+	return j.progress()
+}
+
 // progress returns the job's state for the store.
 func (j *job) progress() recorder.Progress {
 	p := recorder.Progress{Shards: j.otherShards}
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -217,6 +217,7 @@
 		return
 	}
 	s.dropOpenLoss(r.task, r.number)
+	s.saveCheckpoint(r.task)
 	decrement(w.perStep, r.task.step)
 	r.task.step.job.lastEnd = s.now
 	if r.isServing() {
