job/dispatcher: a commit acknowledges ends in the order of the workers

Since the acknowledgements are logged, the effects of a commit followed the random order of a map, so that two replays of the same events differed. TestAcknowledgementsOfACommitAreInOrder failed and passes.

--- a/internal/job/dispatcher/commit.go
+++ b/internal/job/dispatcher/commit.go
@@ -105,7 +105,7 @@
 		}
 	}
 	s.listCommitted()
-	for _, w := range s.workers {
+	for _, w := range s.sortedWorkers {
 		s.acknowledge(w)
 	}
 	s.orderPrepared()
