job/dispatcher: a write confirms no exclusive ownership

Would be seen: two runs of a task at once, or a start after an end that the new owner has acknowledged. While the store is away the lease of the owner record ends. The owner can still write until another daemon claims the shard, and for 1.5 s after each write it took it that nobody can. If its successor renews the leases of a worker that doesn't answer the former owner, or acknowledges the ends there, that counts the leases as expired meanwhile and starts the tasks again.

What is reached: a start after a loss that may have crashed the worker waits for a write with the fence, which fails after the claim. So it takes a long-running run that was ready for 5 s, or a worker that has left as it had announced.

Cause: the condition of a commit is the fence alone. It proves that nobody had claimed the shard by then, and nothing of the time after.

Change: two times instead of one. A commit or a renewal confirms for the 8 s in which an owner may act; only a renewal of the lease to which the record is bound proves that the shard is exclusive. Leases count as expired, on workers and inherited, only while it is. Moves, transfers and balancing need just a recent confirmation: they are writes with the fence, which fail after a claim.

Consequence: while the store takes longer to answer a renewal than a third of the lease's lifetime (0.67 s of 2 s, the least that a daemon uses), no lease counts as expired. Before, commits that were answered within 1.5 s were enough.

--- a/internal/job/dispatcher/balance.go
+++ b/internal/job/dispatcher/balance.go
@@ -74,7 +74,7 @@
 // mayBalance reports whether work may be given away. None is while the store is slow, since
 // commits of ended tasks queue behind the moves.
 func (s *Shard) mayBalance() bool {
-	if !s.options.Divided || !s.isOwnershipConfirmed() || !s.workersListed {
+	if !s.options.Divided || !s.isRecentlyConfirmed() || !s.workersListed {
 		return false
 	}
 	s.pauseBalancing(s.recentCommitTime() >= balancer.SlowCommit)
--- a/internal/job/dispatcher/evacuation.go
+++ b/internal/job/dispatcher/evacuation.go
@@ -176,7 +176,7 @@
 // moveDisplaced moves jobs that have never run out of a shard whose usable workers are
 // all evacuated. Those whose last attempt is oldest come first: moves may fail for many.
 func (s *Shard) moveDisplaced() {
-	if !s.options.Divided || !s.evacuation.coversAll || !s.isOwnershipConfirmed() {
+	if !s.options.Divided || !s.evacuation.coversAll || !s.isRecentlyConfirmed() {
 		return
 	}
 	var displaced []*job
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -124,9 +124,9 @@
 	SentAt time.Time // when the write that took effect was sent, or a later read that found it; zero: when the commit was emitted
 }
 
-// OwnershipChecked reports whether the store has confirmed that this daemon
-// owns the shard. If it hasn't, no runs are started and no leases are renewed
-// until the next confirmation.
+// OwnershipChecked reports whether the store has renewed the lease to which this daemon's
+// owner record of the shard is bound. If the ownership isn't confirmed, no runs are started and
+// no leases are renewed until the next confirmation.
 type OwnershipChecked struct {
 	Confirmed bool
 	SentAt    time.Time // when the store was asked; zero: just now
--- a/internal/job/dispatcher/inherited.go
+++ b/internal/job/dispatcher/inherited.go
@@ -85,7 +85,7 @@
 // expireInherited forgets inherited workers whose leases have expired, unless
 // they may have answered without this owner noticing.
 func (s *Shard) expireInherited() {
-	if !s.isOwnershipConfirmed() {
+	if !s.isExclusive() {
 		return
 	}
 	for id, expiry := range s.inheritedExpiry {
--- a/internal/job/dispatcher/move.go
+++ b/internal/job/dispatcher/move.go
@@ -34,7 +34,7 @@
 // based on the same load summary.
 func (s *Shard) moveExcess(l *recorder.Load) {
 	excess := l.LongRunningCPU - l.LongRunningLimit
-	if !s.options.Divided || excess <= 0 || !s.isOwnershipConfirmed() {
+	if !s.options.Divided || excess <= 0 || !s.isRecentlyConfirmed() {
 		return
 	}
 	moving := s.countMoves()
--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -76,7 +76,7 @@
 
 // requestTransfers requests other shards for tasks that have waited for long.
 func (s *Shard) requestTransfers() {
-	if !s.options.Divided || !s.isOwnershipConfirmed() {
+	if !s.options.Divided || !s.isRecentlyConfirmed() {
 		return
 	}
 	for _, st := range s.waitingSteps {
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -265,7 +265,7 @@
 		return
 	}
 	if w.failedPolls > 0 && hasRuns && s.haveLeasesExpired(w) && s.isSilent(w) {
-		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID, Age: s.now.Sub(s.ownership.confirmedAt)})
+		s.emit(Log{Message: "worker leases expired", Worker: w.reg.ID, Age: s.now.Sub(s.ownership.renewedAt)})
 		s.loseRuns(w, s.lossCause(w))
 	}
 	s.stopDraining(w)
@@ -274,10 +274,10 @@
 }
 
 // haveLeasesExpired reports whether every lease on the worker has certainly
-// expired. Without a recent confirmation by the store the answer is false:
+// expired. Unless no other daemon can own the shard the answer is false:
 // another owner may reach the worker and renew them.
 func (s *Shard) haveLeasesExpired(w *worker) bool {
-	return s.isOwnershipConfirmed() && !w.leaseExpiry.IsZero() && s.now.After(w.leaseExpiry)
+	return s.isExclusive() && !w.leaseExpiry.IsZero() && s.now.After(w.leaseExpiry)
 }
 
 // poll requests a worker's inventory and renews its leases, if a poll is due.
--- a/internal/job/dispatcher/workerlist.go
+++ b/internal/job/dispatcher/workerlist.go
@@ -109,7 +109,7 @@
 	if w.failedPolls > 0 || s.isListedAsInherited(w) {
 		return false
 	}
-	return !w.isDeparting() && !w.listedAsLeaving || s.now.Sub(s.ownership.confirmedAt) < confirmationTime
+	return !w.isDeparting() && !w.listedAsLeaving || s.isRecentlyConfirmed()
 }
 
 // WorkerLeases returns the workers that may have runs when the ownership ends
