job/manager: a shard that is listed anew is checked for another claim

Would be seen: two runs of a task. An owner whose store lease has ended and whose history was discarded, as may happen while the store is away, reads its shard again. If another daemon claims the shard between two pages, the former owner sees its own claim and jobs that were accepted after the new one, and starts them; the new owner starts them at once, since it takes it that no earlier owner has them.

The claim is now read once more after the list. The first list of a new owner needs that not: it starts nothing before a write with its fence.

--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -152,6 +152,13 @@
 	o.end(reason, true)
 }
 
+// giveUpIfFenced ends the shard if the error says that another owner has claimed it.
+func (o *ownedShard) giveUpIfFenced(err error) {
+	if errors.Is(err, fencer.ErrFenced) {
+		o.giveUp("another owner has claimed the shard")
+	}
+}
+
 // end ends the shard. resigns says whether the next owner has to be told about leases.
 func (o *ownedShard) end(reason string, resigns bool) {
 	o.stopOnce.Do(func() {
@@ -179,7 +186,13 @@
 		manager: o.manager, prefix: recorder.ShardPrefix(o.spec.Name), isListed: true, revision: o.revision,
 		wait: cancellationWait(o.manager.options.CancellationNotice),
 	}
-	w.run(ctx, func(items []storer.Item, _ bool) {
+	w.run(ctx, func(items []storer.Item, complete bool) {
+		if complete {
+			if err := o.checkClaim(ctx); err != nil {
+				o.giveUpIfFenced(err)
+				return
+			}
+		}
 		for _, item := range items {
 			if item.Deleted {
 				continue
@@ -202,21 +215,6 @@
 	})
 }
 
-// isOtherClaim reports whether an item is a claim by another owner, to whom all
-// jobs that are accepted after it belong. A claim that can't be decoded counts as
-// one.
-func (o *ownedShard) isOtherClaim(item storer.Item) bool {
-	if item.Key != recorder.ClaimKey(o.spec.Name) {
-		return false
-	}
-	var claim recorder.Claim
-	if err := recorder.Decode(item.Value, &claim); err != nil {
-		o.log.Error().Err(err).Msg("claim decoding failed")
-		return true
-	}
-	return claim.Daemon != o.fence.Daemon || claim.Epoch != o.fence.Epoch
-}
-
 // decode converts a record below the shard's prefix into an event.
 func (o *ownedShard) decode(item storer.Item) (dispatcher.Event, error) {
 	kind, id := recorder.ParseShardKey(o.spec.Name, item.Key)
