job/dispatcher: exhausted tasks of a part return a few at a time

What callers would see: a shard writes nothing any more, so that no end there is acknowledged, and no job shows its end, until the shard has a new owner, which may get no further (LOST).

Cause: a commit takes changes in their order up to 28 entries, and a task that another shard gave is handed back with one entry more. All of its other hand-overs are limited to 8 for each job and commit, those of tasks whose workers have crashed too often aren't. If 25 of one job are exhausted at once, as a new owner finds them when the leases on many workers have expired, the change never fits, and it blocks all others behind it.

Evidence: TestManyExhaustedTasksOfAPartReturn, with 28 such tasks: none was handed back within 20 s. The others that call handOver were checked: each is limited.

Change: such a task waits in the list of those that return, as completed tasks do.

The test passes. Of the package's tests TestAcceptedFillersEnd and TestReplayOfDuplicates (both known red) fail, and no others.

--- a/internal/job/dispatcher/suspect.go
+++ b/internal/job/dispatcher/suspect.go
@@ -132,7 +132,7 @@
 	case !s.isPart(j):
 		s.endJob(j, specifier.Failed, "workers crashed under a task")
 	case t.worker == nil:
-		s.handOver(t, j.home)
+		s.returnTask(t)
 	}
 }
 
--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -253,8 +253,9 @@
 	}
 }
 
-// returnTask gives a finite task that has completed here, or has failed too often, back to
-// the home of its job. A run of it that is still active is stopped first.
+// returnTask gives a finite task that has completed here, or has failed too often, or a task
+// that is exhausted, back to the home of its job. A run of it that is still active is stopped
+// first.
 func (s *Shard) returnTask(t *task) {
 	if t.returns || t.elsewhere {
 		return
