job/manager: tests of the owner record without data races

go test -race reported a flag of TestClaimBetweenPages. It is atomic now, and the two other tests of these files hold the fleet's lock.

--- a/internal/job/manager/record_test.go
+++ b/internal/job/manager/record_test.go
@@ -43,8 +43,10 @@
 		time.Sleep(4 * time.Second)
 		a.submit(g, 1)
 		time.Sleep(2 * time.Second)
-		g.Expect(workers.starts).NotTo(BeEmpty(), "the daemon acts as the owner")
 		g.Expect(hasRecord()).To(BeTrue())
+		workers.mu.Lock()
+		defer workers.mu.Unlock()
+		g.Expect(workers.starts).NotTo(BeEmpty(), "the daemon acts as the owner")
 	})
 }
 
@@ -133,7 +135,9 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		token := store.Items(recorder.FenceKey("desk"))[0].Revision
+		workers.mu.Lock()
 		workers.maxToken = map[string]int64{"w1": token} // the next owner doesn't reach it
+		workers.mu.Unlock()
 		a.store.SetFault(func(c faker.Call) faker.Outcome {
 			if c.Operation == "list" || c.Operation == "watch" && c.Key == workers.Prefix() {
 				return faker.Succeed
--- a/internal/job/manager/relist_test.go
+++ b/internal/job/manager/relist_test.go
@@ -66,9 +66,9 @@
 				operator := store.Client("operator")
 				workers.register(t.Context(), operator)
 				paged := &pagedStore{Client: store.Client("a"), prefix: recorder.ShardPrefix("desk")}
-				wasClaimed := false
+				var wasClaimed atomic.Bool
 				claim := func() {
-					wasClaimed = true
+					wasClaimed.Store(true)
 					commit(g, operator,
 						storer.Write{Key: recorder.OwnerKey("desk"), Value: recorder.Encode(recorder.Owner{Daemon: "b"})},
 						storer.Write{Key: recorder.FenceKey("desk"), Value: recorder.Encode(recorder.Fence{Owner: "b", Epoch: 1, WriteID: "foreign"})},
@@ -86,13 +86,13 @@
 				a.SetCatalog(catalog)
 				time.Sleep(6 * time.Second) // until the shard is claimed
 				g.Expect(store.Items(recorder.ClaimKey("desk"))).To(HaveLen(1))
-				g.Expect(wasClaimed).To(Equal(isNew))
+				g.Expect(wasClaimed.Load()).To(Equal(isNew))
 				if !isNew {
 					paged.between.Store(&claim)
 					paged.isDiscarded.Store(true)
 				}
 				time.Sleep(5 * time.Second)
-				g.Expect(wasClaimed).To(BeTrue())
+				g.Expect(wasClaimed.Load()).To(BeTrue())
 				workers.mu.Lock()
 				defer workers.mu.Unlock()
 				g.Expect(workers.starts).To(BeEmpty())
