job/dispatcher: property tests and replays run side by side

The twelve longest run in parallel, and so do the seeds of TestReplayOfWrongEstimates; each has its own state. Seeds, checks and bounds are as before.

--- a/internal/job/dispatcher/balance_property_test.go
+++ b/internal/job/dispatcher/balance_property_test.go
@@ -20,6 +20,7 @@
 // against second runs and lost jobs when an owner fails halfway, a commit isn't
 // acknowledged, a destination is drained, or a job is cancelled meanwhile.
 func TestBalanceInvariants(t *testing.T) {
+	t.Parallel()
 	total := balancedWork{}
 	rapid.Check(t, func(t *rapid.T) {
 		// Two workers at least: each member of a gang that was lost needs one for itself.
--- a/internal/job/dispatcher/crash_test.go
+++ b/internal/job/dispatcher/crash_test.go
@@ -94,6 +94,7 @@
 // TestDeadlyTasks runs deadly tasks beside sound ones through the faults of
 // TestInvariants. No deadly task is started too often, and no job fails without cause.
 func TestDeadlyTasks(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 6).Draw(t, "workers"))
 		s.advance(time.Second)
--- a/internal/job/dispatcher/duplicate_property_test.go
+++ b/internal/job/dispatcher/duplicate_property_test.go
@@ -100,6 +100,7 @@
 // duplicates and runs that take seven times as long. It guards against a third run of a
 // task, starts after an acknowledged end or the last attempt, and jobs that never end.
 func TestDuplicateInvariants(t *testing.T) {
+	t.Parallel()
 	duplicates := 0
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 6).Draw(t, "workers"))
--- a/internal/job/dispatcher/finite_transfer_test.go
+++ b/internal/job/dispatcher/finite_transfer_test.go
@@ -12,6 +12,7 @@
 // tasks, and shards whose workers all leave for a while. Every job ends, and none fails
 // without cause.
 func TestFiniteTransferInvariants(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawServiceSimulation(t, 2)
 		s.drawSteps(t, func(t *rapid.T, i int) {
--- a/internal/job/dispatcher/isolation_test.go
+++ b/internal/job/dispatcher/isolation_test.go
@@ -16,6 +16,7 @@
 // another run appears on the worker at each of its isolated starts. Bystanders are finite
 // and long-running tasks beside it.
 func TestInvalidatedIsolations(t *testing.T) {
+	t.Parallel()
 	for _, invalid := range []int{0, 1, 2, 1000} {
 		for _, others := range []int{0, 3} {
 			t.Run(fmt.Sprintf("%d invalid, %d other crashing tasks", invalid, others), func(t *testing.T) {
--- a/internal/job/dispatcher/lostwrites_test.go
+++ b/internal/job/dispatcher/lostwrites_test.go
@@ -12,6 +12,7 @@
 // for seconds, while registrations expire and come back and owners are replaced. It guards against
 // what an owner acknowledges or forgets while nothing is durable.
 func TestInvariantsWithLostWrites(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "workers"))
 		s.advance(time.Second)
--- a/internal/job/dispatcher/pacing_test.go
+++ b/internal/job/dispatcher/pacing_test.go
@@ -18,6 +18,7 @@
 // serving tasks have to stay below their targets for 97 % of the time, while fillers
 // use room.
 func TestFillersBesideServingTasks(t *testing.T) {
+	t.Parallel()
 	const maxOver = 0.03   // part of the time that a serving task may be over its target
 	const minFiller = 0.15 // part of all CPU that fillers have to get
 	const length = 40      // seconds
@@ -46,6 +47,7 @@
 // bring half as many jobs again to their end in time as one that knows only the
 // unused CPU, and to leave fewer undone.
 func TestFillersUnderOverload(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	informed, uninformed := replayOverload(true, 2), replayOverload(false, 2)
 	t.Logf("by image: %+v, by unused CPU: %+v", informed, uninformed)
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -17,6 +17,7 @@
 // evacuations, and lost and late calls. The flags -rapid.seed and -rapid.checks choose other
 // and more schedules.
 func TestInvariants(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 5).Draw(t, "workers"))
 		s.drawEvacuations(t, mixedDomains)
--- a/internal/job/dispatcher/room_test.go
+++ b/internal/job/dispatcher/room_test.go
@@ -14,6 +14,7 @@
 // TestStartExceedsShrunkenRoom changes the workers' capacity at random through the faults
 // of TestInvariants; checkRoom fails if a start exceeds it.
 func TestStartExceedsShrunkenRoom(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "workers"))
 		s.advance(time.Second)
--- a/internal/job/dispatcher/runtimes_replay_test.go
+++ b/internal/job/dispatcher/runtimes_replay_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -398,6 +399,7 @@
 // time and at most half as many be refused needlessly, and none of the loads may lose more
 // than 3 % of its jobs, which is what single seeds vary by.
 func TestReplayOfWrongEstimates(t *testing.T) {
+	t.Parallel()
 	g := NewWithT(t)
 	change := func(since float64) float64 { // within 10 s
 		return 1 + 2*min(max((since-25)/10, 0), 1)
@@ -417,19 +419,21 @@
 		{"a mix that changes", 3, 0, func(q []*replayedQueue) { q[2].change, q[2].noise = change, 0.3 }, false},
 		{"a tail", 3, 0.03, func([]*replayedQueue) {}, false},
 	} {
-		var before, after replayedResult
+		results := make([][2]replayedResult, c.seeds) // by estimates and learned, by seed
+		var replays sync.WaitGroup
 		for seed := range c.seeds {
-			for _, learns := range []bool{false, true} {
+			for i, learns := range [...]bool{false, true} {
 				queues := replayQueues()
 				c.change(queues)
-				r := replayEstimates(seed, learns, c.tail, queues)
-				if learns {
-					after.add(r)
-				} else {
-					before.add(r)
-				}
+				replays.Go(func() { results[seed][i] = replayEstimates(seed, learns, c.tail, queues) })
 			}
 		}
+		replays.Wait()
+		var before, after replayedResult
+		for _, r := range results {
+			before.add(r[0])
+			after.add(r[1])
+		}
 		t.Logf("%s, by estimates: %v", c.name, before)
 		t.Logf("%s, learned:      %v", c.name, after)
 		g.Expect(float64(after.inTime)).To(BeNumerically(">=", 0.97*float64(before.inTime)), c.name)
--- a/internal/job/dispatcher/transfer_property_test.go
+++ b/internal/job/dispatcher/transfer_property_test.go
@@ -15,6 +15,7 @@
 // TestTransferInvariants does the same as TestInvariants with a service of several
 // shards, which transfer long-running tasks to each other.
 func TestTransferInvariants(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawServiceSimulation(t, 3)
 		s.drawEvacuations(t, domainsOfShards)
