job/dispatcher: the simulation has store outages and the whole rule on second starts

The simulation failed only if a task started after its end had been acknowledged. Now it also fails if an end is acknowledged later though the task has started again after it, unless the lease of the worker has expired between end and acknowledgement. Steps that allow duplicates and orders that a worker carried out late are exempt, as in the rule.

TestInvariantsInStoreOutages and TestTransferInvariantsInStoreOutages have a store that is away for longer than its leases last: writes without an answer that are carried out up to 6 s later if the fence still holds, reads that work or don't, registrations that are up to 3 s old or expire and come back, owner records that expire while their owner acts, up to three claims in a row, some of which nobody hears of, owners that pause with an answer in their queue, and workers that owners don't reach. Claims need an owner record that has gone. In these two tests, ends that are acknowledged after the lease of their worker has expired don't count as acknowledged; the other tests count them as before.

--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -24,6 +24,7 @@
 	heard        map[string]time.Time // when it first received a cancellation, by job id
 	epoch        int64
 	evacuations  ownerEvacuations
+	outage       ownerOutage
 }
 
 // resign ends an owner that was replaced, and tells its successor later.
@@ -45,7 +46,7 @@
 	}
 	if !o.paused {
 		if o.reachesStore && o.home.owner == o {
-			o.reduce(OwnershipChecked{Confirmed: true}, WorkersListed{Workers: o.home.registrations()})
+			o.readStore()
 		}
 		o.followEvacuations()
 		o.reduce(Tick{})
@@ -172,10 +173,14 @@
 
 // commit makes changes durable, unless another owner has claimed the shard.
 func (o *owner) commit(e Commit) {
-	if !o.canWrite(func() { o.commit(e) }) {
+	if !o.canWrite(func() { o.commit(e) }, func() { o.applyLate(e) }) {
 		return
 	}
 	s, sh := o.sim, o.home
+	if o.outage.appliedBatch == e.Batch {
+		s.schedule(s.delay(), func() { o.post(Committed{Batch: e.Batch}) })
+		return
+	}
 	switch o.takeCommitFault(e) {
 	case commitLost:
 		s.logf("owner %d crashes before its commit", o.token)
@@ -197,12 +202,13 @@
 }
 
 // canWrite reports whether the owner can write to the store now. If it doesn't
-// reach the store, retry follows later.
-func (o *owner) canWrite(retry func()) bool {
+// reach the store, or gets no answer, retry follows later. A write without an answer may be carried
+// out by late.
+func (o *owner) canWrite(retry, late func()) bool {
 	switch {
 	case !o.alive:
 		return false
-	case !o.reachesStore || o.losesWrites && o.home.owner == o:
+	case !o.reachesStore || o.losesWrites && o.home.owner == o || o.losesAnswer(late):
 		o.sim.schedule(200*time.Millisecond, retry)
 		return false
 	case o.home.owner != o:
@@ -226,7 +232,7 @@
 
 // receive handles a record that the owner's watch delivers.
 func (o *owner) receive(event Event) {
-	if !o.reachesStore {
+	if !o.reachesStore || o.sim.outage.noReads {
 		o.sim.schedule(200*time.Millisecond, func() { o.receive(event) })
 		return
 	}
@@ -334,7 +340,7 @@
 // moveJob moves a job to another shard in one transaction, unless it is being
 // cancelled.
 func (o *owner) moveJob(e MoveJob) {
-	if !o.canWrite(func() { o.moveJob(e) }) {
+	if !o.canWrite(func() { o.moveJob(e) }, nil) {
 		return
 	}
 	s := o.sim
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -37,6 +37,8 @@
 	lastRun     map[specifier.TaskID]int64 // highest number of a stopped or ended run
 	pendingEnds []specifier.End
 	lastEnd     int64
+	lapses      int                // how often its lease has expired
+	endStates   map[int64]endState // of pendingEnds, by number
 }
 
 // roomChange is a change of a worker's CPU capacity.
@@ -94,6 +96,7 @@
 	}
 	w.incarnation++
 	w.crashed, w.token, w.lastEnd, w.pendingEnds = false, 0, 0, nil
+	w.endStates = make(map[int64]endState)
 	w.startedAt = w.sim.now
 	w.runs = make(map[specifier.TaskID]*fakeRun)
 	w.lastRun = make(map[specifier.TaskID]int64)
@@ -153,6 +156,7 @@
 	incarnation := w.incarnation
 	w.sim.schedule(expiry.Sub(w.sim.now), func() {
 		if w.incarnation == incarnation && !w.sim.now.Before(w.leaseEnd) {
+			w.lapses++
 			for _, id := range sortedFakeRuns(w.runs) {
 				w.endRun(id, specifier.OutcomeLeaseExpired)
 			}
@@ -219,6 +223,7 @@
 	w.lastRun[id] = max(w.lastRun[id], r.number)
 	w.lastEnd++
 	w.sim.logf("%s ends %s run %d: %s", w.id, id, r.number, outcome)
+	w.endStates[w.lastEnd] = endState{lapses: w.lapses}
 	w.pendingEnds = append(w.pendingEnds, specifier.End{Number: w.lastEnd, Task: id, Run: r.number, Outcome: outcome})
 	switch outcome {
 	case specifier.OutcomeDone:
@@ -257,7 +262,7 @@
 	}
 	w.extendLease(e.LeaseEnd)
 	for len(w.pendingEnds) > 0 && w.pendingEnds[0].Number <= e.Acknowledged {
-		w.sim.recordAckedEnd(w.pendingEnds[0])
+		w.acknowledge(w.pendingEnds[0])
 		w.pendingEnds = w.pendingEnds[1:]
 	}
 	ended := w.pendingEnds[:min(len(w.pendingEnds), maxListedEnds)]
@@ -322,6 +327,7 @@
 	}
 	s.checkRoom(w, e.Task, step)
 	s.checkNumber(e)
+	s.noteStart(w, e, step)
 }
 
 // checkRoom checks that a worker has room for another run of a step.
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -153,6 +153,7 @@
 	}
 	s.endEvacuations()
 	s.advance(15 * time.Second)
+	s.endOutage()
 	s.lostAnswerRate, s.lateCallRate, s.failureRate, s.wrongRoomRate = 0, 0, 0, 0
 	for _, w := range s.workers {
 		w.registered, w.stalled = !w.gone, false
--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -62,6 +62,19 @@
 
 // claim creates a new owner, which loads the durable state.
 func (sh *simShard) claim() {
+	s, o := sh.sim, sh.newOwner()
+	events := append([]Event{CatalogUpdated{Catalog: s.catalog}}, sh.records()...)
+	if sh.resignation != nil {
+		events = append(events, EarlierOwnerResigned{Resignation: *sh.resignation, Received: s.now})
+	}
+	events = append(events, s.hostEvacuations()...)
+	o.reduce(append(events, WorkersListed{Workers: sh.registrations()})...)
+	o.hearLoaded()
+	o.tick()
+}
+
+// newOwner replaces the fence of the shard, so that it has a new owner, which does nothing yet.
+func (sh *simShard) newOwner() *owner {
 	s := sh.sim
 	s.token++
 	o := &owner{
@@ -80,14 +93,7 @@
 	sh.recordedWorkers = recorder.WorkerList{Workers: sh.recordedWorkers.Workers}
 	sh.owner = o
 	s.logf("%s: claim %d", sh.name, o.token)
-	events := append([]Event{CatalogUpdated{Catalog: s.catalog}}, sh.records()...)
-	if sh.resignation != nil {
-		events = append(events, EarlierOwnerResigned{Resignation: *sh.resignation, Received: s.now})
-	}
-	events = append(events, s.hostEvacuations()...)
-	o.reduce(append(events, WorkersListed{Workers: sh.registrations()})...)
-	o.hearLoaded()
-	o.tick()
+	return o
 }
 
 // records returns the shard's records in the order in which a new owner gets them.
@@ -148,7 +154,7 @@
 // release ends the current ownership by a planned shutdown.
 func (sh *simShard) release() {
 	s, o := sh.sim, sh.owner
-	if !o.alive || o.paused || !o.reachesStore {
+	if !o.alive || o.paused || !o.reachesStore || o.losesAnswer(nil) {
 		return
 	}
 	s.logf("owner %d shuts down", o.token)
@@ -198,6 +204,7 @@
 		sh.applyChange(&e.Changes[i])
 	}
 	sh.recordedWorkers = e.WorkerList
+	sh.owner.outage.appliedBatch = e.Batch
 }
 
 // checkEntries checks that a commit fits into a transaction, which also has a
