--- a/internal/job/dispatcher/outage_property_test.go
+++ b/internal/job/dispatcher/outage_property_test.go
@@ -13,6 +13,7 @@
 // guards against two owners that don't allow for each other, and against ends that are acknowledged
 // though the task starts again.
 func TestInvariantsInStoreOutages(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "workers"))
 		s.exemptsLapses = true
@@ -26,6 +27,7 @@
 // TestTransferInvariantsInStoreOutages does the same with a service of several shards, which
 // transfer tasks to each other.
 func TestTransferInvariantsInStoreOutages(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawServiceSimulation(t, 3)
 		s.exemptsLapses = true
