job/dispatcher, control/isolator: suspect tasks aren't started on workers that crash on their own

Cause: a flapping worker collects all the losses of a task. It is empty after each restart, and under load it is the only worker that is, so it gets the task back that was lost there, also in isolation, where the loss counts as the task's own. A restart also cleared what the owner knew against the worker (resetWorker).

Losses on such workers that don't count, or runs on them as an alibi: crashing tasks crash the same worker in turn, so the limit of five starts would not hold.

Change: losses and limits are as before. A worker that crashes a second time within 20 s, whatever ran there, gets no runs for 5 s, for a third of the shard at most. A suspect task is started on a worker without a crash in the last 20 s and without an earlier loss of the task, if one can become empty within 6 s. A worker that registers at the address of another one inherits its crashes.

--- a/internal/job/dispatcher/departure.go
+++ b/internal/job/dispatcher/departure.go
@@ -55,6 +55,10 @@
 			continue
 		}
 		s.emit(Log{Message: "worker replaced at its address", Worker: w.reg.ID, Reason: "by " + l.ID})
+		if next := s.workers[l.ID]; !s.hasLeftAsAnnounced(w) {
+			next.crashes = w.crashes
+			s.noteCrash(next)
+		}
 		s.endReplacedWorker(w)
 	}
 }
--- a/internal/job/dispatcher/isolation.go
+++ b/internal/job/dispatcher/isolation.go
@@ -34,9 +34,9 @@
 // maySuspectStart reports whether a suspect task may start on the worker.
 func (p *placement) maySuspectStart(t *task, w *worker) bool {
 	if t.needsIsolation() {
-		return p.suspects[w] == 0 && w.unprovenRuns() == 0
+		return p.suspects[w] == 0 && w.unprovenRuns() == 0 && !p.waitsForConclusive(t, w)
 	}
-	return p.suspects[w] == 0 || p.shard.now.Sub(t.waitingSince) >= otherWorkerWait
+	return p.suspects[w] == 0 && !p.waitsForConclusive(t, w) || p.shard.now.Sub(t.waitingSince) >= otherWorkerWait
 }
 
 // isKeptApart reports whether a suspect task may have found no worker although there is
@@ -75,7 +75,7 @@
 	}
 	best, fewest := -1, 0
 	for i, w := range p.workers {
-		if p.candidates[i].Closed || p.suspects[w] > 0 || !w.fitsBesideLongRunning(t.step) {
+		if p.candidates[i].Closed || p.suspects[w] > 0 || !w.fitsBesideLongRunning(t.step) || p.waitsForConclusive(t, w) {
 			continue
 		}
 		if n := w.unprovenRuns(); best < 0 || n < fewest {
--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -15,7 +15,7 @@
 //   - Its starts are durable before they are ordered, so that no owner forgets one.
 //   - It isn't started beside another suspect task if there is room elsewhere.
 //   - After some losses it is started in isolation: see isolation.go. A worker that
-//     crashes then has only this run to blame.
+//     crashes then has only this run to blame, or itself: see flapping.go.
 //   - After some isolated losses, or a few more of either kind, its job fails: see
 //     package isolator.
 //
--- a/internal/job/dispatcher/outlier.go
+++ b/internal/job/dispatcher/outlier.go
@@ -59,13 +59,18 @@
 
 // maxAvoidedWorkers returns how many workers may be avoided at the same time, at least one.
 func (s *Shard) maxAvoidedWorkers() int {
+	return max(int(maxAvoidedShare*float64(s.stayingWorkers())), 1)
+}
+
+// stayingWorkers returns the number of workers that are registered and not about to leave.
+func (s *Shard) stayingWorkers() int {
 	n := 0
 	for _, w := range s.sortedWorkers {
 		if w.stays() {
 			n++
 		}
 	}
-	return max(int(maxAvoidedShare*float64(n)), 1)
+	return n
 }
 
 // observeSpeed records the run time of a finite task that has completed. The expected run
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"dotterelcart.dev/dotterelcart/internal/control/isolator"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -50,13 +51,14 @@
 	overtakenInRow  int       // runs in a row whose duplicates were done first
 	avoidUntil      time.Time // no runs are started before it, also after a refused start
 	health          workerHealth
-	servingRuns     map[string]int // number of runs with a latency target, by image
-	latencyRatio    float64        // highest ratio of a tail latency to its target; 0 without serving runs
-	unknownRuns     int            // number of runs whose reservations aren't known
-	overTargetSince time.Time      // since when latencyRatio is at least 1; zero if it isn't
-	pacedAt         time.Time      // when a pace was last ordered
-	newFillers      []*run         // fillers beside serving tasks, see unseenGrowth
-	endsDelayed     bool           // polls failed before the last answer, so its ends may be old
+	crashes         isolator.Crashes // of all incarnations
+	servingRuns     map[string]int   // number of runs with a latency target, by image
+	latencyRatio    float64          // highest ratio of a tail latency to its target; 0 without serving runs
+	unknownRuns     int              // number of runs whose reservations aren't known
+	overTargetSince time.Time        // since when latencyRatio is at least 1; zero if it isn't
+	pacedAt         time.Time        // when a pace was last ordered
+	newFillers      []*run           // fillers beside serving tasks, see unseenGrowth
+	endsDelayed     bool             // polls failed before the last answer, so its ends may be old
 
 	evacuated       bool          // its failure domain is evacuated
 	coldUntil       time.Time     // until then it is slow, see updateCold
@@ -188,6 +190,7 @@
 // old one have ended.
 func (s *Shard) resetWorker(w *worker, incarnation int64) {
 	s.emit(Log{Message: "worker restarted", Worker: w.reg.ID})
+	hasCrashed := !s.hasLeftAsAnnounced(w)
 	s.loseRuns(w, LossRestart)
 	w.reg.Incarnation = incarnation
 	w.leavesAt, w.replaced = time.Time{}, false
@@ -196,6 +199,9 @@
 	w.lastEnd, w.ackedEnd, w.pendingEnds = 0, 0, nil
 	w.failuresInRow, w.avoidUntil, w.latencyRatio = 0, time.Time{}, 0
 	w.health = workerHealth{}
+	if hasCrashed {
+		s.noteCrash(w)
+	}
 	w.nextPoll = s.now
 	s.poll(w)
 }
