--- a/internal/job/dispatcher/flapping_test.go
+++ b/internal/job/dispatcher/flapping_test.go
@@ -24,6 +24,7 @@
 // TestFlappingWorkers guards against failing the jobs of tasks that do no harm because some
 // workers crash again and again, a tenth of them at a time and others in each turn.
 func TestFlappingWorkers(t *testing.T) {
+	t.Parallel()
 	fast := flapping{down: 700 * time.Millisecond, up: 700 * time.Millisecond, length: 6500 * time.Millisecond, quiet: 6 * time.Second, run: 2200 * time.Millisecond}
 	renamed, takenOver, slow, long := fast, fast, fast, fast
 	renamed.renames = true
@@ -34,6 +35,7 @@
 		"0.7 s up": fast, "other id": renamed, "take-over": takenOver, "7 s up": slow, "without pause": long,
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(2) {
 				s := newSimulation(t, seed, 20)
 				s.flap(f)
