--- a/internal/control/isolator/crashes.go
+++ b/internal/control/isolator/crashes.go
@@ -15,8 +15,7 @@
 //	}
 
 const (
-	// crashMemory is how long a crash of a worker counts as recent. Flapping workers of the
-	// users' deployments come back within a second; those that a task has crashed, after 3 s.
+	// crashMemory is how long a crash of a worker counts as recent.
 	crashMemory = 20 * time.Second
 
 	// crashBackoff is how long a worker that has crashed repeatedly is to get no runs. Tasks
@@ -24,9 +23,8 @@
 	crashBackoff = 5 * time.Second
 
 	// MaxOtherWorkerWait is the longest time that a suspect task waits for a worker without
-	// recent crashes, which has to become empty. In simulations 2.5 s was too short under load:
-	// tasks of 8 s were given up. It is no more than the time in which long-running tasks have to
-	// run again.
+	// recent crashes, which has to become empty. It is no more than the time in which
+	// long-running tasks have to run again.
 	MaxOtherWorkerWait = 6 * time.Second
 )
 
