--- a/internal/job/manager/fleet_test.go
+++ b/internal/job/manager/fleet_test.go
@@ -93,6 +93,19 @@
 	return true
 }
 
+// cutOffSuccessors makes later owners reach no worker, and returns the fencing token of the current
+// one.
+func (f *fleet) cutOffSuccessors() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	token := f.token[f.ids[0]]
+	f.maxToken = make(map[string]int64)
+	for _, id := range f.ids {
+		f.maxToken[id] = token
+	}
+	return token
+}
+
 // isFenced reports whether a token is lower than the highest so far, which it
 // updates.
 func (f *fleet) isFenced(id string, token int64) bool {
--- a/internal/job/manager/record_test.go
+++ b/internal/job/manager/record_test.go
@@ -57,13 +57,7 @@
 	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
 		const outageLimit = 8 * time.Second
 		owner, other := ownerOf(g, a, b)
-		f.mu.Lock()
-		token := f.token["w1"]
-		f.maxToken = make(map[string]int64)
-		for _, id := range f.ids {
-			f.maxToken[id] = token // the new owner reaches no worker
-		}
-		f.mu.Unlock()
+		token := f.cutOffSuccessors()
 		other.store.SetDown(true)
 		owner.store.SetDown(true)
 		time.Sleep(5 * time.Second) // the first lease ends
--- a/internal/job/manager/renewal_test.go
+++ b/internal/job/manager/renewal_test.go
@@ -17,13 +17,7 @@
 	inBubble(t, func(g Gomega, a, b *daemon, f *fleet) {
 		const outageLimit = 8 * time.Second
 		owner, other := ownerOf(g, a, b)
-		f.mu.Lock()
-		token := f.token["w1"]
-		f.maxToken = make(map[string]int64)
-		for _, id := range f.ids {
-			f.maxToken[id] = token // the new owner reaches no worker
-		}
-		f.mu.Unlock()
+		token := f.cutOffSuccessors()
 		owner.store.SetDown(true)
 		time.Sleep(5 * time.Second) // its lease expires
 		g.Expect(other.View().Shards["desk"].Owner).To(Equal(other.store.Name))
