job/manager: a claim check and a resignation that fail say so

Found in the read-through: a failed read of the claim after a list was repeated without a log line, and a resignation that can't be decoded was replaced without one. No change of behaviour.

--- a/internal/job/manager/claim.go
+++ b/internal/job/manager/claim.go
@@ -41,6 +41,7 @@
 		case err == nil:
 			return nil
 		}
+		o.log.Warn().Err(err).Msg("claim check failed")
 		if !waiter.Sleep(ctx, retryDelay) {
 			return ctx.Err()
 		}
--- a/internal/job/manager/resignation.go
+++ b/internal/job/manager/resignation.go
@@ -39,13 +39,12 @@
 	readCtx, cancelRead := context.WithTimeout(ctx, callTimeout)
 	defer cancelRead()
 	item, err := o.manager.store.Get(readCtx, key)
-	var last recorder.Resignation
 	switch {
 	case errors.Is(err, storer.ErrNotFound):
 		item.Revision = 0
 	case err != nil:
 		return err
-	case recorder.Decode(item.Value, &last) == nil && last.Epoch > o.fence.Epoch:
+	case o.isLaterResignation(item):
 		return nil
 	}
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
@@ -59,6 +58,17 @@
 	return err
 }
 
+// isLaterResignation reports whether an item is the resignation of a later owner. One that can't
+// be decoded tells nobody anything, and counts as an earlier one.
+func (o *ownedShard) isLaterResignation(item storer.Item) bool {
+	var last recorder.Resignation
+	if err := recorder.Decode(item.Value, &last); err != nil {
+		o.log.Warn().Err(err).Str("key", item.Key).Msg("record decoding failed")
+		return false
+	}
+	return last.Epoch > o.fence.Epoch
+}
+
 // updateResignation applies the resignation of a shard's earlier owner to the view
 // and to the shard, if this daemon owns it.
 func (m *Manager) updateResignation(shard string, item storer.Item) {
