job/dispatcher, control/isolator: names and set-ups after the read-through

The set-up of a busy worker stands once in the tests, what the simulation counts is an expiry of a lease, the methods of Crashes have one kind of receiver. Assertions, bounds and seeds are as before.

--- a/internal/control/isolator/crashes.go
+++ b/internal/control/isolator/crashes.go
@@ -18,8 +18,8 @@
 	// crashMemory is how long a crash of a worker counts as recent.
 	crashMemory = 20 * time.Second
 
-	// crashBackoff is how long a worker that has crashed repeatedly is to get no runs. Tasks
-	// that last, and have lost a run, have to run again within 6 s.
+	// crashBackoff is how long a worker that has crashed repeatedly is to get no runs. It is
+	// shorter than the 6 s within which a long-running task has to run again.
 	crashBackoff = 5 * time.Second
 
 	// MaxOtherWorkerWait is the longest time that a suspect task waits for a worker without
@@ -46,11 +46,11 @@
 
 // IsRecent reports whether the worker has crashed recently, so that its next crash may be its
 // own as well.
-func (c Crashes) IsRecent(now time.Time) bool { return c.count > 0 && now.Sub(c.last) < crashMemory }
+func (c *Crashes) IsRecent(now time.Time) bool { return c.count > 0 && now.Sub(c.last) < crashMemory }
 
 // Backoff returns for how long after its last crash the worker is to get no runs, 0 unless it
 // has crashed repeatedly.
-func (c Crashes) Backoff() time.Duration {
+func (c *Crashes) Backoff() time.Duration {
 	if c.count < 2 {
 		return 0
 	}
--- a/internal/job/dispatcher/checkpointend_test.go
+++ b/internal/job/dispatcher/checkpointend_test.go
@@ -18,7 +18,7 @@
 		outcome specifier.Outcome
 		change  func(*specifier.Step)
 	}{
-		"lapsed":                   {specifier.OutcomeLeaseExpired, func(s *specifier.Step) { s.Checkpoint = true }},
+		"lease expired":            {specifier.OutcomeLeaseExpired, func(s *specifier.Step) { s.Checkpoint = true }},
 		"long-running, has failed": {specifier.OutcomeFailed, func(s *specifier.Step) { s.Checkpoint, s.LongRunning = true, true }},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -18,27 +18,27 @@
 // fakeWorker follows the worker protocol, but also starts runs beyond its
 // capacity. checkStart fails the test if one is ordered.
 type fakeWorker struct {
-	sim         *simulation
-	id          string
-	address     string // its id if empty
-	incarnation int64
-	token       int64
-	registered  bool
-	crashed     bool
-	gone        bool // another worker has its address, so that it stays down
-	draining    bool
-	stalled     bool          // its runs make no progress
-	domain      string        // failure domain; "bne" if empty
-	cold        time.Duration // registered time for which it remains slow
-	rooms       []roomChange
-	startedAt   time.Time
-	leaseEnd    time.Time // when its runs are killed
-	runs        map[specifier.TaskID]*fakeRun
-	lastRun     map[specifier.TaskID]int64 // highest number of a stopped or ended run
-	pendingEnds []specifier.End
-	lastEnd     int64
-	lapses      int                // how often its lease has expired
-	endStates   map[int64]endState // of pendingEnds, by number
+	sim           *simulation
+	id            string
+	address       string // its id if empty
+	incarnation   int64
+	token         int64
+	registered    bool
+	crashed       bool
+	gone          bool // another worker has its address, so that it stays down
+	draining      bool
+	stalled       bool          // its runs make no progress
+	domain        string        // failure domain; "bne" if empty
+	cold          time.Duration // registered time for which it remains slow
+	rooms         []roomChange
+	startedAt     time.Time
+	leaseEnd      time.Time // when its runs are killed
+	runs          map[specifier.TaskID]*fakeRun
+	lastRun       map[specifier.TaskID]int64 // highest number of a stopped or ended run
+	pendingEnds   []specifier.End
+	lastEnd       int64
+	leaseExpiries int                // how often its lease has expired
+	endStates     map[int64]endState // of pendingEnds, by number
 }
 
 // roomChange is a change of a worker's CPU capacity.
@@ -156,7 +156,7 @@
 	incarnation := w.incarnation
 	w.sim.schedule(expiry.Sub(w.sim.now), func() {
 		if w.incarnation == incarnation && !w.sim.now.Before(w.leaseEnd) {
-			w.lapses++
+			w.leaseExpiries++
 			for _, id := range sortedFakeRuns(w.runs) {
 				w.endRun(id, specifier.OutcomeLeaseExpired)
 			}
@@ -223,7 +223,7 @@
 	w.lastRun[id] = max(w.lastRun[id], r.number)
 	w.lastEnd++
 	w.sim.logf("%s ends %s run %d: %s", w.id, id, r.number, outcome)
-	w.endStates[w.lastEnd] = endState{lapses: w.lapses}
+	w.endStates[w.lastEnd] = endState{leaseExpiries: w.leaseExpiries}
 	w.pendingEnds = append(w.pendingEnds, specifier.End{Number: w.lastEnd, Task: id, Run: r.number, Outcome: outcome})
 	switch outcome {
 	case specifier.OutcomeDone:
--- a/internal/job/dispatcher/flapping_test.go
+++ b/internal/job/dispatcher/flapping_test.go
@@ -113,11 +113,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			h := newHarness(lossQueue, "w1", "w2")
-			busy := oneStep(1, nil)
-			busy.ID = "ffffffffffffff01"
-			h.feed(JobArrived{Job: busy})
-			running := takeEffects[StartRun](h)[0]
-			h.confirm(running)
+			running := h.occupyWorker()
 			other := map[string]string{"w1": "w2", "w2": "w1"}[running.Worker.ID]
 			incarnations := map[string]int64{running.Worker.ID: 1, other: 2}
 			h.list(incarnations)
--- a/internal/job/dispatcher/gangisolation_test.go
+++ b/internal/job/dispatcher/gangisolation_test.go
@@ -71,11 +71,7 @@
 func TestGangKeepsEmptyWorkers(t *testing.T) {
 	g := NewWithT(t)
 	h := newHarness(lossQueue, "w1", "w2")
-	busy := oneStep(1, nil)
-	busy.ID = "ffffffffffffff01"
-	h.feed(JobArrived{Job: busy})
-	running := takeEffects[StartRun](h)[0]
-	h.confirm(running)
+	running := h.occupyWorker()
 	h.loadSuspect(gangOf(2), twoLosses(), twoLosses())
 	for range 5 {
 		h.advance(200 * time.Millisecond)
--- a/internal/job/dispatcher/isolation_test.go
+++ b/internal/job/dispatcher/isolation_test.go
@@ -78,6 +78,16 @@
 	return []recorder.Loss{{Run: 101, Worker: "a", Incarnation: 1}, {Run: 102, Worker: "b", Incarnation: 1}}
 }
 
+// occupyWorker submits another job with one task and confirms its start.
+func (h *harness) occupyWorker() StartRun {
+	job := oneStep(1, nil)
+	job.ID = "ffffffffffffff01"
+	h.feed(JobArrived{Job: job})
+	start := takeEffects[StartRun](h)[0]
+	h.confirm(start)
+	return start
+}
+
 // proveLongRunning starts the task of longRunningJob on w1 and keeps it ready there for 6 s.
 func (h *harness) proveLongRunning() specifier.Run {
 	h.feed(JobArrived{Job: longRunningJob()})
--- a/internal/job/dispatcher/outage_property_test.go
+++ b/internal/job/dispatcher/outage_property_test.go
@@ -16,7 +16,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 5).Draw(t, "workers"))
-		s.exemptsLapses = true
+		s.exemptsExpired = true
 		s.drawSteps(t, func(t *rapid.T, i int) { s.outageStep(t, i, 1) })
 		s.endFaults()
 		s.advance(time.Minute)
@@ -30,7 +30,7 @@
 	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		s := drawServiceSimulation(t, 3)
-		s.exemptsLapses = true
+		s.exemptsExpired = true
 		s.drawEvacuations(t, domainsOfShards)
 		s.drawSteps(t, func(t *rapid.T, i int) { s.outageStep(t, i, 3) })
 		s.endFaults()
--- a/internal/job/dispatcher/secondstart_test.go
+++ b/internal/job/dispatcher/secondstart_test.go
@@ -8,8 +8,8 @@
 
 // endState is what has happened to an end that isn't acknowledged yet.
 type endState struct {
-	lapses  int    // how often the lease of its worker had expired before
-	restart string // the first start of the task after the end, if that is done; empty without one
+	leaseExpiries int    // how often the lease of its worker had expired before
+	restart       string // the first start of the task after the end, if that is done; empty without one
 }
 
 // noteStart records the start of a task of which workers list an end that is done. An order that
@@ -31,15 +31,15 @@
 
 // acknowledge records that an end was acknowledged, and checks that its task hasn't started since
 // the end if that is done. Neither counts if the lease of the worker has expired between the two:
-// then the end isn't taken note of, and the task may start again.
+// then the end has no effect, and the task may start again.
 func (w *fakeWorker) acknowledge(end specifier.End) {
 	state := w.endStates[end.Number]
 	delete(w.endStates, end.Number)
-	hasLapsed := state.lapses < w.lapses
-	if state.restart != "" && !hasLapsed {
+	hasExpired := state.leaseExpiries < w.leaseExpiries
+	if state.restart != "" && !hasExpired {
 		w.sim.fail("the end of %s run %d on %s is acknowledged after %s has started", end.Task, end.Run, w.id, state.restart)
 	}
-	if !hasLapsed || !w.sim.exemptsLapses {
+	if !hasExpired || !w.sim.exemptsExpired {
 		w.sim.recordAckedEnd(end)
 	}
 }
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -51,7 +51,7 @@
 	deadly         map[specifier.TaskID]*deadlyTask
 	evacuation     evacuationSim
 	outage         storeOutage
-	exemptsLapses  bool          // ends that are acknowledged after their worker's lease has expired don't count
+	exemptsExpired bool          // ends that are acknowledged after their worker's lease has expired don't count
 	lateCall       bool          // the call that is being executed is late
 	orderDelay     time.Duration // starts and stops are carried out this late, unanswered; 0 is no delay
 }
