--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -117,6 +117,7 @@
 	earlyCancels    map[string]time.Time       // cancellations that came before their jobs, by job id
 	waitingSteps    []*step                    // steps with waiting tasks, unordered
 	suspects        map[specifier.TaskID]*task // tasks with losses
+	forgotten       map[runKey]forgottenRun    // lately forgotten runs
 	preparing       []*run                     // runs that aren't ordered before they are durable
 	workers         map[string]*worker
 	sortedWorkers   []*worker        // the values of workers, sorted by id
@@ -337,6 +338,7 @@
 		s.requestTransfers()
 		s.requestBalance(&load)
 		s.forgetEnded()
+		s.expireForgotten()
 	}
 	s.reportWaiting()
 	s.placementDue = true
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -25,6 +25,7 @@
 	w.endsDelayed = w.failedPolls > 0
 	s.congestion.answered(s.now, s.now.Sub(e.Sent), w.pollWait)
 	if e.Inventory.Incarnation > w.reg.Incarnation {
+		s.logRestart(w, e.Inventory.Incarnation, "inventory")
 		s.resetWorker(w, e.Inventory.Incarnation)
 		w.polling, w.outdated = false, true
 	}
@@ -105,6 +106,9 @@
 // processEnd applies the end of one run and queues its acknowledgement.
 func (s *Shard) processEnd(w *worker, end specifier.End) {
 	r := w.runs[end.Task]
+	if r == nil {
+		s.logUnexpected(w, end.Task, end.Run)
+	}
 	t := s.findTask(end.Task)
 	if r != nil && r.number <= end.Run {
 		if r.number == end.Run && end.Outcome == specifier.OutcomeDone {
@@ -215,6 +219,7 @@
 	r := w.runs[listed.Task]
 	switch {
 	case r == nil:
+		s.logUnexpected(w, listed.Task, listed.Number)
 		s.adopt(w, listed)
 		return
 	case listed.Number < r.number:
@@ -230,6 +235,7 @@
 	if r.phase == starting || r.phase == startUnknown {
 		s.markActive(r)
 	}
+	r.listed = true
 	r.noteProgress(s.now, listed.ProgressPercent)
 	if r.progress != listed.ProgressPercent {
 		r.progressedAt = s.now
@@ -263,7 +269,7 @@
 // is waiting for one.
 func (s *Shard) adopt(w *worker, listed specifier.Run) {
 	t := s.findTask(listed.Task)
-	r := &run{id: listed.Task, worker: w, number: listed.Number, phase: active, answeredAt: s.now, startedAt: s.now, progressedAt: s.now, progress: listed.ProgressPercent, metric: listed.Metric, pace: unknownPace}
+	r := &run{id: listed.Task, worker: w, number: listed.Number, phase: active, listed: true, answeredAt: s.now, startedAt: s.now, progressedAt: s.now, progress: listed.ProgressPercent, metric: listed.Metric, pace: unknownPace}
 	s.setNeeds(r)
 	if t != nil {
 		t.lastRun = max(t.lastRun, listed.Number)
@@ -324,9 +330,9 @@
 		s.stopRun(r, "start outcome unknown")
 	case active:
 		s.emit(Log{Message: "run lost", Task: r.id.String(), Job: r.id.Job, Worker: r.worker.reg.ID, Run: r.number})
-		s.removeRun(r)
+		s.forgetRun(r, "not listed")
 	case stopping:
-		s.removeRun(r)
+		s.forgetRun(r, "not listed after its stop")
 	}
 }
 
@@ -374,7 +380,7 @@
 	w, t := r.worker, r.task
 	waitingSince := t.waitingSince
 	w.avoidUntil = s.now.Add(refusalBackoff)
-	s.removeRun(r)
+	s.forgetRun(r, "start refused: "+e.Fault.String())
 	t.notBefore = s.now.Add(orderRetryDelay)
 	t.waitingSince = waitingSince // no run has interrupted the wait
 	if e.Fault == WorkerRestarted {
--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -92,7 +92,7 @@
 			s.countLoss(r, unproven == 1)
 			suspects = append(suspects, r.task)
 		}
-		s.removeRun(r)
+		s.forgetRun(r, cause.String())
 	}
 	for _, t := range suspects {
 		s.failIfExhausted(t)
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -94,6 +94,7 @@
 	unknown      bool      // needs aren't known
 	startsSlowly bool      // a filler that begins at slowStartPace
 	isolated     bool      // nothing else on the worker may crash it
+	listed       bool      // an inventory has listed it
 	isDuplicate  bool      // it was the second run of its task, see duplicate.go
 	proven       bool      // it doesn't crash its worker, see proven.go
 	readyAt      time.Time // since when it has been ready
@@ -147,6 +148,7 @@
 		return
 	}
 	if reg.Incarnation > w.reg.Incarnation {
+		s.logRestart(w, reg.Incarnation, "registration")
 		s.resetWorker(w, reg.Incarnation)
 	}
 	if reg.Draining && !w.reg.Draining {
@@ -189,7 +191,6 @@
 // resetWorker starts over with a new incarnation of a worker: the runs of the
 // old one have ended.
 func (s *Shard) resetWorker(w *worker, incarnation int64) {
-	s.emit(Log{Message: "worker restarted", Worker: w.reg.ID})
 	hasCrashed := !s.hasLeftAsAnnounced(w)
 	s.loseRuns(w, LossRestart)
 	w.reg.Incarnation = incarnation
