job/dispatcher: failing tests of orders that outlive a restart

A worker that restarts keeps its id, and orders name no more than the id. So an order for an earlier incarnation is carried out by the next one. The tests show three effects, all with one owner: a run that is given up with the incarnation it doesn't belong to, so that its task has two runs; a lease that holds longer than the owner counts; an acknowledgement that makes the next incarnation forget ends of its own.

The simulation could not show any of them: its workers refused orders for another incarnation.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -80,6 +80,7 @@
 	WorkerLeases []recorder.WorkerLease // replaces Previous if Released is set
 
 	Lease       time.Duration     // granted to all runs on a worker with each poll
+	MaxLease    time.Duration     // longest lease that workers accept; 0 is Lease
 	OutageLimit time.Duration     // how long an owner keeps working without the store
 	PollWait    time.Duration     // how long a poll waits at the worker for a run to end
 	RunTimes    estimator.Records // learned by earlier owners and for other shards
--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -137,7 +137,7 @@
 	timeout := time.Second
 	carryOutLate := func(delay time.Duration) {
 		s.schedule(delay, func() {
-			if w.isUp() && w.incarnation == reg.Incarnation {
+			if w.accepts(reg) {
 				s.lateCall = true
 				do(w)
 				s.lateCall = false
@@ -154,14 +154,14 @@
 		carryOutLate(time.Duration(2000+s.random.IntN(10000)) * time.Millisecond)
 	case roll < s.lateCallRate+s.lostAnswerRate:
 		s.schedule(s.delay(), func() {
-			if w.isUp() && !o.unreachable[w] && w.incarnation == reg.Incarnation {
+			if w.accepts(reg) && !o.unreachable[w] {
 				do(w)
 			}
 		})
 		s.schedule(timeout, func() { o.post(lost) })
 	default:
 		s.schedule(s.delay(), func() {
-			if !w.isUp() || o.unreachable[w] || w.incarnation != reg.Incarnation {
+			if !w.accepts(reg) || o.unreachable[w] {
 				s.schedule(timeout, func() { o.post(lost) })
 				return
 			}
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -89,6 +89,11 @@
 
 func (w *fakeWorker) isUp() bool { return !w.crashed }
 
+// accepts reports whether an order for an incarnation of the worker reaches it.
+func (w *fakeWorker) accepts(reg specifier.Worker) bool {
+	return w.isUp() && (w.incarnation == reg.Incarnation || w.sim.ordersOutliveRestarts)
+}
+
 // restart begins a new incarnation without state.
 func (w *fakeWorker) restart() {
 	if w.gone {
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -51,9 +51,12 @@
 	deadly         map[specifier.TaskID]*deadlyTask
 	evacuation     evacuationSim
 	outage         storeOutage
-	exemptsExpired bool          // ends that are acknowledged after their worker's lease has expired don't count
-	lateCall       bool          // the call that is being executed is late
-	orderDelay     time.Duration // starts and stops are carried out this late, unanswered; 0 is no delay
+	exemptsExpired bool // ends that are acknowledged after their worker's lease has expired don't count
+	lateCall       bool // the call that is being executed is late
+	// ordersOutliveRestarts makes workers carry out orders for earlier incarnations, since an order
+	// names no more than the worker's id.
+	ordersOutliveRestarts bool
+	orderDelay            time.Duration // starts and stops are carried out this late, unanswered; 0 is no delay
 }
 
 // storedJob is a job in the store, with its index entry.
