--- a/internal/job/dispatcher/readystep_test.go
+++ b/internal/job/dispatcher/readystep_test.go
@@ -54,7 +54,7 @@
 	w := c.holder(id)
 	w.setRoom(workerCPU / 2)
 	c.advance(time.Second)
-	c.shard.owner.losesWrites = true
+	c.shard.owner.reachesStore = false
 	w.endRun(id, specifier.OutcomeDone)
 	c.advance(time.Second)
 	return w
@@ -65,7 +65,7 @@
 func (c *readyStepCase) checkNext(on *fakeWorker) {
 	c.advance(3 * time.Second)
 	clear(c.shard.owner.unreachable)
-	c.shard.owner.losesWrites = false
+	c.shard.owner.reachesStore = true
 	c.advance(3 * time.Second)
 	if w := c.holder(c.next); w != on {
 		c.fail("%s runs on %s, not on %s", c.next, w.id, on.id)
