--- a/internal/job/manager/onerun_test.go
+++ b/internal/job/manager/onerun_test.go
@@ -27,16 +27,25 @@
 	random      *rand.Rand
 	lateRate    float64                               // fraction of starts that are carried out seconds later, unanswered
 	longRunning map[string]bool                       // jobs whose runs don't end, by id
-	cut         map[string]bool                       // workers that nobody reaches
+	cut         map[link]bool                         // links that are cut
 	leaseEnd    map[string]time.Time                  // by worker
 	lastRun     map[string]map[specifier.TaskID]int64 // runs up to this number are refused, by worker
 	transferred int                                   // number of starts of tasks that have run in the other shard
 	doubled     []string
 }
 
+// link is the connection between a daemon and a worker.
+type link struct{ daemon, worker string }
+
+// reachableFleet is the fleet as one daemon reaches it.
+type reachableFleet struct {
+	*leasedFleet
+	daemon string
+}
+
 func newLeasedFleet(f *fleet, seed uint64) *leasedFleet {
 	l := &leasedFleet{
-		fleet: f, random: rand.New(rand.NewPCG(seed, 7)), cut: make(map[string]bool), longRunning: make(map[string]bool),
+		fleet: f, random: rand.New(rand.NewPCG(seed, 7)), cut: make(map[link]bool), longRunning: make(map[string]bool),
 		leaseEnd: make(map[string]time.Time), lastRun: make(map[string]map[specifier.TaskID]int64),
 	}
 	for _, id := range f.ids {
@@ -45,28 +54,28 @@
 	return l
 }
 
-// isCut reports whether nobody reaches the worker, and whether a start is carried out late.
-func (l *leasedFleet) isCut(id string) (isCut, isLate bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.cut[id], l.random.Float64() < l.lateRate
+// isCut reports whether the daemon doesn't reach the worker, and whether a start is carried out late.
+func (r *reachableFleet) isCut(id string) (isCut, isLate bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut[link{r.daemon, id}], r.random.Float64() < r.lateRate
 }
 
-func (l *leasedFleet) Start(ctx context.Context, token int64, o dispatcher.StartRun) dispatcher.Fault {
-	isCut, isLate := l.isCut(o.Worker.ID)
+func (r *reachableFleet) Start(ctx context.Context, token int64, o dispatcher.StartRun) dispatcher.Fault {
+	isCut, isLate := r.isCut(o.Worker.ID)
 	switch {
 	case isCut:
 		<-ctx.Done()
 		return dispatcher.OutcomeUnknown
 	case isLate:
-		l.mu.Lock()
-		delay := time.Duration(500+l.random.IntN(4000)) * time.Millisecond
-		l.mu.Unlock()
-		time.AfterFunc(delay, func() { l.carryOut(token, o) })
+		r.mu.Lock()
+		delay := time.Duration(500+r.random.IntN(4000)) * time.Millisecond
+		r.mu.Unlock()
+		time.AfterFunc(delay, func() { r.carryOut(token, o) })
 		<-ctx.Done()
 		return dispatcher.OutcomeUnknown
 	}
-	return l.carryOut(token, o)
+	return r.carryOut(token, o)
 }
 
 // carryOut carries out a start, and records another run that the task has.
@@ -140,30 +149,30 @@
 	})
 }
 
-func (l *leasedFleet) Stop(ctx context.Context, token int64, o dispatcher.StopRun) dispatcher.Fault {
-	if isCut, _ := l.isCut(o.Worker.ID); isCut {
+func (r *reachableFleet) Stop(ctx context.Context, token int64, o dispatcher.StopRun) dispatcher.Fault {
+	if isCut, _ := r.isCut(o.Worker.ID); isCut {
 		<-ctx.Done()
 		return dispatcher.OutcomeUnknown
 	}
-	fault := l.fleet.Stop(ctx, token, o)
+	fault := r.fleet.Stop(ctx, token, o)
 	if fault == dispatcher.NoFault {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.lastRun[o.Worker.ID][o.Task] = max(l.lastRun[o.Worker.ID][o.Task], o.Run)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.lastRun[o.Worker.ID][o.Task] = max(r.lastRun[o.Worker.ID][o.Task], o.Run)
 	}
 	return fault
 }
 
-func (l *leasedFleet) Poll(ctx context.Context, token int64, o dispatcher.PollWorker) (specifier.Inventory, dispatcher.Fault) {
-	if isCut, _ := l.isCut(o.Worker.ID); isCut {
+func (r *reachableFleet) Poll(ctx context.Context, token int64, o dispatcher.PollWorker) (specifier.Inventory, dispatcher.Fault) {
+	if isCut, _ := r.isCut(o.Worker.ID); isCut {
 		<-ctx.Done()
 		return specifier.Inventory{}, dispatcher.OutcomeUnknown
 	}
-	inventory, fault := l.fleet.Poll(ctx, token, o)
+	inventory, fault := r.fleet.Poll(ctx, token, o)
 	if fault == dispatcher.NoFault {
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.extend(o.Worker.ID, o.LeaseEnd)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.extend(o.Worker.ID, o.LeaseEnd)
 	}
 	return inventory, fault
 }
@@ -194,7 +203,7 @@
 		m := manager.New(manager.Options{
 			Daemon: client.Name, Domain: []string{"bne", "gc"}[i], TTL: 3 * time.Second, MaxLease: 10 * time.Second,
 			Random: rand.New(rand.NewPCG(seed, uint64(i))), CancellationNotice: 4 * time.Second, Scope: tally.NoopScope, Log: zerolog.Nop(),
-		}, client, workers, workers)
+		}, client, &reachableFleet{workers, client.Name}, workers)
 		defer m.Close()
 		m.SetCatalog(catalog)
 	}
@@ -210,7 +219,7 @@
 		work.Queue, work.Accepted = catalog.Queues[0].Name, time.Now()
 		acceptJob(g, operator, shard, work)
 		client, id := clients[random.IntN(2)], fleet.ids[random.IntN(len(fleet.ids))]
-		length := time.Duration(500+random.IntN(9000)) * time.Millisecond
+		length := time.Duration(500+random.IntN(9000*(1+2*random.IntN(2)))) * time.Millisecond
 		fleet.mu.Lock()
 		workers.lateRate = []float64{0, 0.2}[random.IntN(2)]
 		fleet.mu.Unlock()
@@ -220,8 +229,13 @@
 			time.AfterFunc(length, func() { client.SetDown(false) })
 		}
 		if what == 1 || what == 2 {
-			workers.setCut(id, true)
-			time.AfterFunc(length, func() { workers.setCut(id, false) })
+			cut := []link{{"a", id}, {"b", id}}
+			if random.IntN(2) == 0 {
+				other := map[string]string{"a": "b", "b": "a"}[client.Name] // which claims the shards of a daemon that is down
+				cut = []link{{other, id}}
+			}
+			workers.setCut(true, cut...)
+			time.AfterFunc(length, func() { workers.setCut(false, cut...) })
 		}
 		if what == 3 {
 			client.SetFault(func(faker.Call) faker.Outcome {
@@ -231,7 +245,7 @@
 		}
 		time.Sleep(time.Duration(random.IntN(6000)) * time.Millisecond)
 	}
-	time.Sleep(10 * time.Second)
+	time.Sleep(28 * time.Second) // until all faults have ended
 	fleet.mu.Lock()
 	workers.lateRate = 0
 	fleet.mu.Unlock()
@@ -258,9 +272,11 @@
 	t.Logf("%d claims beyond the first ones, %d starts after transfers", epochs, workers.transferred)
 }
 
-// setCut cuts a worker off or ends that.
-func (l *leasedFleet) setCut(id string, isCut bool) {
+// setCut cuts links or ends that.
+func (l *leasedFleet) setCut(isCut bool, links ...link) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cut[id] = isCut
+	for _, at := range links {
+		l.cut[at] = isCut
+	}
 }
