standin: the auditor compares times, not the order of reports

Cause: an expired run was over for the auditor when its worker's timer had fired, not at the end of its lease. In the scenarios an owner restarts a task 0.5 to 0.6 s after the end of the lease by its reckoning; a timer that is later than that made the restart "runs in two places".

A start and a renewal now state their time and the end of the lease. A start is a violation while another run is under its lease, whenever that run's end is reported. The check is as strict: leases are the only permission that a worker has, it can't complete a run after its lease, and what the order of reports showed is checked by time: a completion while another run is under its lease or has started since. New violations are a renewal and a completion after the end of the lease. Sync and Start read the clock once, so that a lease that expires between two readings isn't renewed.

On the same path: a killed agent doesn't respond, instead of starting runs that never end, and a paused worker carries out calls whose callers have given up after the pause, as a frozen process does with what is in its socket buffers. So silent-worker now also has late starts and renewals arrive after the resume.

--- a/internal/standin/auditor/auditor.go
+++ b/internal/standin/auditor/auditor.go
@@ -10,14 +10,19 @@
 // that reached a leaving worker late, and workers whose grants exceeded their
 // capacity:
 //
+// Reports may come late, because a stand-in's timers fire late on a busy machine.
+// So the auditor compares times rather than the order of reports: a run permits
+// others from the end of its lease on, which its worker states in advance.
+//
 //	a := auditor.New()
-//	a.RunStarted(task, "worker-1")
-//	a.RunStarted(task, "worker-2") // counted in a.Report().Duplicated
+//	a.RunStarted(task, "worker-1", now, now.Add(lease))
+//	a.RunStarted(task, "worker-2", now, now.Add(lease)) // counted in a.Report().Duplicated
 package auditor
 
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
 )
@@ -37,9 +42,9 @@
 
 // taskRecord is what the auditor knows about one task.
 type taskRecord struct {
-	running         int // runs in progress
-	completed       int // runs that completed
-	lostCompletions int // completions lost with their worker before they were acknowledged
+	running         map[string]time.Time // end of the lease of each run whose end isn't reported, by worker
+	completed       int                  // runs that completed
+	lostCompletions int                  // completions lost with their worker before they were acknowledged
 	duplicated      bool
 }
 
@@ -81,31 +86,57 @@
 	}
 }
 
-// RunStarted records that a run of the task started on the worker.
-func (a *Auditor) RunStarted(task describer.TaskID, worker string) {
+// RunStarted records that a run of the task started on the worker at a time, under a
+// lease. It is a violation while another run is under its lease.
+func (a *Auditor) RunStarted(task describer.TaskID, worker string, at, leaseEnd time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.record(task)
 	a.report.Runs++
-	r.running++
-	if r.running > 1 {
-		a.addDuplicate(r, "%s runs in two places, the later is %s", task, worker)
+	for _, end := range r.running {
+		if end.After(at) {
+			a.addDuplicate(r, "%s runs in two places, the later is %s", task, worker)
+		}
 	}
+	r.running[worker] = leaseEnd
 	if r.completed > r.lostCompletions {
 		a.addDuplicate(r, "%s begins on %s after it completed", task, worker)
 	}
 }
 
-// RunEnded records how a run of the task ended on the worker.
-func (a *Auditor) RunEnded(task describer.TaskID, worker string, o Outcome) {
+// RunRenewed records that the lease of the task's run on the worker was renewed at a
+// time. It is a violation if the lease had expired.
+func (a *Auditor) RunRenewed(task describer.TaskID, worker string, at, leaseEnd time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.record(task)
+	if !r.running[worker].After(at) {
+		a.addDuplicate(r, "%s is renewed on %s after its lease expired", task, worker)
+	}
+	r.running[worker] = leaseEnd
+}
+
+// RunEnded records how and when a run of the task ended on the worker, which may be
+// before the report. A completion after the end of the run's lease is a violation, and
+// so is one while another run is under its lease, also if that has started since.
+func (a *Auditor) RunEnded(task describer.TaskID, worker string, at time.Time, o Outcome) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.record(task)
-	r.running--
+	leaseEnd := r.running[worker]
+	delete(r.running, worker)
 	switch o {
 	case Completed:
 		a.report.Completed++
 		r.completed++
+		if at.After(leaseEnd) {
+			a.addDuplicate(r, "%s completes on %s after its lease expired", task, worker)
+		}
+		for other, end := range r.running {
+			if end.After(at) {
+				a.addDuplicate(r, "%s completes on %s and has another run on %s", task, worker, other)
+			}
+		}
 		if r.completed > 1+r.lostCompletions {
 			a.addDuplicate(r, "%s completes again on %s", task, worker)
 		}
@@ -196,7 +227,7 @@
 func (a *Auditor) record(task describer.TaskID) *taskRecord {
 	r := a.tasks[task]
 	if r == nil {
-		r = &taskRecord{}
+		r = &taskRecord{running: make(map[string]time.Time)}
 		a.tasks[task] = r
 	}
 	return r
--- a/internal/standin/hoster/agent.go
+++ b/internal/standin/hoster/agent.go
@@ -66,7 +66,7 @@
 func (a *Agent) Start(s runner.StartRequest) (bool, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advanceRuns()
+	now := a.advanceRuns()
 	if err := a.checkEpoch(s.Token.Epoch); err != nil {
 		return false, err
 	}
@@ -80,9 +80,8 @@
 		return false, newFencedError("token is too old for " + s.Task.String())
 	}
 	if r := a.runs[s.Task]; r != nil {
-		a.endRun(r, auditor.Stopped, r.checkpoint())
+		a.endRun(r, now, auditor.Stopped, r.checkpoint())
 	}
-	now := time.Now()
 	if !s.Until.IsZero() && now.After(s.Until) {
 		return false, newFencedError("the start is too late for " + s.Task.String())
 	}
@@ -99,7 +98,7 @@
 		r.payload.Fail = true
 	}
 	a.runs[s.Task] = r
-	a.audit.RunStarted(s.Task, a.options.Host.Name)
+	a.audit.RunStarted(s.Task, a.options.Host.Name, now, r.leaseEnd)
 	a.auditCapacity()
 	a.resetTimer()
 	return true, nil
@@ -110,7 +109,7 @@
 func (a *Agent) Stop(s runner.StopRequest) (runner.StopResult, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advanceRuns()
+	now := a.advanceRuns()
 	if err := a.checkEpoch(max(s.Epoch, s.Token.Epoch)); err != nil {
 		return runner.StopResult{}, err
 	}
@@ -123,7 +122,7 @@
 		if s.Checkpoint {
 			checkpoint = r.checkpoint()
 		}
-		a.stopResults[id] = a.endRun(r, auditor.Stopped, checkpoint)
+		a.stopResults[id] = a.endRun(r, now, auditor.Stopped, checkpoint)
 	}
 	if _, ok := a.stopResults[id]; !ok {
 		a.stopResults[id] = runner.StopResult{}
@@ -160,17 +159,17 @@
 func (a *Agent) Sync(s runner.SyncRequest) (runner.SyncResult, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.advanceRuns()
+	now := a.advanceRuns()
 	if err := a.checkEpoch(s.Epoch); err != nil {
 		return runner.SyncResult{}, err
 	}
 	for _, id := range s.Ack {
 		delete(a.finished, id)
 	}
-	now := time.Now()
 	for _, id := range s.Renew {
 		if r := a.runs[id.Task]; r != nil && r.start.Token == id.Token {
 			r.leaseEnd = later(r.leaseEnd, newLeaseEnd(now, s.Lease, s.Until))
+			a.audit.RunRenewed(r.start.Task, a.options.Host.Name, now, r.leaseEnd)
 		}
 	}
 	a.resetTimer()
@@ -240,7 +239,7 @@
 	a.timer.Stop()
 	for task, r := range a.runs {
 		delete(a.runs, task)
-		a.audit.RunEnded(r.start.Task, a.options.Host.Name, auditor.WorkerDied)
+		a.audit.RunEnded(r.start.Task, a.options.Host.Name, time.Now(), auditor.WorkerDied)
 	}
 	for _, f := range a.finished {
 		if f.OK {
@@ -259,12 +258,13 @@
 }
 
 // advanceRuns updates the progress of all runs, and ends those that have completed or
-// whose lease has expired. The caller holds the lock.
-func (a *Agent) advanceRuns() {
+// whose lease has expired. It returns the time up to which it did so: a lease that was
+// valid then may have expired by a later reading of the clock. The caller holds the lock.
+func (a *Agent) advanceRuns() time.Time {
+	now := time.Now()
 	if a.dead {
-		return
+		return now
 	}
-	now := time.Now()
 	for _, r := range a.runs {
 		if a.paused {
 			if !r.leaseEnd.After(now) {
@@ -283,20 +283,22 @@
 			r.advance(now)
 		}
 	}
+	return now
 }
 
 // completeRun ends a run that has done all its work, with success or a failure as its
 // payload says.
 func (a *Agent) completeRun(r *run) {
 	f := runner.FinishedRun{Run: r.id(), OK: !r.payload.Fail}
+	at := r.completionTime()
 	if !f.OK {
 		f.Reason = "task failed"
-		a.endRun(r, auditor.Failed, "")
+		a.endRun(r, at, auditor.Failed, "")
 		a.finished[f.Run] = f
 		return
 	}
 	f.Result, _ = json.Marshal(Result{Task: r.start.Task.String(), Worker: a.options.Host.Name})
-	a.endRun(r, auditor.Completed, "")
+	a.endRun(r, at, auditor.Completed, "")
 	a.stopResults[f.Run] = runner.StopResult{Started: true, Finished: true, Result: f.Result}
 	a.finished[f.Run] = f
 }
@@ -305,14 +307,15 @@
 // owner.
 func (a *Agent) expireRun(r *run) {
 	f := runner.FinishedRun{Run: r.id(), LeaseExpired: true, Reason: "lease lapsed", Checkpoint: r.checkpoint()}
-	a.endRun(r, auditor.LeaseExpired, f.Checkpoint)
+	a.endRun(r, r.leaseEnd, auditor.LeaseExpired, f.Checkpoint)
 	a.finished[f.Run] = f
 }
 
-// endRun removes a run, and keeps the result for stops of it that come later.
-func (a *Agent) endRun(r *run, o auditor.Outcome, checkpoint string) runner.StopResult {
+// endRun removes a run that ended at a time, and keeps the result for stops of it that
+// come later.
+func (a *Agent) endRun(r *run, at time.Time, o auditor.Outcome, checkpoint string) runner.StopResult {
 	delete(a.runs, r.start.Task)
-	a.audit.RunEnded(r.start.Task, a.options.Host.Name, o)
+	a.audit.RunEnded(r.start.Task, a.options.Host.Name, at, o)
 	out := runner.StopResult{Started: true, Checkpoint: checkpoint}
 	a.stopResults[r.id()] = out
 	return out
@@ -336,8 +339,12 @@
 	a.timer.Reset(time.Until(next))
 }
 
-// checkEpoch refuses an epoch below the highest one seen, and remembers a higher one.
+// checkEpoch refuses an epoch below the highest one seen, and remembers a higher one. A
+// dead worker doesn't respond; a call may have waited for the end of a pause until then.
 func (a *Agent) checkEpoch(epoch int64) error {
+	if a.dead {
+		return listener.ErrDropResponse
+	}
 	if epoch < a.epoch {
 		return newFencedError("epoch is too old")
 	}
--- a/internal/standin/hoster/backend.go
+++ b/internal/standin/hoster/backend.go
@@ -70,7 +70,8 @@
 // serve executes a request, or refuses it if the worker has no free connection or
 // slot.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
-	b.worker.waitResumed(r.Context())
+	arrived := time.Now()
+	b.worker.waitResumed()
 	if r.Context().Value(overLimit{}) != nil {
 		w.Header().Set("Connection", "close")
 		b.refuse(w, &b.worker.Counts.RefusedForConnections)
@@ -87,7 +88,7 @@
 		b.refuse(w, &b.worker.Counts.RefusedForSlots)
 		return
 	}
-	b.execute(w, r)
+	b.execute(w, r, arrived)
 }
 
 // refuse responds that the request has not run, and increments count.
@@ -99,8 +100,8 @@
 	_, _ = io.WriteString(w, `{"code":"full","message":"no free slot or connection","verdict":"not-run"}`)
 }
 
-// execute runs a request and responds to it.
-func (b *backend) execute(w http.ResponseWriter, r *http.Request) {
+// execute runs a request that arrived at a time, and responds to it.
+func (b *backend) execute(w http.ResponseWriter, r *http.Request, arrived time.Time) {
 	start := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -111,7 +112,7 @@
 	if key == "" {
 		key = id
 	}
-	b.worker.recordRequest(key, isIdempotent(r))
+	b.worker.recordRequest(key, arrived, isIdempotent(r))
 	duration := b.serviceTime(r)
 	time.Sleep(duration)
 	b.worker.agent.Load().latency.add(b.serviceName(), start, time.Since(start))
--- a/internal/standin/hoster/hoster.go
+++ b/internal/standin/hoster/hoster.go
@@ -17,7 +17,6 @@
 package hoster
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -213,30 +212,27 @@
 // Running returns the number of runs in progress.
 func (w *Worker) Running() int { return w.agent.Load().Running() }
 
-// recordRequest reports the execution of a request to the auditor. The id is the
-// idempotency key, if the request has one.
-func (w *Worker) recordRequest(id string, idempotent bool) {
+// recordRequest reports the execution of a request that arrived at a time to the
+// auditor. The id is the idempotency key, if the request has one.
+func (w *Worker) recordRequest(id string, arrived time.Time, idempotent bool) {
 	w.Counts.Requests.Add(1)
 	w.audit.RequestExecuted(id, w.options.Host.Name, idempotent)
 	w.mu.Lock()
-	late := !w.leavingSince.IsZero() && time.Since(w.leavingSince) > leaveGrace
+	late := !w.leavingSince.IsZero() && arrived.Sub(w.leavingSince) > leaveGrace
 	w.mu.Unlock()
 	if late {
 		w.audit.LateRequest(w.options.Host.Name)
 	}
 }
 
-// waitResumed returns once the worker isn't paused or ctx ends.
-func (w *Worker) waitResumed(ctx context.Context) {
+// waitResumed returns once the worker isn't paused. It doesn't end with the context of a
+// call: a frozen process carries out a call whose caller has given up once it is resumed.
+func (w *Worker) waitResumed() {
 	w.mu.Lock()
 	paused := w.paused
 	w.mu.Unlock()
-	if paused == nil {
-		return
-	}
-	select {
-	case <-paused:
-	case <-ctx.Done():
+	if paused != nil {
+		<-paused
 	}
 }
 
@@ -273,8 +269,8 @@
 // serve returns a handler for one call of the worker interface. It waits while the
 // worker is paused, and drops responses as DropResponses says.
 func serve[In, Out any](w *Worker, call func(In) (Out, error)) http.Handler {
-	return listener.Handle(func(r *http.Request, in In) (Out, error) {
-		w.waitResumed(r.Context())
+	return listener.Handle(func(_ *http.Request, in In) (Out, error) {
+		w.waitResumed()
 		out, err := call(in)
 		if err == nil && w.dropsResponse() {
 			err = listener.ErrDropResponse
