control/reducer: bounds on leases don't depend on late ticks

Cause: the reducer dated events by the latest tick. After a standstill (no processor time, SIGSTOP) the ticker delivers the tick of that time, late, so that an answer or a claim was dated before it happened, by up to the length of the standstill. An owner took a slow sync for a fast one, granted leases by the worker's clock that outlasted its own reckoning, and started the tasks of a silent worker elsewhere before their leases had expired. A new owner counted the recorded wait for its predecessor's leases from before its claim. Both are bounded by the lease margin only (0.5 s in scenarios, 2 s by default).

The executor now passes the time to the reducer with each event (State.Observe). The bound on a sync's duration, the time of a claim and the expiry of a predecessor's leases after the first inventory use it. All other times stay those of the tick: lastStoreContact, by which an owner stops to renew leases in an outage, must not be dated too late.

Ruled out, by reading: orders and renewals from a socket buffer (bounded by Until, by the worker's own clock), late timers of the owner and a wake-up after SIGCONT (they only delay a restart), job/dispatcher (it dates each answer by the clock after its arrival).

The third bound, after the first inventory, has no test of its own: the renewals that follow a first inventory hide it.

--- a/internal/control/executor/executor.go
+++ b/internal/control/executor/executor.go
@@ -83,6 +83,7 @@
 	duration := o.Scope.Histogram("control_reduce", tally.MustMakeExponentialDurationBuckets(time.Microsecond, 2, 24))
 	reduce := func(event reducer.Event) {
 		start := time.Now()
+		o.State.Observe(start)
 		effects := o.State.Reduce(event)
 		duration.RecordDuration(time.Since(start))
 		events.Inc(1)
--- a/internal/control/reducer/event.go
+++ b/internal/control/reducer/event.go
@@ -14,7 +14,7 @@
 type Event interface{ event() }
 
 // Tick sets the current time. All events up to the next Tick are handled at this
-// time.
+// time, except for what [State.Observe] says.
 type Tick struct{ Now time.Time }
 
 // ConfigurationReceived delivers a configuration. It is ignored unless its revision
--- a/internal/control/reducer/ownership.go
+++ b/internal/control/reducer/ownership.go
@@ -288,7 +288,7 @@
 	sh.ownership = owning
 	sh.epoch = e.Epoch
 	sh.view = newLedgerView()
-	sh.claimedAt = s.now
+	sh.claimedAt = s.latest
 	s.lastStoreContact = s.now
 	sh.lastSequence = 0
 	sh.workers = make(map[string]*worker)
--- a/internal/control/reducer/reducer.go
+++ b/internal/control/reducer/reducer.go
@@ -85,7 +85,8 @@
 	services         map[string]describer.Service // configured services by name
 	timeline         learner.Timeline             // batch tasks on each worker over time
 	usage            placer.Usage                 // measured resource use by team and class of job
-	now              time.Time
+	now              time.Time                    // time of the latest tick
+	latest           time.Time                    // latest time by the daemon's clock, not before now; see Observe
 	config           describer.Configuration
 	hosts            []describer.Host
 	peers            []Peer
@@ -128,6 +129,16 @@
 	return s
 }
 
+// Observe notes the time by the daemon's clock when an event is handled. A daemon that
+// stood still gets the tick of that time late, so that an event may be later than the
+// latest tick. What must not be dated too early depends on the observed time. Without
+// calls of Observe, that is the time of the latest tick.
+func (s *State) Observe(now time.Time) {
+	if now.After(s.latest) {
+		s.latest = now
+	}
+}
+
 // Reduce applies one event and returns the effects to execute, in order. The
 // returned slice belongs to the caller.
 func (s *State) Reduce(event Event) []Effect {
@@ -233,6 +244,7 @@
 		return
 	}
 	s.now = now
+	s.Observe(now)
 	s.timers.fireDue(now)
 	if now.Sub(s.reviewedAt) < reviewInterval {
 		return
--- a/internal/control/reducer/shard.go
+++ b/internal/control/reducer/shard.go
@@ -50,7 +50,7 @@
 
 	epoch          int64
 	view           *ledgerView
-	claimedAt      time.Time
+	claimedAt      time.Time          // not before the claim
 	formerRelease  describer.Record   // last record of a former owner that released the shard; zero if none did
 	lastSequence   int64              // sequence number of the latest token or throttle
 	workers        map[string]*worker // workers of the shard by name
--- a/internal/control/reducer/sync.go
+++ b/internal/control/reducer/sync.go
@@ -192,12 +192,12 @@
 	w.synced = true
 	if first {
 		// From now on the worker refuses renewals by former owners.
-		w.leasesEnd = sh.state.now.Add(sh.state.options.TaskLease)
+		w.leasesEnd = sh.state.latest.Add(sh.state.options.TaskLease)
 	}
 	if !e.Synced.Clock.IsZero() {
 		w.clock = e.Synced.Clock
 		w.clockReadAt = e.SentAt
-		w.clockError = max(0, sh.state.now.Sub(e.SentAt))
+		w.clockError = max(0, sh.state.latest.Sub(e.SentAt))
 	}
 	if !e.Synced.Capacity.IsZero() {
 		w.account.Host.Capacity = e.Synced.Capacity
