standin: a response that the worker breaks off isn't cut by a planned stop

Cause: TestScenarios/silence-stop makes the workers' connections silent while an entry host stops. If that happens between two writes of a response, the entry host has forwarded a part, detects the stall and must break off the rest; the caller counted it as cut by the planned stop.

The worker now reports when it has sent a part of a response and the rest is lost, by a truncation or on a silent connection.

--- a/internal/standin/auditor/auditor.go
+++ b/internal/standin/auditor/auditor.go
@@ -37,6 +37,7 @@
 	mu         sync.Mutex
 	tasks      map[describer.TaskID]*taskRecord
 	executions map[string]int // executions by request id
+	truncated  map[string]int // responses that a worker broke off and that weren't taken yet, by request id
 	report     Report
 }
 
@@ -83,6 +84,7 @@
 	return &Auditor{
 		tasks:      make(map[describer.TaskID]*taskRecord),
 		executions: make(map[string]int),
+		truncated:  make(map[string]int),
 	}
 }
 
@@ -193,6 +195,26 @@
 	a.addViolation("%s got a request after it began to leave", worker)
 }
 
+// ResponseTruncated records that a worker has sent a part of the response to the
+// request with this id, and that the rest is lost.
+func (a *Auditor) ResponseTruncated(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.truncated[id]++
+}
+
+// TakeTruncation reports whether a worker broke off a response to the request with this
+// id. Each such response explains one broken attempt of a caller, so it is taken once.
+func (a *Auditor) TakeTruncation(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.truncated[id] == 0 {
+		return false
+	}
+	a.truncated[id]--
+	return true
+}
+
 // Executions returns how often the request with this id was executed.
 func (a *Auditor) Executions(id string) int {
 	a.mu.Lock()
--- a/internal/standin/hoster/backend.go
+++ b/internal/standin/hoster/backend.go
@@ -39,6 +39,9 @@
 // overLimit is the context key that marks the connections beyond the worker's limit.
 type overLimit struct{}
 
+// connKey is the context key of a request's *conn.
+type connKey struct{}
+
 // newBackend returns the backend server of the worker, which doesn't listen yet.
 func newBackend(w *Worker) *backend {
 	return &backend{
@@ -53,7 +56,8 @@
 func (b *backend) server() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(b.serve),
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			ctx = context.WithValue(ctx, connKey{}, c)
 			if b.openConns.Add(1) > int64(b.worker.options.Host.Connections) {
 				return context.WithValue(ctx, overLimit{}, true)
 			}
@@ -71,6 +75,9 @@
 // slot.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.begin(r.Header.Get(HeaderRequestID))
+	}
 	b.worker.waitResumed()
 	if r.Context().Value(overLimit{}) != nil {
 		w.Header().Set("Connection", "close")
@@ -118,7 +125,7 @@
 	b.worker.agent.Load().latency.add(b.serviceName(), start, time.Since(start))
 	w.Header().Set(HeaderRequestID, id)
 	w.Header().Set(HeaderWorker, b.worker.options.Host.Name)
-	b.respond(w, ResponseBody(id, body, r.Header.Get(HeaderResponseSize)))
+	b.respond(w, id, ResponseBody(id, body, r.Header.Get(HeaderResponseSize)))
 }
 
 // isIdempotent reports whether the request may be executed more than once.
@@ -149,11 +156,12 @@
 	return out
 }
 
-// respond writes the response, or half of it and breaks the connection if it is to be
+// respond writes the response to the request with this id, or half of it and breaks the connection if it is to be
 // truncated.
-func (b *backend) respond(w http.ResponseWriter, data []byte) {
+func (b *backend) respond(w http.ResponseWriter, id string, data []byte) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if b.truncations.Load() > 0 && b.truncations.Add(-1) >= 0 {
+		b.worker.audit.ResponseTruncated(id)
 		_, _ = w.Write(data[:len(data)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -217,6 +225,17 @@
 	net.Conn
 	backend *backend
 	silent  atomic.Bool
+
+	mu        sync.Mutex
+	request   string // id of the latest request
+	responded bool   // whether a part of its response was written
+}
+
+// begin notes the id of the request that the connection carries from now on.
+func (c *conn) begin(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request, c.responded = request, false
 }
 
 // Read implements net.Conn. On a silent connection it discards all data until an
@@ -230,12 +249,23 @@
 	}
 }
 
-// Write implements net.Conn. On a silent connection it discards the data.
+// Write implements net.Conn. On a silent connection it discards the data, and reports to
+// the auditor that the response is truncated if a part of it was written before.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
-		return len(p), nil
+	if !c.silent.Load() {
+		c.mu.Lock()
+		c.responded = true
+		c.mu.Unlock()
+		return c.Conn.Write(p)
+	}
+	c.mu.Lock()
+	truncated, request := c.responded, c.request
+	c.responded = false
+	c.mu.Unlock()
+	if truncated {
+		c.backend.worker.audit.ResponseTruncated(request)
 	}
-	return c.Conn.Write(p)
+	return len(p), nil
 }
 
 // Close implements net.Conn.
--- a/internal/standin/hoster/late_test.go
+++ b/internal/standin/hoster/late_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -138,3 +140,29 @@
 		}
 	})
 }
+
+// TestSilencedResponseIsTruncated guards against a response that a silent connection breaks
+// off without a report. One that is lost as a whole is none: no caller gets a part of it.
+func TestSilencedResponseIsTruncated(t *testing.T) {
+	for _, partly := range []bool{false, true} {
+		audit := auditor.New()
+		server, client := net.Pipe()
+		go func() { _, _ = io.Copy(io.Discard, client) }()
+		c := &conn{Conn: server, backend: &backend{worker: &Worker{audit: audit}}}
+		c.begin("r")
+		if partly {
+			_, _ = c.Write([]byte("header"))
+		}
+		c.silent.Store(true)
+		for range 2 {
+			_, _ = c.Write([]byte("body"))
+		}
+		if got := audit.TakeTruncation("r"); got != partly {
+			t.Errorf("truncated %t, want %t", got, partly)
+		}
+		if audit.TakeTruncation("r") {
+			t.Error("truncated twice")
+		}
+		_ = server.Close()
+	}
+}
