standin/caller: violations of a planned stop say how far the response had come

"cut by the planned stop: unexpected EOF" didn't tell a stop from a deadline or a stall. It now has the time that the attempt took and how much of the response had arrived, and the entry host's line for a truncated response, with its reason, is at level info, so that the logs of a scenario have it. Requests can have a deadline of their own, for tests.

--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -231,7 +231,8 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.counts.CutByStop++
-		g.addViolation("request %s was cut by the planned stop of %s: %v", q.ID, host, a.err)
+		g.addViolation("request %s was cut by the planned stop of %s after %v and %d of %d bytes: %v",
+			q.ID, host, a.took, a.size, q.ResponseSize, a.err)
 	}
 	return a.outcome
 }
--- a/internal/standin/caller/request.go
+++ b/internal/standin/caller/request.go
@@ -23,6 +23,15 @@
 	Body         string        // empty unless the request is a charge
 	ResponseSize int           // requested size of the response, in bytes
 	ServiceTime  time.Duration // time to spend on the request; 0 leaves it to the worker
+	Deadline     time.Duration // time for the complete response; 0 means callDeadline
+}
+
+// deadline returns the time that entry hosts have for the complete response.
+func (q Request) deadline() time.Duration {
+	if q.Deadline > 0 {
+		return q.Deadline
+	}
+	return callDeadline
 }
 
 // Outcome is what a caller knows about a request after an attempt.
@@ -41,19 +50,22 @@
 // attempt is the result of sending a request once.
 type attempt struct {
 	outcome      Outcome
-	localAddress string // caller's ip:port on the connection
-	err          error  // non-nil if the connection broke before a complete response
-	mismatched   bool   // the response did not belong to the request
-	code         string // code and verdict of a failure; empty if answered
+	localAddress string        // caller's ip:port on the connection
+	err          error         // non-nil if the connection broke before a complete response
+	size         int           // size of what arrived of the response body, in bytes
+	took         time.Duration // from before the request was sent
+	mismatched   bool          // the response did not belong to the request
+	code         string        // code and verdict of a failure; empty if answered
 }
 
 // send sends the request to address once.
-func (q Request) send(client *http.Client, address string) attempt {
-	var out attempt
+func (q Request) send(client *http.Client, address string) (out attempt) {
 	r := q.httpRequest(address)
 	// A refusal is only conclusive for a request that was sent once: net/http itself
 	// repeats an idempotent request when its connection broke.
 	sent := 0
+	start := time.Now()
+	defer func() { out.took = time.Since(start) }()
 	trace := &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) {
 		out.localAddress = c.Conn.LocalAddr().String()
 		sent++
@@ -65,6 +77,7 @@
 	}
 	defer response.Body.Close()
 	data, err := io.ReadAll(response.Body)
+	out.size = len(data)
 	switch {
 	case err != nil:
 		out.err, out.code = err, "cut"
@@ -104,7 +117,7 @@
 	}
 	r.Header.Set("Dotterel-Tenant", q.Tenant)
 	r.Header.Set("Dotterel-Class", q.Class)
-	r.Header.Set("Dotterel-Deadline", callDeadline.String())
+	r.Header.Set("Dotterel-Deadline", q.deadline().String())
 	r.Header.Set(hoster.HeaderRequestID, q.ID)
 	r.Header.Set(hoster.HeaderResponseSize, fmt.Sprint(q.ResponseSize))
 	if q.ServiceTime > 0 {
--- a/internal/standin/caller/stop_test.go
+++ b/internal/standin/caller/stop_test.go
@@ -64,7 +64,7 @@
 	w.TruncateResponses(1)
 	client := NewClient()
 	defer client.CloseIdleConnections()
-	g.Call(client, domain, Request{ID: "r", Tenant: "owners", Class: "menu", ResponseSize: maxResponseSize})
+	g.Call(client, domain, Request{ID: "r", Tenant: "owners", Class: "menu", ResponseSize: maxResponseSize, Deadline: time.Hour})
 	if r := g.Report(); r.ConnectionErrors != 1 || r.CutByStop != 0 {
 		t.Fatalf("report %+v", r)
 	}
@@ -86,7 +86,7 @@
 	client := NewClient()
 	defer client.CloseIdleConnections()
 	w.TruncateResponses(1)
-	g.Call(client, domain, Request{ID: "r", Tenant: "owners", Class: "menu", ResponseSize: maxResponseSize})
+	g.Call(client, domain, Request{ID: "r", Tenant: "owners", Class: "menu", ResponseSize: maxResponseSize, Deadline: time.Hour})
 	if r := g.Report(); r.ConnectionErrors != 2 || r.CutByStop != 1 {
 		t.Fatalf("report %+v", r)
 	}
--- a/internal/traffic/forwarder/response.go
+++ b/internal/traffic/forwarder/response.go
@@ -93,7 +93,7 @@
 		f.claims.recordFailure(c.key, c.owner, &classifier.Error{})
 	}
 	f.metrics.countTruncation(c)
-	f.log.Debug().Err(err).Str("worker", r.slot.Backend.Worker).Msg("response truncated")
+	f.log.Info().Err(err).Str("worker", r.slot.Backend.Worker).Msg("response truncated")
 	panic(http.ErrAbortHandler)
 }
 
