standin/caller: failing test of a response that breaks off at its deadline, known red

A slow worker, as beside heavy load, makes an entry host break off a response at the deadline of its request. A caller counts that as cut by a planned stop.

--- a/internal/standin/caller/stop_test.go
+++ b/internal/standin/caller/stop_test.go
@@ -91,3 +91,21 @@
 		t.Fatalf("report %+v", r)
 	}
 }
+
+// TestDeadlineCutsResponse guards against a response that breaks off at the request's
+// deadline being counted as cut by the planned stop. The entry host must end it then.
+func TestDeadlineCutsResponse(t *testing.T) {
+	audit := auditor.New()
+	g, domain := newStoppingDomain(t, audit, newWorker(t, audit), func(r *http.Response) error {
+		r.Body = io.NopCloser(strings.NewReader("part")) // shorter than the announced length
+		return nil
+	})
+	client := NewClient()
+	defer client.CloseIdleConnections()
+	// The deadline has passed for certain when the response breaks off.
+	q := Request{ID: "r", Tenant: "owners", Class: "menu", ResponseSize: maxResponseSize, Deadline: time.Nanosecond}
+	g.Call(client, domain, q)
+	if r := g.Report(); r.ConnectionErrors != 2 || r.CutByStop != 0 {
+		t.Fatalf("report %+v", r)
+	}
+}
