--- a/internal/standin/hoster/backend.go
+++ b/internal/standin/hoster/backend.go
@@ -39,6 +39,9 @@
 // overLimit is the context key that marks the connections beyond the worker's limit.
 type overLimit struct{}
 
+// connKey is the context key of a request's *conn.
+type connKey struct{}
+
 // newBackend returns the backend server of the worker, which doesn't listen yet.
 func newBackend(w *Worker) *backend {
 	return &backend{
@@ -53,7 +56,8 @@
 func (b *backend) server() *http.Server {
 	return &http.Server{
 		Handler: http.HandlerFunc(b.serve),
-		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			ctx = context.WithValue(ctx, connKey{}, c)
 			if b.openConns.Add(1) > int64(b.worker.options.Host.Connections) {
 				return context.WithValue(ctx, overLimit{}, true)
 			}
@@ -70,7 +74,11 @@
 // serve executes a request, or refuses it if the worker has no free connection or
 // slot.
 func (b *backend) serve(w http.ResponseWriter, r *http.Request) {
-	b.worker.waitResumed(r.Context())
+	arrived := time.Now()
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		c.begin(r.Header.Get(HeaderRequestID))
+	}
+	b.worker.waitResumed()
 	if r.Context().Value(overLimit{}) != nil {
 		w.Header().Set("Connection", "close")
 		b.refuse(w, &b.worker.Counts.RefusedForConnections)
@@ -87,7 +95,7 @@
 		b.refuse(w, &b.worker.Counts.RefusedForSlots)
 		return
 	}
-	b.execute(w, r)
+	b.execute(w, r, arrived)
 }
 
 // refuse responds that the request has not run, and increments count.
@@ -99,8 +107,8 @@
 	_, _ = io.WriteString(w, `{"code":"full","message":"no free slot or connection","verdict":"not-run"}`)
 }
 
-// execute runs a request and responds to it.
-func (b *backend) execute(w http.ResponseWriter, r *http.Request) {
+// execute runs a request that arrived at a time, and responds to it.
+func (b *backend) execute(w http.ResponseWriter, r *http.Request, arrived time.Time) {
 	start := time.Now()
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -111,13 +119,13 @@
 	if key == "" {
 		key = id
 	}
-	b.worker.recordRequest(key, isIdempotent(r))
+	b.worker.recordRequest(key, arrived, isIdempotent(r))
 	duration := b.serviceTime(r)
 	time.Sleep(duration)
 	b.worker.agent.Load().latency.add(b.serviceName(), start, time.Since(start))
 	w.Header().Set(HeaderRequestID, id)
 	w.Header().Set(HeaderWorker, b.worker.options.Host.Name)
-	b.respond(w, ResponseBody(id, body, r.Header.Get(HeaderResponseSize)))
+	b.respond(w, id, ResponseBody(id, body, r.Header.Get(HeaderResponseSize)))
 }
 
 // isIdempotent reports whether the request may be executed more than once.
@@ -148,11 +156,12 @@
 	return out
 }
 
-// respond writes the response, or half of it and breaks the connection if it is to be
+// respond writes the response to the request with this id, or half of it and breaks the connection if it is to be
 // truncated.
-func (b *backend) respond(w http.ResponseWriter, data []byte) {
+func (b *backend) respond(w http.ResponseWriter, id string, data []byte) {
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if b.truncations.Load() > 0 && b.truncations.Add(-1) >= 0 {
+		b.worker.audit.ResponseTruncated(id)
 		_, _ = w.Write(data[:len(data)/2])
 		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
@@ -216,6 +225,17 @@
 	net.Conn
 	backend *backend
 	silent  atomic.Bool
+
+	mu        sync.Mutex
+	request   string // id of the latest request
+	responded bool   // whether a part of its response was written
+}
+
+// begin notes the id of the request that the connection carries from now on.
+func (c *conn) begin(request string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.request, c.responded = request, false
 }
 
 // Read implements net.Conn. On a silent connection it discards all data until an
@@ -229,12 +249,23 @@
 	}
 }
 
-// Write implements net.Conn. On a silent connection it discards the data.
+// Write implements net.Conn. On a silent connection it discards the data, and reports to
+// the auditor that the response is truncated if a part of it was written before.
 func (c *conn) Write(p []byte) (int, error) {
-	if c.silent.Load() {
-		return len(p), nil
+	if !c.silent.Load() {
+		c.mu.Lock()
+		c.responded = true
+		c.mu.Unlock()
+		return c.Conn.Write(p)
+	}
+	c.mu.Lock()
+	truncated, request := c.responded, c.request
+	c.responded = false
+	c.mu.Unlock()
+	if truncated {
+		c.backend.worker.audit.ResponseTruncated(request)
 	}
-	return c.Conn.Write(p)
+	return len(p), nil
 }
 
 // Close implements net.Conn.
