operator/soaker: plays of the built daemon as real processes

A play starts a store and workers as stand-ins on loopback and the daemon as processes, makes troubles drawn from a seed, and judges each start of a run: a task has one run at a time on live workers, and none after an acknowledged completion.

--- /dev/null
+++ b/internal/operator/soaker/judge.go
@@ -0,0 +1,136 @@
+package soaker
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Rule is a rule that a play can break.
+type Rule uint8
+
+// Rules.
+const (
+	OneRun     Rule = iota // a task has at most one run on live workers at a time
+	NoneAfter              // no run starts after a completion of the task was acknowledged
+	rulesCount             // number of rules
+)
+
+// String returns the name of the rule in reports.
+func (r Rule) String() string { return [rulesCount]string{"one-run", "none-after-done"}[r] }
+
+// run is a run of a task on a stand-in worker. The judge guards ended, outcome,
+// acknowledged and lapsed.
+type run struct {
+	task         string
+	number       int64
+	worker       string
+	incarnation  int64
+	token        int64 // fencing token of its start
+	length       time.Duration
+	readyAfter   time.Duration // progress reaches 100 percent after it
+	started      time.Time
+	ended        time.Time // zero while it is active
+	outcome      string
+	acknowledged time.Time // when an owner acknowledged its end; zero before
+	lapsed       bool      // the lease expired between the end and its acknowledgement
+	end          int64     // number of the end
+	timer        *time.Timer
+}
+
+// Break is a broken rule: a run that started although an earlier run forbids it.
+type Break struct {
+	Rule           Rule
+	At             time.Duration // since the beginning of the play
+	Task           string
+	First, Second  string // description of the two runs at the time of the break
+	Workers        [2]string
+	FirstLifeAge   time.Duration // age of the worker's incarnation when the first run started there
+	first, second  *run
+}
+
+// judge keeps the record of a play and checks each start against the rules.
+type judge struct {
+	began time.Time
+
+	mu     sync.Mutex
+	lines  []line
+	runs   map[string][]*run // by task
+	breaks []Break
+	starts int
+}
+
+// line is a line of the record.
+type line struct {
+	at   time.Time
+	text string
+}
+
+func newJudge() *judge { return &judge{began: time.Now(), runs: make(map[string][]*run)} }
+
+// printf adds a line to the record.
+func (j *judge) printf(format string, args ...any) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.lines = append(j.lines, line{time.Now(), fmt.Sprintf(format, args...)})
+}
+
+// start records a run that starts now, and the rules that it breaks.
+func (j *judge) start(r *run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts++
+	for _, earlier := range j.runs[r.task] {
+		rule := rulesCount
+		switch {
+		case earlier.ended.IsZero():
+			rule = OneRun
+		case earlier.outcome == "done" && !earlier.acknowledged.IsZero() && !earlier.lapsed:
+			rule = NoneAfter
+		}
+		if rule == rulesCount {
+			continue
+		}
+		j.breaks = append(j.breaks, Break{
+			Rule: rule, At: r.started.Sub(j.began), Task: r.task, First: j.describe(earlier), Second: j.describe(r),
+			Workers:      [2]string{earlier.worker, r.worker},
+			FirstLifeAge: earlier.started.Sub(time.UnixMilli(earlier.incarnation)), first: earlier, second: r,
+		})
+	}
+	j.runs[r.task] = append(j.runs[r.task], r)
+}
+
+// end records the end of a run.
+func (j *judge) end(r *run, outcome string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.ended, r.outcome = time.Now(), outcome
+}
+
+// acknowledge records that an owner has acknowledged the end of a run.
+func (j *judge) acknowledge(r *run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r.acknowledged = time.Now()
+}
+
+// lapse records that the lease of a worker expired before the ends were acknowledged.
+func (j *judge) lapse(ends []*run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for _, r := range ends {
+		r.lapsed = true
+	}
+}
+
+// describe returns a run for reports. The caller holds the lock.
+func (j *judge) describe(r *run) string {
+	text := fmt.Sprintf("run %d on %s incarnation %d, token %d, started at %.3f", r.number, r.worker, r.incarnation, r.token, r.started.Sub(j.began).Seconds())
+	if !r.ended.IsZero() {
+		text += fmt.Sprintf(", ended %s at %.3f", r.outcome, r.ended.Sub(j.began).Seconds())
+	}
+	if !r.acknowledged.IsZero() {
+		text += fmt.Sprintf(", acknowledged at %.3f", r.acknowledged.Sub(j.began).Seconds())
+	}
+	return text
+}
--- /dev/null
+++ b/internal/operator/soaker/soaker.go
@@ -0,0 +1,290 @@
+// Package soaker plays the built daemon as real processes in a small deployment, and judges
+// what runs on its workers.
+//
+// # Model
+//
+// A [Play] starts a store and workers, which are stand-ins in this process on loopback
+// addresses, and daemons as processes of their own. With two regions, daemons reach the
+// workers of the other region, and those of the second region the store, over one link with a
+// delay and a limited rate. Callers submit jobs while troubles are made, drawn from a seed. At
+// each start of a run a judge checks that the task has no other run on a live worker, and that
+// no earlier completion of it was acknowledged.
+//
+//	report, err := soaker.Play(ctx, soaker.Options{Program: "target/dotterelcart", Folder: dir, Seed: 1})
+//	for _, b := range report.Breaks {
+//		report.Trace(os.Stdout, b) // the two runs, and what the daemons print about them
+//	}
+package soaker
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
+	"dotterelcart.dev/dotterelcart/internal/standin/listener"
+)
+
+// Options describes a play.
+type Options struct {
+	Program  string        // path of the daemon's program
+	Folder   string        // for settings files
+	Seed     uint64        // of the troubles and the jobs
+	Length   time.Duration // of the load
+	Daemons  int
+	Workers  int
+	Regions  int // 1 or 2
+	Troubles []Trouble
+
+	HostCPU float64 // share of a processor in the daemons' settings; with a small one they divide the service into shards
+}
+
+// The link between the regions.
+const (
+	linkDelay = 30 * time.Millisecond // one way
+	linkRate  = 2e6 / 8               // bytes per second
+)
+
+// Phases of a play.
+const (
+	readyTimeout = 15 * time.Second
+	quietTime    = 6 * time.Second // load without troubles at the end
+)
+
+// play is a play in progress.
+type play struct {
+	options    Options
+	judge      *judge
+	store      *store
+	workers    []*worker
+	daemons    []*daemon
+	relays     []*delayer.Relay
+	link       *delayer.Link
+	isLinkHeld atomic.Bool
+	background sync.WaitGroup
+	accepted   atomic.Int64 // jobs
+
+	mu  sync.Mutex
+	err error // the first fault of the play itself
+}
+
+// Report is the outcome of a play.
+type Report struct {
+	Breaks   []Break
+	Starts   int // runs started
+	Accepted int // jobs accepted
+	Shards   int // owner records at the end
+	lines    []line
+	began    time.Time
+}
+
+// Play plays a deployment and returns what the judge has seen.
+func Play(ctx context.Context, o Options) (*Report, error) {
+	p := &play{options: o, judge: newJudge(), store: newStore(), link: delayer.NewLink(linkDelay, linkRate)}
+	defer p.close()
+	if err := p.setUp(); err != nil {
+		return nil, err
+	}
+	random := rand.New(rand.NewPCG(o.Seed, 0))
+	if err := p.awaitReady(ctx, random); err != nil {
+		return p.report(), err
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.Length)
+	defer cancel()
+	p.background.Go(func() { p.load(ctx, rand.New(rand.NewPCG(o.Seed, 1))) })
+	p.makeTrouble(random, time.Now().Add(o.Length-quietTime))
+	p.background.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.report(), p.err
+}
+
+// note keeps a fault of the play itself.
+func (p *play) note(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.err = errors.Join(p.err, err)
+}
+
+// place is a failure domain.
+type place struct{ zone, region string }
+
+// places lists the failure domains of a play, by turns in each region.
+func places(regions int) []place {
+	all := []place{{"west-a", "west"}, {"east-a", "east"}, {"west-c", "west"}, {"east-c", "east"}}
+	if regions == 1 {
+		return []place{all[0], all[2]}
+	}
+	return all
+}
+
+// setUp starts all parts.
+func (p *play) setUp() error {
+	p.configure()
+	at := places(p.options.Regions)
+	regions := make(map[string]string)
+	for _, l := range at {
+		regions[l.zone] = l.region
+	}
+	for i := range p.options.Workers {
+		l := at[i%len(at)]
+		w, err := newWorker(fmt.Sprintf("i-%08x", 0x9fbd6e00+i), l.zone, l.region, fmt.Sprintf("r-%s-%d", l.zone, i/len(at)%2), p.store, p.judge)
+		if err != nil {
+			return err
+		}
+		p.workers = append(p.workers, w)
+	}
+	far := make(map[string]*strings.Replacer)
+	for _, region := range slices.Compact(slices.Sorted(slices.Values([]string{at[0].region, at[len(at)-1].region}))) {
+		var err error
+		if far[region], err = p.addresses(region); err != nil {
+			return err
+		}
+	}
+	for i := range p.options.Daemons {
+		l := at[i%len(at)]
+		d := &daemon{name: fmt.Sprintf("frontend-%s-%d", l.region, i), zone: l.zone, region: l.region, program: p.options.Program, judge: p.judge}
+		var err error
+		if d.view, err = newView(listener.FreeLoopback(), p.store, far[l.region]); err != nil {
+			return err
+		}
+		store := d.view.address
+		if l.region != at[0].region {
+			if store, err = p.relay(store, p.link); err != nil {
+				return err
+			}
+		}
+		if err := d.writeSettings(p.options.Folder, regions, p.options.HostCPU, store); err != nil {
+			return err
+		}
+		p.daemons = append(p.daemons, d)
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// addresses returns what replaces the workers' addresses for the daemons of a region.
+func (p *play) addresses(region string) (*strings.Replacer, error) {
+	var pairs []string
+	link := p.link
+	if region == "east" {
+		link = link.Reverse()
+	}
+	for _, w := range p.workers {
+		if w.region == region {
+			continue
+		}
+		address, err := p.relay(w.address, link)
+		if err != nil {
+			return nil, err
+		}
+		pairs = append(pairs, `"`+w.address+`"`, `"`+address+`"`)
+	}
+	return strings.NewReplacer(pairs...), nil
+}
+
+// relay relays to an address over a link, and returns the relay's address.
+func (p *play) relay(target string, link *delayer.Link) (string, error) {
+	r, err := delayer.New(listener.FreeLoopback(), target, link)
+	if err != nil {
+		return "", err
+	}
+	p.relays = append(p.relays, r)
+	return r.Address, nil
+}
+
+// close ends all parts.
+func (p *play) close() {
+	for _, d := range p.daemons {
+		d.kill()
+	}
+	for _, w := range p.workers {
+		w.close()
+	}
+	for _, r := range p.relays {
+		r.Close()
+	}
+	for _, d := range p.daemons {
+		d.view.listener.Close()
+	}
+	close(p.store.closing)
+}
+
+// report returns what has happened so far.
+func (p *play) report() *Report {
+	out := &Report{Accepted: int(p.accepted.Load()), Shards: len(p.store.owners()), began: p.judge.began}
+	for _, d := range p.daemons {
+		d.mu.Lock()
+		out.lines = append(out.lines, d.lines...)
+		d.mu.Unlock()
+	}
+	p.judge.mu.Lock()
+	defer p.judge.mu.Unlock()
+	out.lines = append(out.lines, p.judge.lines...)
+	for _, b := range p.judge.breaks {
+		b.First, b.Second = p.judge.describe(b.first), p.judge.describe(b.second)
+		out.Breaks = append(out.Breaks, b)
+	}
+	out.Starts = p.judge.starts
+	slices.SortStableFunc(out.lines, func(a, b line) int { return a.at.Compare(b.at) })
+	return out
+}
+
+// Write writes the whole record of the play to a file of the folder.
+func (r *Report) Write(folder, name string) error {
+	f, err := os.Create(filepath.Join(folder, name))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	r.print(f, func(line) bool { return true })
+	return f.Sync()
+}
+
+// traceWindow is how much of the record before and after a break is part of its trace.
+const traceWindow = 8 * time.Second
+
+// Trace prints the lines about a break: of its task, of the two workers, and all troubles.
+func (r *Report) Trace(out io.Writer, b Break) {
+	fmt.Fprintf(out, "broken: %v at %.3f, task %s\n  first:  %s\n  second: %s\n", b.Rule, b.At.Seconds(), b.Task, b.First, b.Second)
+	from, to := r.began.Add(b.At-traceWindow), r.began.Add(b.At+traceWindow)
+	r.print(out, func(l line) bool {
+		if l.at.Before(from) || l.at.After(to) {
+			return false
+		}
+		if strings.Contains(l.text, b.Task+`"`) || strings.Contains(l.text, b.Task+"#") {
+			return true
+		}
+		for _, w := range b.Workers {
+			if strings.Contains(l.text, w) && !strings.Contains(l.text, `"task"`) && !strings.Contains(l.text, "#") {
+				return true
+			}
+		}
+		return isTrouble(l.text)
+	})
+}
+
+// isTrouble reports whether a line tells of a daemon, the store or the link.
+func isTrouble(text string) bool {
+	return strings.HasPrefix(text, "daemon ") || strings.HasPrefix(text, "store ") || strings.HasPrefix(text, "link ") || strings.Contains(text, `"shard `)
+}
+
+// print prints the lines that match.
+func (r *Report) print(out io.Writer, matches func(line) bool) {
+	for _, l := range r.lines {
+		if matches(l) {
+			fmt.Fprintf(out, "%9.3f %s\n", l.at.Sub(r.began).Seconds(), l.text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operator/soaker/trouble.go
@@ -0,0 +1,137 @@
+package soaker
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
+)
+
+// Trouble is a kind of fault.
+type Trouble uint8
+
+// Troubles.
+const (
+	Restart      Trouble = iota // workers crash and start again under their ids
+	Suspend                     // a daemon is suspended, and workers restart about that time
+	Kill                        // a daemon is killed and started again
+	TurnAway                    // the store turns a daemon away
+	CutOff                      // a worker is cut off and goes on
+	Hold                        // the link between the regions holds its data
+	troubleCount                // number of troubles
+)
+
+// String returns the name of the trouble in options.
+func (t Trouble) String() string {
+	return [troubleCount]string{"restart", "suspend", "kill", "turn-away", "cut-off", "hold"}[t]
+}
+
+// Troubles lists all kinds.
+func Troubles() (out []Trouble) {
+	for t := range troubleCount {
+		out = append(out, t)
+	}
+	return out
+}
+
+const ownerShare = 0.7 // probability that a trouble of a daemon hits the owner of a shard
+
+// makeTrouble draws and makes troubles until the time given. All choices are drawn here, so
+// that they depend on the seed and on who owns the shards.
+func (p *play) makeTrouble(random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		switch p.options.Troubles[random.IntN(len(p.options.Troubles))] {
+		case Restart:
+			p.restartWorkers(random, 1+random.IntN(3), time.Second)
+		case Suspend:
+			period := between(random, 300*time.Millisecond, 4*time.Second)
+			p.restartWorkers(random, random.IntN(4), period)
+			d := p.drawDaemon(random)
+			p.background.Go(func() { p.exclusively(d, func() { d.suspend(period) }) })
+		case Kill:
+			d := p.drawDaemon(random)
+			p.background.Go(func() {
+				p.exclusively(d, func() {
+					d.kill()
+					time.Sleep(restartDelay)
+					p.note(d.start())
+				})
+			})
+		case TurnAway:
+			how := unavailable + refusal(random.IntN(2))
+			d, period := p.drawDaemon(random), between(random, 300*time.Millisecond, 6*time.Second)
+			p.background.Go(func() { p.exclusively(d, func() { d.turnAway(how, period) }) })
+		case CutOff:
+			w, period := p.workers[random.IntN(len(p.workers))], between(random, 500*time.Millisecond, 8*time.Second)
+			p.background.Go(func() { w.cutOff(period) })
+		case Hold:
+			period := between(random, 200*time.Millisecond, 3*time.Second)
+			p.background.Go(func() { p.holdLink(period) })
+		}
+		time.Sleep(between(random, 200*time.Millisecond, 1500*time.Millisecond))
+	}
+}
+
+// between draws a duration.
+func between(random *rand.Rand, from, to time.Duration) time.Duration {
+	return from + time.Duration(random.Int64N(int64(to-from)))
+}
+
+// restartWorkers crashes n workers within the period, and starts them again.
+func (p *play) restartWorkers(random *rand.Rand, n int, period time.Duration) {
+	for range n {
+		w := p.workers[random.IntN(len(p.workers))]
+		wait, down := between(random, 0, period), between(random, 50*time.Millisecond, 1500*time.Millisecond)
+		silent, registration := random.IntN(2) == 0, between(random, 0, 150*time.Millisecond)
+		p.background.Go(func() {
+			time.Sleep(wait)
+			w.crash(silent)
+			time.Sleep(down)
+			if w.isUp() {
+				return // another restart of it was drawn
+			}
+			p.note(w.start())
+			time.Sleep(registration)
+			w.register()
+		})
+	}
+}
+
+// drawDaemon draws a daemon, preferably an owner.
+func (p *play) drawDaemon(random *rand.Rand) *daemon {
+	var owners []*daemon
+	for _, value := range p.store.owners() {
+		for _, d := range p.daemons {
+			if bytes.Contains(value, []byte(`"`+d.name+`"`)) {
+				owners = append(owners, d)
+			}
+		}
+	}
+	if len(owners) > 0 && random.Float64() < ownerShare {
+		return owners[random.IntN(len(owners))]
+	}
+	return p.daemons[random.IntN(len(p.daemons))]
+}
+
+// exclusively makes a trouble unless the daemon has one.
+func (p *play) exclusively(d *daemon, trouble func()) {
+	if !d.troubled.CompareAndSwap(false, true) {
+		return
+	}
+	defer d.troubled.Store(false)
+	trouble()
+}
+
+// holdLink holds all data between the regions for a while.
+func (p *play) holdLink(period time.Duration) {
+	if !p.isLinkHeld.CompareAndSwap(false, true) {
+		return
+	}
+	defer p.isLinkHeld.Store(false)
+	p.judge.printf("link between the regions held for %v", period)
+	p.link.Cut(delayer.Blackhole)
+	time.Sleep(period)
+	p.link.Heal()
+	p.judge.printf("link between the regions open")
+}
