operator/soaker: store on state/faker, tests

The stand-in store takes its keys, leases and watches from state/faker, so that only the translation from HTTP is left. Unlike a store with a history, a watch returns the latest change of each key only.

--- a/internal/operator/soaker/daemon.go
+++ b/internal/operator/soaker/daemon.go
@@ -46,9 +46,6 @@
 Zone = %q
 Region = %q
 InternalPortRange = [7720,7735]
-SeedNodes = []
-Bootstrap = true
-HeartbeatMs = 1500
 Commands = "invocation"
 [Zones]
 %s[ListenAddresses]
@@ -58,27 +55,15 @@
 CpuShare = %g
 Cores = 1
 MemoryMb = 536
-FileDescriptors = 4100
 LinkMbps = 200.0
 [Bounds]
 ContactMs = 4000
-AcknowledgeMs = 5000
-DrainMs = 3000
 GracePeriodS = 6
 HoldMaximumMs = 10000
-StopTimeoutMs = 400
-GangTimeoutMs = 3000
 cancel_ms = 3000
-status_s = 120
-LeaseMs = 3000
-PacingMs = 100
 [platform]
 Address = %q
 form = "kv"
-WritesPerS = 1200
-ReadsPerS = 6000
-HistoryS = 60
-ValueBytes = 1048576
 TtlMinimumMs = 1000
 `
 
@@ -96,7 +81,7 @@
 			return err
 		}
 		free[i] = l.Address
-		l.Close()
+		_ = l.Close()
 	}
 	d.callers, d.settings = free[0], filepath.Join(folder, d.name+".toml")
 	text := fmt.Sprintf(settingsText, d.name, ip, d.zone, d.region, zones, free[0], free[1], share, store)
--- a/internal/operator/soaker/judge.go
+++ b/internal/operator/soaker/judge.go
@@ -1,6 +1,7 @@
 package soaker
 
 import (
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -40,13 +41,12 @@
 
 // Break is a broken rule: a run that started although an earlier run forbids it.
 type Break struct {
-	Rule           Rule
-	At             time.Duration // since the beginning of the play
-	Task           string
-	First, Second  string // description of the two runs at the time of the break
-	Workers        [2]string
-	FirstLifeAge   time.Duration // age of the worker's incarnation when the first run started there
-	first, second  *run
+	Rule          Rule
+	At            time.Duration // since the beginning of the play
+	Task          string
+	First, Second string // description of the two runs at the time of the break
+	Workers       [2]string
+	first, second *run
 }
 
 // judge keeps the record of a play and checks each start against the rules.
@@ -58,6 +58,7 @@
 	runs   map[string][]*run // by task
 	breaks []Break
 	starts int
+	faults error // of the play itself
 }
 
 // line is a line of the record.
@@ -75,6 +76,13 @@
 	j.lines = append(j.lines, line{time.Now(), fmt.Sprintf(format, args...)})
 }
 
+// noteFault keeps a fault of the play itself, unless it is nil.
+func (j *judge) noteFault(err error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.faults = errors.Join(j.faults, err)
+}
+
 // start records a run that starts now, and the rules that it breaks.
 func (j *judge) start(r *run) {
 	j.mu.Lock()
@@ -93,8 +101,7 @@
 		}
 		j.breaks = append(j.breaks, Break{
 			Rule: rule, At: r.started.Sub(j.began), Task: r.task, First: j.describe(earlier), Second: j.describe(r),
-			Workers:      [2]string{earlier.worker, r.worker},
-			FirstLifeAge: earlier.started.Sub(time.UnixMilli(earlier.incarnation)), first: earlier, second: r,
+			Workers: [2]string{earlier.worker, r.worker}, first: earlier, second: r,
 		})
 	}
 	j.runs[r.task] = append(j.runs[r.task], r)
--- a/internal/operator/soaker/load.go
+++ b/internal/operator/soaker/load.go
@@ -24,8 +24,8 @@
 )
 
 // configure writes the operator's configuration.
-func (p *play) configure() {
-	p.store.put("op/config", map[string]any{
+func (p *play) configure() error {
+	return p.store.put("op/config", map[string]any{
 		"Version": 3,
 		"Routes": []map[string]any{{
 			"Name": queue, "Hostname": hostname, "Prefix": "/" + queue + "/", "Kind": "non_idempotent", "Service": service,
@@ -51,14 +51,14 @@
 func (p *play) submit(ctx context.Context, d *daemon, id string, todo work, s step) bool {
 	body, err := json.Marshal(map[string]any{"Specification": todo.specification(), "Steps": []step{s}})
 	if err != nil {
-		p.note(err)
+		p.judge.noteFault(err)
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.callers+"/"+queue+"/"+id, bytes.NewReader(body))
 	if err != nil {
-		p.note(err)
+		p.judge.noteFault(err)
 		return false
 	}
 	r.Host = hostname
--- a/internal/operator/soaker/soaker.go
+++ b/internal/operator/soaker/soaker.go
@@ -10,15 +10,14 @@
 // each start of a run a judge checks that the task has no other run on a live worker, and that
 // no earlier completion of it was acknowledged.
 //
-//	report, err := soaker.Play(ctx, soaker.Options{Program: "target/dotterelcart", Folder: dir, Seed: 1})
-//	for _, b := range report.Breaks {
-//		report.Trace(os.Stdout, b) // the two runs, and what the daemons print about them
+//	outcome, err := soaker.Play(ctx, soaker.Options{Program: "target/dotterelcart", Folder: dir, Seed: 1})
+//	for _, b := range outcome.Breaks {
+//		outcome.Trace(os.Stdout, b) // the two runs, and what the daemons print about them
 //	}
 package soaker
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -72,13 +71,10 @@
 	isLinkHeld atomic.Bool
 	background sync.WaitGroup
 	accepted   atomic.Int64 // jobs
-
-	mu  sync.Mutex
-	err error // the first fault of the play itself
 }
 
-// Report is the outcome of a play.
-type Report struct {
+// Outcome is what a play has shown.
+type Outcome struct {
 	Breaks   []Break
 	Starts   int // runs started
 	Accepted int // jobs accepted
@@ -88,7 +84,7 @@
 }
 
 // Play plays a deployment and returns what the judge has seen.
-func Play(ctx context.Context, o Options) (*Report, error) {
+func Play(ctx context.Context, o Options) (*Outcome, error) {
 	p := &play{options: o, judge: newJudge(), store: newStore(), link: delayer.NewLink(linkDelay, linkRate)}
 	defer p.close()
 	if err := p.setUp(); err != nil {
@@ -103,16 +99,10 @@
 	p.background.Go(func() { p.load(ctx, rand.New(rand.NewPCG(o.Seed, 1))) })
 	p.makeTrouble(random, time.Now().Add(o.Length-quietTime))
 	p.background.Wait()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.report(), p.err
-}
-
-// note keeps a fault of the play itself.
-func (p *play) note(err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.err = errors.Join(p.err, err)
+	p.judge.mu.Lock()
+	faults := p.judge.faults
+	p.judge.mu.Unlock()
+	return p.report(), faults
 }
 
 // place is a failure domain.
@@ -129,7 +119,9 @@
 
 // setUp starts all parts.
 func (p *play) setUp() error {
-	p.configure()
+	if err := p.configure(); err != nil {
+		return err
+	}
 	at := places(p.options.Regions)
 	regions := make(map[string]string)
 	for _, l := range at {
@@ -157,7 +149,7 @@
 		if d.view, err = newView(listener.FreeLoopback(), p.store, far[l.region]); err != nil {
 			return err
 		}
-		store := d.view.address
+		store := d.view.listener.Address
 		if l.region != at[0].region {
 			if store, err = p.relay(store, p.link); err != nil {
 				return err
@@ -213,17 +205,16 @@
 		w.close()
 	}
 	for _, r := range p.relays {
-		r.Close()
+		_ = r.Close()
 	}
 	for _, d := range p.daemons {
-		d.view.listener.Close()
+		_ = d.view.listener.Close()
 	}
-	close(p.store.closing)
 }
 
 // report returns what has happened so far.
-func (p *play) report() *Report {
-	out := &Report{Accepted: int(p.accepted.Load()), Shards: len(p.store.owners()), began: p.judge.began}
+func (p *play) report() *Outcome {
+	out := &Outcome{Accepted: int(p.accepted.Load()), Shards: len(p.store.Items(ownerPrefix)), began: p.judge.began}
 	for _, d := range p.daemons {
 		d.mu.Lock()
 		out.lines = append(out.lines, d.lines...)
@@ -242,13 +233,13 @@
 }
 
 // Write writes the whole record of the play to a file of the folder.
-func (r *Report) Write(folder, name string) error {
+func (o *Outcome) Write(folder, name string) error {
 	f, err := os.Create(filepath.Join(folder, name))
 	if err != nil {
 		return err
 	}
 	defer f.Close()
-	r.print(f, func(line) bool { return true })
+	o.print(f, func(line) bool { return true })
 	return f.Sync()
 }
 
@@ -256,10 +247,10 @@
 const traceWindow = 8 * time.Second
 
 // Trace prints the lines about a break: of its task, of the two workers, and all troubles.
-func (r *Report) Trace(out io.Writer, b Break) {
+func (o *Outcome) Trace(out io.Writer, b Break) {
 	fmt.Fprintf(out, "broken: %v at %.3f, task %s\n  first:  %s\n  second: %s\n", b.Rule, b.At.Seconds(), b.Task, b.First, b.Second)
-	from, to := r.began.Add(b.At-traceWindow), r.began.Add(b.At+traceWindow)
-	r.print(out, func(l line) bool {
+	from, to := o.began.Add(b.At-traceWindow), o.began.Add(b.At+traceWindow)
+	o.print(out, func(l line) bool {
 		if l.at.Before(from) || l.at.After(to) {
 			return false
 		}
@@ -281,10 +272,10 @@
 }
 
 // print prints the lines that match.
-func (r *Report) print(out io.Writer, matches func(line) bool) {
-	for _, l := range r.lines {
+func (o *Outcome) print(out io.Writer, matches func(line) bool) {
+	for _, l := range o.lines {
 		if matches(l) {
-			fmt.Fprintf(out, "%9.3f %s\n", l.at.Sub(r.began).Seconds(), l.text)
+			fmt.Fprintf(out, "%9.3f %s\n", l.at.Sub(o.began).Seconds(), l.text)
 		}
 	}
 }
--- a/internal/operator/soaker/trouble.go
+++ b/internal/operator/soaker/trouble.go
@@ -40,7 +40,7 @@
 // makeTrouble draws and makes troubles until the time given. All choices are drawn here, so
 // that they depend on the seed and on who owns the shards.
 func (p *play) makeTrouble(random *rand.Rand, until time.Time) {
-	for time.Now().Before(until) {
+	for time.Now().Before(until) && len(p.options.Troubles) > 0 {
 		switch p.options.Troubles[random.IntN(len(p.options.Troubles))] {
 		case Restart:
 			p.restartWorkers(random, 1+random.IntN(3), time.Second)
@@ -55,7 +55,7 @@
 				p.exclusively(d, func() {
 					d.kill()
 					time.Sleep(restartDelay)
-					p.note(d.start())
+					p.judge.noteFault(d.start())
 				})
 			})
 		case TurnAway:
@@ -91,7 +91,7 @@
 			if w.isUp() {
 				return // another restart of it was drawn
 			}
-			p.note(w.start())
+			p.judge.noteFault(w.start())
 			time.Sleep(registration)
 			w.register()
 		})
@@ -101,9 +101,9 @@
 // drawDaemon draws a daemon, preferably an owner.
 func (p *play) drawDaemon(random *rand.Rand) *daemon {
 	var owners []*daemon
-	for _, value := range p.store.owners() {
+	for _, record := range p.store.Items(ownerPrefix) {
 		for _, d := range p.daemons {
-			if bytes.Contains(value, []byte(`"`+d.name+`"`)) {
+			if bytes.Contains(record.Value, []byte(`"`+d.name+`"`)) {
 				owners = append(owners, d)
 			}
 		}
--- a/internal/operator/soaker/worker.go
+++ b/internal/operator/soaker/worker.go
@@ -55,7 +55,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.former != nil {
-		w.former.server.Close()
+		_ = w.former.server.Close()
 		w.former = nil
 	}
 	i, err := newIncarnation(w, w.backend)
@@ -94,8 +94,8 @@
 	}
 	i.end()
 	if !isSilent {
-		i.server.Close()
-		w.relay.Close()
+		_ = i.server.Close()
+		_ = w.relay.Close()
 		w.relay = nil
 	}
 	w.judge.printf("worker %s crashed, silent %t, incarnation %d", w.id, isSilent, i.born)
@@ -103,7 +103,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		if w.incarnation == nil {
-			w.store.drop("servers/" + w.id)
+			w.judge.noteFault(w.store.drop(workerPrefix + w.id))
 		}
 	})
 }
@@ -123,7 +123,7 @@
 	if d > missedBeats*heartbeat {
 		time.Sleep(missedBeats * heartbeat)
 		d -= missedBeats * heartbeat
-		w.store.drop("servers/" + w.id)
+		w.judge.noteFault(w.store.drop(workerPrefix + w.id))
 	}
 	time.Sleep(d)
 	w.mu.Lock()
@@ -146,11 +146,11 @@
 	if w.incarnation == nil {
 		return
 	}
-	w.store.put("servers/"+w.id, map[string]any{
+	w.judge.noteFault(w.store.put(workerPrefix+w.id, map[string]any{
 		"Service": service, "Address": w.address, "Zone": w.zone, "Version": "v1", "Slots": 8, "State": "ready",
 		"ColdRemainingMs": 0, "Capacity": map[string]int{"Cpu": workerCPU, "MemoryRequestMb": workerMemory, "Gpu": 0},
 		"Labels": []string{"a", w.rack}, "ClockMs": w.incarnation.clock(), "Sequence": 1, "born": w.incarnation.born,
-	})
+	}))
 }
 
 // close ends the worker.
@@ -159,10 +159,10 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.former != nil {
-		w.former.server.Close()
+		_ = w.former.server.Close()
 	}
 	if w.relay != nil {
-		w.relay.Close()
+		_ = w.relay.Close()
 	}
 }
 
