operator/soaker: registrations from the other region take the link

The stand-in workers wrote to the store past the link between the regions, so that a registration arrived while the link was held.

--- a/internal/operator/soaker/trouble.go
+++ b/internal/operator/soaker/trouble.go
@@ -64,7 +64,10 @@
 			p.background.Go(func() { p.exclusively(d, func() { d.turnAway(how, period) }) })
 		case CutOff:
 			w, period := p.workers[random.IntN(len(p.workers))], between(random, 500*time.Millisecond, 8*time.Second)
-			p.background.Go(func() { w.cutOff(period) })
+			p.background.Go(func() {
+				w.cutOff(period)
+				p.register(w)
+			})
 		case Hold:
 			period := between(random, 200*time.Millisecond, 3*time.Second)
 			p.background.Go(func() { p.holdLink(period) })
@@ -93,11 +96,20 @@
 			}
 			p.judge.noteFault(w.start())
 			time.Sleep(registration)
-			w.register()
+			p.register(w)
 		})
 	}
 }
 
+// register registers a worker with the store. From the other region it takes the link.
+func (p *play) register(w *worker) {
+	if w.region != places(p.options.Regions)[0].region {
+		for time.Sleep(linkDelay); p.isLinkHeld.Load(); time.Sleep(linkDelay) {
+		}
+	}
+	w.register()
+}
+
 // drawDaemon draws a daemon, preferably an owner.
 func (p *play) drawDaemon(random *rand.Rand) *daemon {
 	var owners []*daemon
--- a/internal/operator/soaker/worker.go
+++ b/internal/operator/soaker/worker.go
@@ -109,7 +109,7 @@
 }
 
 // cutOff holds all data from and to the worker, which goes on, for d. After three heartbeats
-// its registration is removed.
+// its registration is removed; the caller registers it again.
 func (w *worker) cutOff(d time.Duration) {
 	w.mu.Lock()
 	if w.isCutOff || w.incarnation == nil {
@@ -128,15 +128,11 @@
 	time.Sleep(d)
 	w.mu.Lock()
 	w.isCutOff = false
-	isUp := w.incarnation != nil
-	if isUp {
+	if w.incarnation != nil {
 		w.link.Heal()
 	}
 	w.mu.Unlock()
 	w.judge.printf("worker %s reachable again", w.id)
-	if isUp {
-		w.register()
-	}
 }
 
 // register writes the worker's registration to the store, unless the worker is down.
