--- a/internal/operator/soaker/trouble.go
+++ b/internal/operator/soaker/trouble.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
@@ -14,7 +15,7 @@
 // Troubles.
 const (
 	Restart      Trouble = iota // workers crash and start again under their ids
-	Suspend                     // a daemon is suspended, and workers restart about that time
+	Suspend                     // a daemon is suspended; with Restart, workers restart meanwhile
 	Kill                        // a daemon is killed and started again
 	TurnAway                    // the store turns a daemon away
 	CutOff                      // a worker is cut off and goes on
@@ -46,7 +47,9 @@
 			p.restartWorkers(random, 1+random.IntN(3), time.Second)
 		case Suspend:
 			period := between(random, 300*time.Millisecond, 4*time.Second)
-			p.restartWorkers(random, random.IntN(4), period)
+			if slices.Contains(p.options.Troubles, Restart) {
+				p.restartWorkers(random, random.IntN(4), period)
+			}
 			d := p.drawDaemon(random)
 			p.background.Go(func() { p.exclusively(d, func() { d.suspend(period) }) })
 		case Kill:
