--- a/internal/operator/soaker/daemon.go
+++ b/internal/operator/soaker/daemon.go
@@ -74,14 +74,14 @@
 	for zone, region := range regions {
 		zones += fmt.Sprintf("%s = %q\n", zone, region)
 	}
-	free := make([]string, 2)
+	free := make([]string, 2) // both are open at a time, so that they differ
 	for i := range free {
 		l, err := listener.New(ip+":0", nil)
 		if err != nil {
 			return err
 		}
 		free[i] = l.Address
-		_ = l.Close()
+		defer l.Close() //nolint:errcheck // only reserves a port
 	}
 	d.callers, d.settings = free[0], filepath.Join(folder, d.name+".toml")
 	text := fmt.Sprintf(settingsText, d.name, ip, d.zone, d.region, zones, free[0], free[1], share, store)
--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -27,14 +27,20 @@
 		stop()
 		os.Exit(2)
 	}
-	if broken {
+	switch {
+	case faulty:
+		stop()
+		os.Exit(2)
+	case broken:
 		stop()
 		os.Exit(1)
 	}
 }
 
-// broken is set once a play has broken a rule.
-var broken bool
+var (
+	broken bool // a play has broken a rule
+	faulty bool // a play couldn't run as it should
+)
 
 func newCommand() *cobra.Command {
 	var (
@@ -95,6 +101,7 @@
 		return err
 	}
 	fmt.Printf("seed %d: %d breaks, %d starts, %d jobs accepted, %d shards, fault %v\n", o.Seed, len(report.Breaks), report.Starts, report.Accepted, report.Shards, err)
+	faulty = faulty || err != nil
 	name := fmt.Sprintf("seed-%d", o.Seed)
 	if err != nil || keepAll || len(report.Breaks) > 0 {
 		if err := report.Write(logs, name+".log"); err != nil {
