--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -17,7 +17,7 @@
 
 	"github.com/spf13/cobra"
 
-	"dotterelcart.dev/dotterelcart/internal/operator/soaker"
+	"dotterelcart.dev/dotterelcart/platform/soaker"
 )
 
 func main() {
