job/dispatcher: no two live workers at one address in the simulation

Cause: comeBack is scheduled for each crash. A worker that crashes, is restarted by another fault and crashes again comes back twice, the second time although it is gone and its successor has its address. The failure is a fault of the simulation alone.

Change: a worker that is gone doesn't come back, and a restart at the address of a worker that is up fails the test. The checks are those of before and that one.

--- a/internal/job/dispatcher/deadlytask_test.go
+++ b/internal/job/dispatcher/deadlytask_test.go
@@ -72,7 +72,7 @@
 // comeBack restarts a worker that has crashed, under its id or another, and then at its
 // address or another.
 func (w *fakeWorker) comeBack(rename, sameAddress bool) {
-	if !w.crashed {
+	if !w.crashed || w.gone {
 		return
 	}
 	if !rename {
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -89,11 +89,17 @@
 
 func (w *fakeWorker) isUp() bool { return !w.crashed }
 
-// restart begins a new incarnation without state.
+// restart begins a new incarnation without state. It fails the test if another worker is up
+// at the address, since no platform runs two processes at one address.
 func (w *fakeWorker) restart() {
 	if w.gone {
 		return
 	}
+	for _, other := range w.sim.workers {
+		if other != w && other.isUp() && other.registration().Address == w.registration().Address {
+			w.sim.fail("%s restarts at the address of %s, which is up", w.id, other.id)
+		}
+	}
 	w.incarnation++
 	w.crashed, w.token, w.lastEnd, w.pendingEnds = false, 0, 0, nil
 	w.endStates = make(map[int64]endState)
