job/dispatcher: a worker is replaced when its address refuses its poll

Cause: a worker counted as ended as soon as another registration had its address and a later incarnation, which is wall time of another process and may be of a stale entry.

Change: such a registration makes the other worker a rival. The worker is polled at once, and has ended when another one at the address refuses its poll (421, WorkerRestarted), in either order of the times of start. Without such a refusal its runs are given up as those of any worker are, when the leases have expired. The refusal must be of a poll of the current incarnation. The times of start still decide two things that can do no harm: which of the two gets no starts until the polls have shown which one is up, and which one takes over the count of crashes. A new owner asks in the same way before it drops an inherited worker.

Recovery takes the outcome of the poll in progress and one more poll, which is sent when the rival registers; before, it took none. A poll in progress on a connection that isn't reset lasts until its time-out.

Tests: TestWorkerReturnsAtSameAddress and TestTakeOverFromReplacedWorker gave the registration as the only evidence. They now require that it starts nothing, deliver the refusal, and then expect what they did before. TestWorkerReturnsAtSameAddress has more cases: the refusal with another address, and silence in place of the refusal, end nothing. A worker with an earlier incarnation at the address, which proved nothing, proves the end with a refusal and nothing without. In the simulation, a worker that is up at the address of one that has ended refuses its polls, after the time-out.

Ruled out: passing the crashes on with the refusal only.

--- a/internal/job/dispatcher/departure_test.go
+++ b/internal/job/dispatcher/departure_test.go
@@ -56,6 +56,8 @@
 			}
 			g.Expect(takeEffects[StartRun](h)).To(BeEmpty(), "the task's run is listed in each inventory")
 			g.Expect(takeEffects[RunsLost](h)).To(BeEmpty())
+			g.Expect(h.workers[live.ID].isUsable(h.now)).To(BeTrue(), "the dead worker isn't waited for")
+			g.Expect(h.workers[live.ID].crashes.IsRecent(h.now)).To(BeFalse())
 			takeEffects[PollWorker](h)
 			h.answer(live.ID, live.Incarnation, active)
 			g.Expect(takeEffects[PollWorker](h)).To(ContainElement(HaveField("Worker.ID", live.ID)), "its leases are renewed")
@@ -119,3 +121,50 @@
 	h.advance(time.Second)
 	g.Expect(takeEffects[RunsLost](h)).To(BeEmpty())
 }
+
+// TestStartsAtSharedAddress guards against starts on the worker of two that has probably ended,
+// before the polls have shown which one is up.
+func TestStartsAtSharedAddress(t *testing.T) {
+	for name, c := range map[string]struct {
+		ended, up string
+	}{"the earlier one has ended": {"early", "late"}, "the later one has ended": {"late", "early"}} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(lossQueue)
+			workers := map[string]specifier.Worker{"early": workerAt(sharedAddress, "early", 5), "late": workerAt(sharedAddress, "late", 9)}
+			h.feed(WorkersListed{Workers: []specifier.Worker{workers["early"]}})
+			h.answer("early", 5)
+			h.advance(100 * time.Millisecond)
+			h.feed(WorkersListed{Workers: []specifier.Worker{workers["early"], workers["late"]}}, JobArrived{Job: oneStep(1, nil)})
+			h.advance(100 * time.Millisecond)
+			g.Expect(takeEffects[StartRun](h)).To(BeEmpty())
+			h.refusePoll(workers[c.ended])
+			h.answer(c.up, workers[c.up].Incarnation)
+			h.advance(100 * time.Millisecond)
+			h.advance(100 * time.Millisecond)
+			g.Expect(takeEffects[StartRun](h)).To(ConsistOf(HaveField("Worker.ID", c.up)))
+		})
+	}
+}
+
+// TestSharedAddressIsSettledSoon guards against a wait of more than a poll's retry delay until the
+// address is asked which of two workers is up, and against a worker that is asked for good after
+// both have left.
+func TestSharedAddressIsSettledSoon(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(lossQueue)
+	early, late := workerAt(sharedAddress, "early", 5), workerAt(sharedAddress, "late", 9)
+	h.startOn(early)
+	h.feed(PollFailed{Worker: early.ID, Incarnation: early.Incarnation, Fault: OutcomeUnknown})
+	takeEffects[PollWorker](h)
+	h.feed(WorkersListed{Workers: []specifier.Worker{late}})
+	g.Expect(takeEffects[PollWorker](h)).To(ContainElement(HaveField("Worker.ID", early.ID)), "its rival has just registered")
+	h.feed(PollFailed{Worker: early.ID, Incarnation: early.Incarnation, Fault: OutcomeUnknown})
+	h.advance(pollRetryDelay)
+	g.Expect(takeEffects[PollWorker](h)).To(ContainElement(HaveField("Worker.ID", early.ID)))
+	h.feed(WorkersListed{})
+	h.silence(early.ID)
+	h.feed(PollFailed{Worker: late.ID, Incarnation: late.Incarnation, Fault: OutcomeUnknown})
+	h.advance(time.Second)
+	g.Expect(h.workers).To(BeEmpty())
+}
--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -125,10 +125,21 @@
 				return PollFailed{Worker: w.id, Incarnation: e.Worker.Incarnation, Fault: fault}
 			}
 			return PollAnswered{Worker: w.id, Sent: sent, Inventory: inventory}
-		}, PollFailed{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Fault: OutcomeUnknown})
+		}, PollFailed{Worker: e.Worker.ID, Incarnation: e.Worker.Incarnation, Fault: o.pollFault(e.Worker)})
 	}
 }
 
+// pollFault returns the fault of a poll that its worker doesn't answer: another worker that is up
+// at the address refuses it.
+func (o *owner) pollFault(reg specifier.Worker) Fault {
+	for _, w := range o.sim.workers {
+		if w.id != reg.ID && w.isUp() && !o.unreachable[w] && w.registration().Address == reg.Address {
+			return WorkerRestarted
+		}
+	}
+	return OutcomeUnknown
+}
+
 // callWorker executes an order at a worker and posts its answer, or lost if
 // there is none.
 func (o *owner) callWorker(reg specifier.Worker, do func(*fakeWorker) Event, lost Event) {
--- a/internal/job/dispatcher/isolation_test.go
+++ b/internal/job/dispatcher/isolation_test.go
@@ -256,11 +256,15 @@
 	for name, c := range map[string]struct {
 		address     string
 		incarnation int64
+		fault       Fault // of the poll of the predecessor
 		proven      bool
 	}{
-		"same address, later incarnation":   {"10.0.0.1:80", 9, true},
-		"other address":                     {"10.0.0.1:81", 9, false},
-		"same address, earlier incarnation": {"10.0.0.1:80", 3, false},
+		"same address, later incarnation":           {"10.0.0.1:80", 9, WorkerRestarted, true},
+		"same address, later incarnation, silent":   {"10.0.0.1:80", 9, OutcomeUnknown, false},
+		"other address":                             {"10.0.0.1:81", 9, OutcomeUnknown, false},
+		"other address, refused":                    {"10.0.0.1:81", 9, WorkerRestarted, false},
+		"same address, earlier incarnation":         {"10.0.0.1:80", 3, WorkerRestarted, true},
+		"same address, earlier incarnation, silent": {"10.0.0.1:80", 3, OutcomeUnknown, false},
 	} {
 		for _, isListed := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, predecessor listed %t", name, isListed), func(t *testing.T) {
@@ -281,6 +285,13 @@
 				}
 				h.feed(WorkersListed{Workers: list})
 				h.answer("w2", c.incarnation)
+				h.advance(100 * time.Millisecond)
+				g.Expect(takeEffects[StartRun](h)).To(BeEmpty(), "the registration proves nothing")
+				h.feed(PollFailed{Worker: "w1", Incarnation: 5, Fault: c.fault})
+				h.advance(100 * time.Millisecond)
+				if !c.proven {
+					g.Expect(takeEffects[StartRun](h)).To(BeEmpty())
+				}
 				h.answer("w1", 5, specifier.Run{Task: start.Task, Number: start.Run}) // a late answer
 				h.advance(100 * time.Millisecond)
 				h.advance(100 * time.Millisecond)
@@ -311,6 +322,9 @@
 	h.feed(JobLoaded{Job: oneStep(1, nil)}, WorkersListed{Workers: []specifier.Worker{old, next}})
 	h.answer("w2", 9)
 	h.advance(100 * time.Millisecond)
+	g.Expect(takeEffects[StartRun](h)).To(BeEmpty(), "the registration proves nothing")
+	h.feed(PollFailed{Worker: "w1", Incarnation: 5, Fault: WorkerRestarted})
+	h.advance(100 * time.Millisecond)
 	h.advance(100 * time.Millisecond)
 	g.Expect(takeEffects[StartRun](h)).To(ConsistOf(HaveField("Worker.ID", "w2")))
 	g.Expect(losses(h)).To(ContainElement(HaveField("Worker", "w1")), "the earlier owner may have started the task there")
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -32,7 +32,8 @@
 	failedPollSent  time.Time     // when the last failed poll was ordered
 	silentSince     time.Time     // when the first of the failed polls in a row was ordered
 	leavesAt        time.Time     // while draining: the announced time, at the earliest
-	replaced        bool          // another worker has started later at its address
+	rival           *worker       // another registered worker at its address; nil if there is none
+	replaced        bool          // it has ended, and its rival is registered at its address
 	pollWait        time.Duration // how long the worker may delay the answer to the last poll
 
 	polledAt    time.Time     // when the last inventory arrived
@@ -126,7 +127,7 @@
 			s.emit(Log{Message: "worker unregistered", Worker: id})
 		}
 	}
-	s.endReplaced(list)
+	s.findRivals()
 	if isFirst {
 		s.reportInherited()
 	}
@@ -363,6 +364,9 @@
 	case WorkerRestarted:
 		// The incarnation follows with the next registration.
 		w.reported = false
+		if e.Incarnation == w.reg.Incarnation {
+			s.endReplaced(w)
+		}
 	}
 	if w.failedPolls == 1 {
 		s.emit(Log{Message: "worker poll failed", Worker: e.Worker, Reason: e.Fault.String()})
@@ -379,7 +383,7 @@
 func (w *worker) isUsable(now time.Time) bool {
 	isKnown := w.reported && !w.outdated && w.failedPolls == 0 && w.unknownRuns == 0
 	isListed := w.recorded && !w.listedAsLeaving
-	return isKnown && isListed && !w.isDeparting() && !w.evacuated && !now.Before(w.avoidUntil)
+	return isKnown && isListed && !w.isDeparting() && !w.isDoubtful() && !w.evacuated && !now.Before(w.avoidUntil)
 }
 
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
