job/manager: the one-run test shares no source of random numbers

The faults of the store drew from the source of the schedule, on other goroutines: the race detector found it (go test -race ./internal/job/manager). The package passes with -race now.

--- a/internal/job/manager/onerun_test.go
+++ b/internal/job/manager/onerun_test.go
@@ -209,8 +209,12 @@
 	}
 	time.Sleep(8 * time.Second) // until the shards are claimed
 	const rounds, longRunning = 25, 5
+	fleet.mu.Lock()
 	for n := range longRunning {
 		workers.longRunning[job(rounds+n).ID] = true
+	}
+	fleet.mu.Unlock()
+	for n := range longRunning {
 		acceptJob(g, operator, "desk@gc", longRunningJob(rounds+n)) // more than the shard has room for without a worker
 	}
 	for n := range rounds {
@@ -238,8 +242,9 @@
 			time.AfterFunc(length, func() { workers.setCut(false, cut...) })
 		}
 		if what == 3 {
+			outcomes := rand.New(rand.NewPCG(seed, uint64(100+n)))
 			client.SetFault(func(faker.Call) faker.Outcome {
-				return []faker.Outcome{faker.Succeed, faker.Drop, faker.LoseResponse}[random.IntN(3)]
+				return []faker.Outcome{faker.Succeed, faker.Drop, faker.LoseResponse}[outcomes.IntN(3)]
 			})
 			time.AfterFunc(length, func() { client.SetFault(nil) })
 		}
