--- a/internal/job/manager/record_test.go
+++ b/internal/job/manager/record_test.go
@@ -86,7 +86,10 @@
 			return faker.Drop
 		})
 		owner.store.SetDown(false)
-		time.Sleep(9 * time.Second)
+		// The delays between the attempts of a write are random.
+		for time.Since(began) < 9*time.Second || !isKnown.Load() && time.Since(began) < 13*time.Second {
+			time.Sleep(100 * time.Millisecond)
+		}
 		g.Expect(isKnown.Load()).To(BeTrue())
 		other.store.SetDown(false)
 		time.Sleep(4 * time.Second)
