--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -29,11 +29,11 @@
 //
 // A run has ended when its worker lists its end, when an inventory requested
 // after the start was confirmed doesn't contain it, when the incarnation of the
-// worker that has listed it is over, or when every lease that may have been granted on the worker has
-// expired. If a start gets no answer, the same run is stopped, after which the
-// worker refuses to start it. A new owner starts a task of an inherited job
-// only after each worker that may run it has answered or its leases have
-// expired.
+// worker that has listed it is over, or when every lease that may have been
+// granted on the worker has expired. If a start gets no answer, the same run is
+// stopped, after which the worker refuses to start it. A new owner starts a task
+// of an inherited job only after each worker that may run it has answered or its
+// leases have expired.
 package dispatcher
 
 import (
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -324,20 +324,16 @@
 	if r.answeredAt.IsZero() || !sent.After(r.answeredAt) {
 		return
 	}
-	switch r.phase {
-	case starting:
-	case startUnknown:
+	switch {
+	case r.phase == starting:
+	case r.phase == startUnknown:
 		// The start may still arrive. After a stop the worker refuses it.
 		s.stopRun(r, "start outcome unknown")
-	case active, stopping:
-		if r.unsettled != nil {
-			s.loseUnsettled(r)
-			return
-		}
-		if r.phase == stopping {
-			s.forgetRun(r, "not listed after its stop")
-			return
-		}
+	case r.unsettled != nil:
+		s.loseUnsettled(r)
+	case r.phase == stopping:
+		s.forgetRun(r, "not listed after its stop")
+	default:
 		s.emit(Log{Message: "run lost", Task: r.id.String(), Job: r.id.Job, Worker: r.worker.reg.ID, Run: r.number})
 		s.forgetRun(r, "not listed")
 	}
--- a/internal/job/dispatcher/restart.go
+++ b/internal/job/dispatcher/restart.go
@@ -14,19 +14,15 @@
 //   - An acknowledgement is by the earlier numbers of ends. It isn't repeated once the worker
 //     has it.
 
-// restart describes the restart of a worker while the start of a run was on its way.
-type restart struct {
-	circumstances lossCircumstances // if the run was lost with the earlier incarnation
-}
-
 // mayBeOfNext reports whether the next incarnation of the worker may have the run, or get it.
 func (r *run) mayBeOfNext() bool { return !r.listed && r.phase != preparing }
 
-// keep makes the run unsettled after a restart of its worker. Only the earlier incarnation knows
+// keep makes the run unsettled after a restart of its worker. c is for the case that it was lost
+// with the earlier incarnation. Only the earlier incarnation knows
 // of a stop, so that it has to be repeated.
 func (r *run) keep(c lossCircumstances) {
 	if r.unsettled == nil {
-		r.unsettled = &restart{c}
+		r.unsettled = &c
 	}
 	if r.phase == stopping {
 		r.answeredAt = time.Time{}
@@ -41,7 +37,7 @@
 
 // loseUnsettled removes a run that the present incarnation of its worker neither has nor gets.
 func (s *Shard) loseUnsettled(r *run) {
-	s.loseEach(r.worker, LossRestart, []*run{r}, r.unsettled.circumstances)
+	s.loseEach(r.worker, LossRestart, []*run{r}, *r.unsettled)
 }
 
 // earlierOrderExpiry returns when every lease has expired that orders for an earlier incarnation
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -94,20 +94,20 @@
 	orderedAt    time.Time // time of the last start or stop order
 	answeredAt   time.Time // when that order was answered; zero before
 	needs        need
-	unknown      bool      // needs aren't known
-	startsSlowly bool      // a filler that begins at slowStartPace
-	isolated     bool      // nothing else on the worker may crash it
-	listed       bool      // an inventory has listed it
-	incarnation  int64     // of the worker when the last order was given
-	unsettled    *restart  // the worker has restarted since the start was ordered, see restart.go
-	isDuplicate  bool      // it was the second run of its task, see duplicate.go
-	proven       bool      // it doesn't crash its worker, see proven.go
-	readyAt      time.Time // since when it has been ready
-	version      int64     // while preparing: version of the job that has to be durable
-	progress     int       // see specifier.Run.ProgressPercent
-	metric       float64   // see specifier.Run.Metric
-	pace         int       // ordered percentage of full speed, or unknownPace
-	pausedAt     time.Time // when the pace was last set to 0
+	unknown      bool               // needs aren't known
+	startsSlowly bool               // a filler that begins at slowStartPace
+	isolated     bool               // nothing else on the worker may crash it
+	listed       bool               // an inventory has listed it
+	incarnation  int64              // of the worker when the last order was given
+	unsettled    *lossCircumstances // set if the worker has restarted since the start was ordered, see restart.go
+	isDuplicate  bool               // it was the second run of its task, see duplicate.go
+	proven       bool               // it doesn't crash its worker, see proven.go
+	readyAt      time.Time          // since when it has been ready
+	version      int64              // while preparing: version of the job that has to be durable
+	progress     int                // see specifier.Run.ProgressPercent
+	metric       float64            // see specifier.Run.Metric
+	pace         int                // ordered percentage of full speed, or unknownPace
+	pausedAt     time.Time          // when the pace was last set to 0
 	startedAt    time.Time
 	progressedAt time.Time // when progress last changed
 	clock        runClock
