operator/reporter: no write is longer than a pipe takes whole

The lines were missing where many runs are given up at once, so that 239 of 1,413 lost runs had their line, and a missing line proved nothing.

Cause: all queued lines went into one write. Now whole lines of up to 4,096 bytes do.

--- a/internal/operator/reporter/writer.go
+++ b/internal/operator/reporter/writer.go
@@ -43,12 +43,20 @@
 	return w
 }
 
-// flush writes the line and all queued ones in one call, and the number of lines
-// dropped since the last report, if any. It returns the total of reported drops.
+// maxWrite is the size of a write in bytes that a pipe takes whole. What collects the log may cut
+// longer ones.
+const maxWrite = 4096
+
+// flush writes the line and all queued ones, whole lines of up to maxWrite together, and the number
+// of lines dropped since the last report, if any. It returns the total of reported drops.
 func (w *Writer) flush(out io.Writer, batch []byte, reported int64) int64 {
 	for {
 		select {
 		case line := <-w.lines:
+			if len(batch) > 0 && len(batch)+len(line) > maxWrite {
+				_, _ = out.Write(batch) // an error of the log itself has nowhere to go
+				batch = nil
+			}
 			batch = append(batch, line...)
 			continue
 		default:
@@ -60,7 +68,7 @@
 		reported = dropped
 	}
 	if len(batch) > 0 {
-		_, _ = out.Write(batch) // an error of the log itself has nowhere to go
+		_, _ = out.Write(batch)
 	}
 	return reported
 }
