--- a/internal/job/dispatcher/forgotten.go
+++ b/internal/job/dispatcher/forgotten.go
@@ -40,18 +40,17 @@
 	maps.DeleteFunc(s.forgotten, func(_ runKey, f forgottenRun) bool { return s.now.Sub(f.at) > forgottenRetention })
 }
 
-// logUnexpected logs a run that a worker lists, or whose end it lists, although this owner has
-// forgotten it or the task has another run. Two runs of a task at a time leave this line.
-func (s *Shard) logUnexpected(w *worker, id specifier.TaskID, number int64) {
-	f, wasForgotten := s.forgotten[runKey{id, number}]
+// logUnexpected completes and logs the line about a run that a worker lists, or the end of one,
+// if this owner has forgotten it or the task has another run. An unexpected run, other than an
+// unexpected end, may be one of two runs of a task at a time.
+func (s *Shard) logUnexpected(line Log, id specifier.TaskID) {
+	f, wasForgotten := s.forgotten[runKey{id, line.Run}]
 	t := s.findTask(id)
 	if !wasForgotten && (t == nil || t.worker == nil || t.mayHaveDuplicate()) {
 		return
 	}
-	line := Log{
-		Message: "unexpected run found", Task: id.String(), Job: id.Job, Worker: w.reg.ID, Run: number,
-		Reason: "not known to this owner; " + t.describeRuns(),
-	}
+	line.Task, line.Job = id.String(), id.Job
+	line.Reason = "not known to this owner; " + t.describeRuns()
 	if wasForgotten {
 		line.Age = s.now.Sub(f.at)
 		line.Reason = fmt.Sprintf("forgotten on %s: %s; %s", f.worker, f.reason, t.describeRuns())
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -108,7 +108,7 @@
 func (s *Shard) processEnd(w *worker, end specifier.End) {
 	r := w.runs[end.Task]
 	if r == nil {
-		s.logUnexpected(w, end.Task, end.Run)
+		s.logUnexpected(Log{Message: "unexpected end found", Worker: w.reg.ID, Run: end.Run}, end.Task)
 	}
 	t := s.findTask(end.Task)
 	if r != nil && r.number <= end.Run {
@@ -220,7 +220,7 @@
 	r := w.runs[listed.Task]
 	switch {
 	case r == nil:
-		s.logUnexpected(w, listed.Task, listed.Number)
+		s.logUnexpected(Log{Message: "unexpected run found", Worker: w.reg.ID, Run: listed.Number}, listed.Task)
 		s.adopt(w, listed)
 		return
 	case listed.Number < r.number:
