--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -21,14 +21,14 @@
 	if w == nil {
 		return
 	}
-	w.polling = false
 	w.endsDelayed = w.failedPolls > 0
 	s.congestion.answered(s.now, s.now.Sub(e.Sent), w.pollWait)
 	if e.Inventory.Incarnation > w.reg.Incarnation {
 		s.logRestart(w, e.Inventory.Incarnation, "inventory")
 		s.resetWorker(w, e.Inventory.Incarnation)
-		w.polling, w.outdated = false, true
+		w.outdated = true
 	}
+	w.polling = false
 	if w.replaced || e.Inventory.Incarnation != 0 && e.Inventory.Incarnation < w.reg.Incarnation {
 		return
 	}
@@ -208,6 +208,9 @@
 	}
 	for _, id := range sortedTasks(w.runs) {
 		r := w.runs[id]
+		if r == nil {
+			continue // its job has ended with the run before it
+		}
 		if number, ok := listed[id]; ok && number >= r.number {
 			continue
 		}
@@ -236,7 +239,7 @@
 	if r.phase == starting || r.phase == startUnknown {
 		s.markActive(r)
 	}
-	r.settle()
+	s.settle(r)
 	r.noteProgress(s.now, listed.ProgressPercent)
 	if r.progress != listed.ProgressPercent {
 		r.progressedAt = s.now
@@ -395,8 +398,8 @@
 // missing from an inventory that was requested later.
 func (s *Shard) stopAnswered(e StopAnswered) {
 	r := s.orderedRun(StartAnswered(e), stopping)
-	if r == nil {
-		return
+	if r == nil || e.Incarnation != r.worker.reg.Incarnation {
+		return // an earlier incarnation has carried out the stop, and the present one doesn't know of it
 	}
 	if e.Fault == NoFault || e.Fault == StaleRun {
 		r.answeredAt = s.now
--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -90,14 +90,16 @@
 
 // lossCircumstances are what decides whether lost runs make their tasks suspect.
 type lossCircumstances struct {
-	hasLeft bool // the worker has left as it had announced
-	alone   bool // no other run on the worker may have crashed it
+	hasLeft     bool  // the worker has left as it had announced
+	alone       bool  // no other run on the worker may have crashed it
+	incarnation int64 // of the worker, that the runs have ended with
 }
 
 // circumstancesOfLoss returns the circumstances of a loss of the worker's runs now.
 func (s *Shard) circumstancesOfLoss(w *worker) lossCircumstances {
 	// A late start may have invalidated an isolation.
-	return lossCircumstances{hasLeft: s.hasLeftAsAnnounced(w), alone: w.unprovenStarts() == 1}
+	alone := w.unprovenStarts() == 1
+	return lossCircumstances{hasLeft: s.hasLeftAsAnnounced(w), alone: alone, incarnation: w.reg.Incarnation}
 }
 
 // loseEach removes runs of a worker that have ended with it, and requeues their tasks.
@@ -113,7 +115,7 @@
 			Reason: cause.String(), Age: s.ageOf(r),
 		})
 		if !c.hasLeft && r.mayHaveCrashed() {
-			s.countLoss(r, c.alone)
+			s.countLoss(r, c)
 			suspects = append(suspects, r.task)
 		}
 		s.forgetRun(r, cause.String())
@@ -139,16 +141,16 @@
 	return !r.proven
 }
 
-// countLoss adds a loss to the task of a run. alone says whether no other run on the
-// worker may have crashed it.
-func (s *Shard) countLoss(r *run, alone bool) {
+// countLoss adds a loss to the task of a run.
+func (s *Shard) countLoss(r *run, c lossCircumstances) {
 	t := r.task
 	loss := t.loss(r.number)
 	if loss == nil {
 		loss = s.addLoss(r)
+		loss.Incarnation = c.incarnation
 	}
 	loss.Open = false
-	loss.Isolated = loss.Isolated && alone
+	loss.Isolated = loss.Isolated && c.alone
 	s.markDirty(t.step.job)
 	s.logLoss(t, loss)
 }
--- a/internal/job/dispatcher/restart.go
+++ b/internal/job/dispatcher/restart.go
@@ -8,7 +8,8 @@
 //
 //   - A start may give the next incarnation its run. Such a run isn't lost with the earlier
 //     incarnation. It is unsettled until the next one lists it, or doesn't list it although
-//     the start was answered. If the start gets no answer, it is stopped, as any other.
+//     the start was answered. If the start gets no answer, the run is stopped, as any other,
+//     by a stop that the next incarnation has carried out.
 //   - The end of a lease in a start or poll is by the earlier clock. By the next one it is far
 //     off, so that the lease lasts as long as workers accept.
 //   - An acknowledgement is by the earlier numbers of ends. It isn't repeated once the worker
@@ -17,9 +18,9 @@
 // mayBeOfNext reports whether the next incarnation of the worker may have the run, or get it.
 func (r *run) mayBeOfNext() bool { return !r.listed && r.phase != preparing }
 
-// keep makes the run unsettled after a restart of its worker. c is for the case that it was lost
-// with the earlier incarnation. Only the earlier incarnation knows
-// of a stop, so that it has to be repeated.
+// keep makes the run unsettled after a restart of its worker. c are the circumstances of its loss,
+// if it turns out that it was lost with the earlier incarnation. Only that incarnation knows of a
+// stop, which has to be repeated.
 func (r *run) keep(c lossCircumstances) {
 	if r.unsettled == nil {
 		r.unsettled = &c
@@ -29,10 +30,17 @@
 	}
 }
 
-// settle records that the present incarnation of the worker has the run.
-func (r *run) settle() {
+// settle records that the present incarnation of the worker has listed the run.
+func (s *Shard) settle(r *run) {
 	r.listed, r.unsettled = true, nil
 	r.incarnation = r.worker.reg.Incarnation
+	if r.task == nil {
+		return
+	}
+	if l := r.task.loss(r.number); l != nil && l.Open && l.Incarnation != r.incarnation {
+		l.Incarnation = r.incarnation
+		s.markDirty(r.task.step.job)
+	}
 }
 
 // loseUnsettled removes a run that the present incarnation of its worker neither has nor gets.
@@ -41,7 +49,8 @@
 }
 
 // earlierOrderExpiry returns when every lease has expired that orders for an earlier incarnation
-// of a worker may have given to the one that runs now.
+// of a worker may have given to the one that runs now. They may be on their way for StartLease.
 func (s *Shard) earlierOrderExpiry() time.Time {
-	return s.now.Add(withDrift(max(s.options.Lease, s.options.MaxLease)) + expiryMargin)
+	longest := max(s.options.Lease, s.options.MaxLease)
+	return s.now.Add(StartLease + withDrift(longest) + expiryMargin)
 }
--- a/internal/job/dispatcher/restart_test.go
+++ b/internal/job/dispatcher/restart_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"dotterelcart.dev/dotterelcart/internal/control/describer"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
@@ -196,6 +197,173 @@
 	g.Expect(nextPoll(answered()).Acknowledged).To(BeZero(), "it is confirmed")
 }
 
+// TestLeaseOfStartInFlight guards against two runs of a task at a time. A start that is on its way
+// when the restart becomes known is carried out a second later, and its lease lasts from then on.
+func TestLeaseOfStartInFlight(t *testing.T) {
+	const maxLease = 10 * time.Second // of the worker
+	g := NewWithT(t)
+	h := newRestartHarness(t)
+	h.options.MaxLease = maxLease
+	h.restart()
+	h.wait(1400 * time.Millisecond)
+	carriedOut := h.now
+	h.answerStart(NoFault)
+	h.list(1500*time.Millisecond, h.ordered())
+	takeEffects[StartRun](h.harness)
+	for h.now.Before(carriedOut.Add(maxLease)) {
+		h.feed(PollFailed{Worker: "w1", Incarnation: 2, Fault: OutcomeUnknown})
+		h.wait(100 * time.Millisecond)
+		g.Expect(takeEffects[StartRun](h.harness)).To(BeEmpty(), "%s after the start was carried out", h.now.Sub(carriedOut))
+	}
+}
+
+// TestStopByEarlierIncarnationSettlesNothing guards against two runs of a task at a time. A start
+// has no answer, and the stop of its run was carried out before the restart: the next incarnation
+// doesn't know of it, and may still get the start.
+func TestStopByEarlierIncarnationSettlesNothing(t *testing.T) {
+	g := NewWithT(t)
+	h := newRestartHarness(t)
+	h.answerStart(OutcomeUnknown)
+	h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: 2 * time.Minute}})
+	g.Expect(takeEffects[StopRun](h.harness)).To(HaveLen(1))
+	h.wait(20 * time.Millisecond)
+	h.restart()
+	h.feed(StopAnswered{Worker: "w1", Incarnation: 1, Task: h.start.Task, Run: h.start.Run})
+	h.wait(10 * time.Millisecond)
+	h.list(time.Second)
+	g.Expect(takeEffects[StartRun](h.harness)).To(BeEmpty(), "the second incarnation knows of no stop")
+}
+
+// TestLossWithEarlierIncarnationStays guards against a task that crashes its workers without limit:
+// its loss was refuted by an answer of the next incarnation.
+func TestLossWithEarlierIncarnationStays(t *testing.T) {
+	g := NewWithT(t)
+	h := newRestartHarness(t)
+	h.answerStart(NoFault)
+	h.restart()
+	h.wait(20 * time.Millisecond)
+	h.list(time.Second)
+	task := h.findTask(h.start.Task)
+	g.Expect(task.lossCount()).To(Equal(1))
+	h.feed(PollFailed{Worker: "w1", Incarnation: 2, Fault: OutcomeUnknown})
+	h.wait(300 * time.Millisecond)
+	h.list(2 * time.Second)
+	g.Expect(task.lossCount()).To(Equal(1), "the first incarnation has crashed")
+}
+
+// TestSettledRunOnCutOffWorkerIsNoCrash guards against a loss that stays though the worker of the
+// run has answered again: its open loss had the incarnation before.
+func TestSettledRunOnCutOffWorkerIsNoCrash(t *testing.T) {
+	g := NewWithT(t)
+	h := newRestartHarness(t)
+	task := h.findTask(h.start.Task)
+	h.addLoss(h.workers["w1"].runs[h.start.Task]) // as of a suspect task
+	h.restart()
+	h.wait(10 * time.Millisecond)
+	h.answerStart(NoFault)
+	h.list(time.Second, h.ordered())
+	for range 60 {
+		h.feed(PollFailed{Worker: "w1", Incarnation: 2, Fault: OutcomeUnknown})
+		h.wait(250 * time.Millisecond)
+	}
+	h.list(20*time.Second, h.ordered())
+	for _, l := range task.losses {
+		g.Expect(l.Open || l.Run != h.start.Run).To(BeTrue(), "the worker was only cut off")
+	}
+}
+
+// TestJobEndsWhileItsRunsAreReconciled guards against a daemon that ends: a run that is found lost
+// exhausts its task, and the end of the job removes another run of the same worker.
+func TestJobEndsWhileItsRunsAreReconciled(t *testing.T) {
+	h := newHarness(lossQueue, "w1")
+	h.feed(JobArrived{Job: oneStep(2, nil)})
+	starts := takeEffects[StartRun](h)
+	for _, start := range starts {
+		h.confirm(start)
+	}
+	h.list(map[string]int64{"w1": 2})
+	lost, next := h.workers["w1"].runs[starts[0].Task], h.workers["w1"].runs[starts[1].Task]
+	for i := range 4 {
+		lost.task.losses = append(lost.task.losses, recorder.Loss{Run: int64(100000 + i), Worker: "x"})
+	}
+	h.suspects[lost.id] = lost.task
+	next.phase, next.unsettled = preparing, nil // as if it was placed after the restart
+	h.advance(10 * time.Millisecond)
+	h.answer("w1", 2)
+	NewWithT(t).Expect(h.workers["w1"].runs).To(BeEmpty())
+}
+
+// TestRestartsOfUnreachableWorker guards against a task that waits as long as its worker restarts
+// again and again out of reach: no lease is granted meanwhile.
+func TestRestartsOfUnreachableWorker(t *testing.T) {
+	g := NewWithT(t)
+	h := newRestartHarness(t)
+	h.options.MaxLease = 10 * time.Second
+	h.answerStart(NoFault)
+	started := 0
+	for incarnation := int64(2); incarnation < 4; incarnation++ {
+		h.feed(WorkersListed{Workers: []specifier.Worker{h.registration("w1", incarnation), h.registration("w2", 1)}})
+		for range 32 { // 8 s
+			h.feed(PollFailed{Worker: "w1", Incarnation: incarnation, Fault: OutcomeUnknown})
+			h.wait(250 * time.Millisecond)
+		}
+		started += len(takeEffects[StartRun](h.harness))
+	}
+	g.Expect(started).To(Equal(1))
+}
+
+// TestOnePollAfterRestart guards against an acknowledgement that counts as confirmed by the answer
+// to another poll.
+func TestOnePollAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	h := newRestartHarness(t)
+	h.answerStart(NoFault)
+	takeEffects[PollWorker](h.harness)
+	h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 2, Clock: time.Second}})
+	g.Expect(takeEffects[PollWorker](h.harness)).To(ConsistOf(HaveField("Worker.ID", "w1")))
+}
+
+// TestPollAfterRestartGoesToTheNewAddress guards against a worker that counts as replaced though it
+// is up: another one refuses a poll at the address that it has left.
+func TestPollAfterRestartGoesToTheNewAddress(t *testing.T) {
+	g := NewWithT(t)
+	h := newRestartHarness(t)
+	at := func(id string, incarnation int64, address string) specifier.Worker {
+		reg := h.registration(id, incarnation)
+		reg.Address = address
+		return reg
+	}
+	h.feed(WorkersListed{Workers: []specifier.Worker{at("w1", 1, "a:1"), at("w2", 1, "b:1")}})
+	h.feed(PollFailed{Worker: "w1", Incarnation: 1, Fault: OutcomeUnknown})
+	takeEffects[PollWorker](h.harness)
+	h.feed(WorkersListed{Workers: []specifier.Worker{at("w1", 2, "b:1"), at("w2", 1, "b:1")}})
+	h.advance(300 * time.Millisecond)
+	g.Expect(takeEffects[PollWorker](h.harness)).NotTo(ContainElement(HaveField("Worker.Address", "a:1")))
+}
+
+// TestRestartRemovesTheFence guards against two runs of a task at a time. A worker that has answered
+// a new owner restarts, and knows no fencing token any more: an earlier owner that is cut off from
+// the store may start runs there.
+func TestRestartRemovesTheFence(t *testing.T) {
+	g := NewWithT(t)
+	h := &harness{Shard: New(Options{
+		Name: "desk", Service: "desk", Epoch: 1, Lease: simLease, OutageLimit: simOutageLimit,
+		Previous: recorder.WorkerList{Workers: []string{"w1", "w2"}}, Reservations: true,
+	}, epoch)}
+	registered := func(id string, incarnation, cpu int64) specifier.Worker {
+		return specifier.Worker{ID: id, Incarnation: incarnation, Service: "desk", Capacity: describer.Resources{CPU: cpu, Memory: 1000}}
+	}
+	h.feed(CatalogUpdated{Catalog: &specifier.Catalog{Version: 1, Queues: []specifier.Queue{lossQueue}}},
+		WorkersListed{Workers: []specifier.Worker{registered("w1", 1, 1), registered("w2", 1, 1)}}, JobLoaded{Job: oneStep(1, nil)})
+	h.answer("w1", 1)
+	h.answer("w2", 1)
+	h.advance(100 * time.Millisecond)
+	g.Expect(takeEffects[StartRun](h)).To(BeEmpty(), "there is no room")
+	h.feed(WorkersListed{Workers: []specifier.Worker{registered("w1", 2, 1), registered("w2", 1, workerCPU)}})
+	h.advance(100 * time.Millisecond)
+	g.Expect(takeEffects[StartRun](h)).To(BeEmpty(), "the earlier owner may have started it on w1")
+}
+
 // TestInvariantsWithQuickRestarts guards against two runs of a task at a time, and against a start
 // after an acknowledged end. Workers crash and are back under their ids before their owner
 // notices: orders for an earlier incarnation are carried out by the next.
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -98,7 +98,7 @@
 	startsSlowly bool               // a filler that begins at slowStartPace
 	isolated     bool               // nothing else on the worker may crash it
 	listed       bool               // an inventory has listed it
-	incarnation  int64              // of the worker when the last order was given
+	incarnation  int64              // of the worker for which the last order was, or which has listed it
 	unsettled    *lossCircumstances // set if the worker has restarted since the start was ordered, see restart.go
 	isDuplicate  bool               // it was the second run of its task, see duplicate.go
 	proven       bool               // it doesn't crash its worker, see proven.go
@@ -154,6 +154,7 @@
 	}
 	if reg.Incarnation > w.reg.Incarnation {
 		s.logRestart(w, reg.Incarnation, "registration")
+		w.reg.Address = reg.Address
 		s.resetWorker(w, reg.Incarnation)
 	}
 	if reg.Draining && !w.reg.Draining {
@@ -200,9 +201,12 @@
 	s.loseRuns(w, LossRestart)
 	w.reg.Incarnation = incarnation
 	w.leavesAt, w.replaced = time.Time{}, false
+	if !w.polledAt.IsZero() || w.leaseExpiry.IsZero() {
+		// Without an inventory, no lease has been granted since the last restart.
+		w.leaseExpiry = s.earlierOrderExpiry()
+	}
 	w.reported, w.polledAt, w.polledClock = false, time.Time{}, 0
 	w.clockFloor, w.pollLeaseEnd, w.grantedLeaseEnd = 0, 0, 0
-	w.leaseExpiry = s.earlierOrderExpiry()
 	w.lastEnd, w.ackedEnd, w.pollAck, w.confirmedAck, w.pendingEnds = 0, 0, 0, 0, nil
 	w.failuresInRow, w.avoidUntil, w.latencyRatio = 0, time.Time{}, 0
 	w.health = workerHealth{}
