job/dispatcher, job/manager: lines say what a wait of long-running tasks rests on

A new owner logs how long it may wait for leases of earlier owners, and why. The line of waiting tasks says for earlier-runs how many workers are silent and until when, for limit who reserves what, and for isolation what each worker lacks.

--- a/internal/job/dispatcher/inherited.go
+++ b/internal/job/dispatcher/inherited.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -101,8 +102,15 @@
 func compareLeases(a, b recorder.WorkerLease) int { return strings.Compare(a.Worker, b.Worker) }
 
 // reportInherited logs the inherited workers that aren't registered when the registrations are
-// first known: until they expire, leases there delay tasks of inherited jobs.
+// first known: until they expire, leases there delay tasks of inherited jobs. It also logs how long that
+// may take, and why.
 func (s *Shard) reportInherited() {
+	if w := s.inheritedWait(); w.Workers > 0 {
+		s.emit(Log{
+			Message: "leases of earlier owners inherited", Age: w.Remaining,
+			Reason: fmt.Sprintf("on %d workers, %s", w.Workers, s.inheritedBasis()),
+		})
+	}
 	for _, id := range slices.Sorted(maps.Keys(s.inheritedExpiry)) {
 		if s.workers[id] == nil {
 			s.addCrash(workerCrash{worker: id, at: s.now})
@@ -111,6 +119,17 @@
 	}
 }
 
+// inheritedBasis returns what the wait for leases of earlier owners rests on.
+func (s *Shard) inheritedBasis() string {
+	switch {
+	case s.options.Released:
+		return "the last owner released the shard"
+	case s.earlierEnded:
+		return "earlier owners have ended"
+	}
+	return "the last owner may renew them without the store"
+}
+
 // expireInherited forgets inherited workers whose leases have expired, unless
 // they may have answered without this owner noticing.
 func (s *Shard) expireInherited() {
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -44,6 +44,33 @@
 	Losses int              // runs of it that were lost with their workers
 	CPU    int64            // CPU that it needs, millicores
 	Free   int64            // most free CPU on one usable worker, millicores
+
+	Inherited InheritedWait // for WaitEarlierRuns
+	Limit     LimitWait     // for WaitLimit
+	Isolation IsolationWait // for WaitIsolation
+}
+
+// InheritedWait is why an owner doesn't know all runs of earlier owners yet.
+type InheritedWait struct {
+	Workers   int           // inherited workers that haven't answered, and whose leases haven't expired
+	Answered  int           // inherited workers that have answered, or ended
+	Remaining time.Duration // until the last of their leases expires
+}
+
+// LimitWait is the CPU that the limit of long-running tasks depends on, on usable workers,
+// millicores.
+type LimitWait struct {
+	LongRunning int64 // reserved by running long-running tasks
+	Finite      int64 // reserved by running finite tasks
+	Limit       int64 // for long-running tasks
+}
+
+// IsolationWait says why no usable worker can isolate a task. A worker counts once, for the first
+// obstacle that applies.
+type IsolationWait struct {
+	Unproven     int // workers with runs that may crash them
+	Inconclusive int // workers that crashed lately, or under this task
+	Full         int // workers without room, or closed for another task
 }
 
 // reportWaiting reports why long-running tasks wait, at most one Wait for each
@@ -76,7 +103,8 @@
 // addWait counts the tasks of a step that have waited for long, under the reason of t,
 // which has waited longest.
 func (p *placement) addWait(waits *[WaitReasons]Wait, t *task) {
-	w := &waits[p.waitReason(t)]
+	reason := p.waitReason(t)
+	w := &waits[reason]
 	for _, other := range t.step.tasks {
 		if other.isWaiting() && p.shard.now.Sub(other.waitingSince) >= reportDelay {
 			w.Tasks++
@@ -85,7 +113,50 @@
 	if age := p.shard.now.Sub(t.waitingSince); age > w.Age {
 		w.Oldest, w.Age, w.Losses = t.id(), age, t.lossCount()
 		w.CPU, w.Free = t.step.needs.reserved.CPU, p.largest.Free.CPU
+		p.explainWait(w, reason, t)
+	}
+}
+
+// explainWait sets what the reason rests on, for the task that has waited longest.
+func (p *placement) explainWait(w *Wait, reason WaitReason, t *task) {
+	switch reason {
+	case WaitEarlierRuns:
+		w.Inherited = p.shard.inheritedWait()
+	case WaitLimit:
+		w.Limit = p.limitWait()
+	case WaitIsolation:
+		w.Isolation = p.isolationWait(t)
+	}
+}
+
+func (s *Shard) inheritedWait() InheritedWait {
+	w := InheritedWait{Workers: len(s.inheritedExpiry), Answered: len(s.fenced)}
+	for _, expiry := range s.inheritedExpiry {
+		w.Remaining = max(w.Remaining, expiry.Sub(s.now))
+	}
+	return w
+}
+
+func (p *placement) limitWait() LimitWait {
+	w := LimitWait{LongRunning: p.longRunningCPU, Limit: p.longRunningLimit}
+	for _, worker := range p.workers {
+		w.Finite += worker.allocated.reserved.CPU - worker.allocated.longRunning
+	}
+	return w
+}
+
+func (p *placement) isolationWait(t *task) (w IsolationWait) {
+	for _, worker := range p.workers {
+		switch {
+		case worker.unprovenRuns() > 0:
+			w.Unproven++
+		case !p.isConclusive(t, worker):
+			w.Inconclusive++
+		default:
+			w.Full++
+		}
 	}
+	return w
 }
 
 // waitReason returns why the task has no run. p is a round in which nothing has
--- a/internal/job/dispatcher/wait_test.go
+++ b/internal/job/dispatcher/wait_test.go
@@ -60,7 +60,8 @@
 		job := oneStep(4, func(s *specifier.Step) { s.LongRunning, s.Needs = true, resources(1000) })
 		h.feed(JobArrived{Job: job}) // a fourth exceeds the limit, with room for one only
 		h.advance(reportDelay)
-		Expect(wait(h)).To(And(HaveField("Reason", WaitLimit), HaveField("Tasks", 1)))
+		Expect(wait(h)).To(And(HaveField("Reason", WaitLimit), HaveField("Tasks", 1),
+			HaveField("Limit", LimitWait{LongRunning: 3000, Limit: 3600})))
 	})
 
 	It("names workers that don't answer", func() {
@@ -82,7 +83,8 @@
 		answer(h, "w1")
 		h.advance(reportDelay)
 		// It may have waited for deferralLimit under the earlier owner.
-		Expect(wait(h)).To(And(HaveField("Reason", WaitEarlierRuns), HaveField("Age", deferralLimit+reportDelay)))
+		Expect(wait(h)).To(And(HaveField("Reason", WaitEarlierRuns), HaveField("Age", deferralLimit+reportDelay),
+			HaveField("Inherited", InheritedWait{Workers: 1, Remaining: withDrift(simOutageLimit+simLease) + expiryMargin - reportDelay})))
 	})
 
 	It("names a missing confirmation of the ownership", func() {
--- a/internal/job/manager/waiting.go
+++ b/internal/job/manager/waiting.go
@@ -1,6 +1,10 @@
 package manager
 
-import "dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+import (
+	"github.com/rs/zerolog"
+
+	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+)
 
 // reportWaiting logs and counts the long-running tasks that wait for a worker, as long
 // as the daemon owns the shard.
@@ -20,8 +24,23 @@
 		line := o.log.Info().Str("reason", w.Reason.String()).Int("tasks", w.Tasks).
 			Str("job", w.Oldest.Job).Str("task", w.Oldest.String()).Dur("age", w.Age).Int("losses", w.Losses)
 		line = line.Int64("needs", w.CPU).Int64("free", w.Free).Int64("elsewhere", elsewhere).Str("to", shard)
-		line.Msg("long-running tasks waiting")
+		explainWait(line, &w).Msg("long-running tasks waiting")
+	}
+}
+
+// explainWait adds what the reason of a wait rests on to a log line.
+func explainWait(line *zerolog.Event, w *dispatcher.Wait) *zerolog.Event {
+	switch w.Reason {
+	case dispatcher.WaitEarlierRuns:
+		i := &w.Inherited
+		return line.Int("silent", i.Workers).Int("answered", i.Answered).Dur("lapse", i.Remaining)
+	case dispatcher.WaitLimit:
+		return line.Int64("lasting", w.Limit.LongRunning).Int64("finite", w.Limit.Finite).Int64("limit", w.Limit.Limit)
+	case dispatcher.WaitIsolation:
+		i := &w.Isolation
+		return line.Int("unproven", i.Unproven).Int("inconclusive", i.Inconclusive).Int("full", i.Full)
 	}
+	return line
 }
 
 // freeElsewhere returns the free CPU of the service's other shard that has most, in
