--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -200,6 +200,7 @@
 		d.started(w)
 	}
 	if step.LongRunning {
+		w.failLongRunning(e.Task, r)
 		return NoFault
 	}
 	s.schedule(r.length, func() { w.finishRun(e.Task, r) })
@@ -222,6 +223,23 @@
 	w.endRun(id, outcome)
 }
 
+// failLongRunning draws whether a run of a long-running task fails, and when.
+func (w *fakeWorker) failLongRunning(id specifier.TaskID, r *fakeRun) {
+	s := w.sim
+	if s.longRunningFailures == 0 || s.random.Float64() >= s.longRunningFailures {
+		return
+	}
+	after := failureTime
+	if s.random.IntN(5) == 0 {
+		after = 0
+	}
+	s.schedule(after, func() {
+		if !w.crashed && w.runs[id] == r && !r.stopping {
+			w.endRun(id, specifier.OutcomeFailed)
+		}
+	})
+}
+
 // endRun ends a run and lists the end until it is acknowledged.
 func (w *fakeWorker) endRun(id specifier.TaskID, outcome specifier.Outcome) {
 	r := w.runs[id]
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -18,6 +18,7 @@
 	simStopTime    = 400 * time.Millisecond
 	simOutageLimit = 8 * time.Second
 	simAttempts    = 2
+	failureTime    = 5 * time.Second // see simulation.longRunningFailures
 )
 
 // reporter is the part of testing.T and rapid.T that the simulation uses.
@@ -43,6 +44,7 @@
 	lostAnswerRate      float64               // fraction of calls whose answer is lost
 	lateCallRate        float64               // fraction of calls that are executed seconds later, unanswered
 	failureRate         float64               // fraction of runs that fail
+	longRunningFailures float64               // fraction of runs of long-running tasks that fail, a fifth of them at once, the others after failureTime
 	slowRunRate         float64               // fraction of runs that take seven times as long
 	duplicates          int                   // second runs that were started beside another
 	wrongRoomRate       float64               // fraction of FindShard answers that are made up
