job/dispatcher, job/recorder: workers show a new owner that earlier ones renew no leases

Cause: an owner that can't reach the store renewed leases for 8 s, whether or not others had replaced it. Its successor couldn't tell it from one that had ended, and waited 14.62 s for each worker that never answers. The class: a wait for proof as long as the worst case, where others could tell.

Change: without a renewal of its owner record within 1.5 s, an owner renews leases and starts runs only while two thirds of the workers in its durable list (and in the one being committed) have accepted its token within 0.75 s, and its leases are 4.5 s then. A successor whose token more than a third of the same workers have accepted knows that, and waits for one lease from its claim, 6.38 s. Voters of earlier owners stay in the list until that point, so two owners in a row are covered by one quorum; the successor also tells later ones when the leases expire, so that waits don't add up. The rule is in the list: after an owner of an earlier version the wait stays 14.62 s.

--- a/internal/job/dispatcher/cancellation_test.go
+++ b/internal/job/dispatcher/cancellation_test.go
@@ -44,6 +44,7 @@
 
 	It("goes on while the store confirms nothing either", func() {
 		h.now = h.now.Add(2 * maxAge)
+		h.answer("w1", 1)
 		h.feed(JobArrived{Job: longRunningJob()})
 		Expect(takeEffects[StartRun](h)).To(HaveLen(1))
 	})
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -71,6 +71,7 @@
 
 	Epoch    int64               // number of earlier ownerships
 	Previous recorder.WorkerList // what the previous owner recorded last
+	Claimed  recorder.WorkerList // what the claim recorded
 
 	// EarlierKnown is set if the previous owner has recorded what it knew of earlier ones, and
 	// OwnerEnded if it also gives no leases any more.
@@ -134,19 +135,21 @@
 	avoidRefusedAt  time.Time                 // when it was last logged that a worker isn't avoided
 	lastFiniteStart time.Time                 // last start of a finite task that reserves CPU
 
-	inheritedExpiry map[string]time.Time // when the last leases of earlier owners expire, by worker id
-	earlierExpiry   map[string]time.Time // when those of owners before the previous one do, as far as it recorded them
-	fenced          map[string]fence     // inherited workers that have answered, by id, see fence.go
-	partlyListed    map[string]bool      // inherited workers that have answered, but haven't listed all ends, by id
-	earlierEnded    bool                 // the previous owner has ended, and recorded what it knew of earlier ones
-	settled         bool                 // a commit has said that no earlier leases are valid
-	workersListed   bool                 // WorkersListed has been received
-	ownership       ownership
-	listedAt        time.Time // the registrations are those of this time or later
-	roomVaries      bool      // a worker's capacity has changed while it ran
-	resigned        bool
-	cancellations   cancellations
-	evacuation      evacuation
+	inheritedExpiry    map[string]time.Time // when the last leases of earlier owners expire, by worker id
+	earlierExpiry      map[string]time.Time // when those of owners before the previous one do, as far as it recorded them
+	fenced             map[string]fence     // inherited workers that have answered, by id, see fence.go
+	partlyListed       map[string]bool      // inherited workers that have answered, but haven't listed all ends, by id
+	inheritedAnnounced bool                 // AnnounceInherited was emitted
+	earlierEnded       bool                 // earlier owners renew no leases any more, and it is known which may be valid
+	settled            bool                 // a commit has said that no earlier leases are valid
+	workersListed      bool                 // WorkersListed has been received
+	ownership          ownership
+	quorum             quorum
+	listedAt           time.Time // the registrations are those of this time or later
+	roomVaries         bool      // a worker's capacity has changed while it ran
+	resigned           bool
+	cancellations      cancellations
+	evacuation         evacuation
 
 	batch       int64               // number of the last commit
 	committing  bool                // a commit is in progress
@@ -188,7 +191,8 @@
 		earlierExpiry:   make(map[string]time.Time),
 		fenced:          make(map[string]fence),
 		partlyListed:    make(map[string]bool),
-		earlierEnded:    o.OwnerEnded,
+		earlierEnded:    o.OwnerEnded || o.Released,
+		quorum:          quorum{durable: o.Claimed.QuorumVoters()},
 		ownership:       ownership{confirmedAt: now, answeredAt: now},
 	}
 	s.inheritLeases()
@@ -330,6 +334,7 @@
 func (s *Shard) tick() {
 	s.congestion.ticked(s.now)
 	s.expireInherited()
+	s.reviewInherited()
 	s.openDueSteps()
 	s.reviewSuspects()
 	s.listOutdated = s.listOutdated || !s.settled && s.knowsInheritedRuns()
--- a/internal/job/dispatcher/fence.go
+++ b/internal/job/dispatcher/fence.go
@@ -20,6 +20,7 @@
 func (s *Shard) noteFence(w *worker, expiry time.Time) (isFirst bool) {
 	_, known := s.fenced[w.reg.ID]
 	s.fenced[w.reg.ID] = fence{w.reg.Incarnation, expiry}
+	s.reviewQuorum()
 	return !known
 }
 
--- a/internal/job/dispatcher/inherited.go
+++ b/internal/job/dispatcher/inherited.go
@@ -61,12 +61,68 @@
 	}
 }
 
-// inheritedLeases returns the inherited workers that don't answer or aren't registered, sorted
+// limitInherited shortens the wait for inherited runs: all leases have expired at latest. With
+// keepsEarlier this doesn't say anything about the leases in earlierExpiry.
+func (s *Shard) limitInherited(latest time.Time, keepsEarlier bool) {
+	limit := func(id string) time.Time {
+		if earlier := s.earlierExpiry[id]; keepsEarlier && earlier.After(latest) {
+			return earlier
+		}
+		return latest
+	}
+	s.shortenInherited(limit, func(string) bool { return true })
+}
+
+// shortenInherited applies a limit to the expiry of the inherited leases on the workers that match.
+func (s *Shard) shortenInherited(limit func(id string) time.Time, match func(id string) bool) {
+	for id, expiry := range s.inheritedExpiry {
+		if at := limit(id); match(id) && at.Before(expiry) {
+			s.inheritedExpiry[id] = at
+		}
+	}
+	for id, f := range s.fenced {
+		if at := limit(id); match(id) && at.Before(f.expiry) {
+			s.fenced[id] = fence{f.incarnation, at}
+		}
+	}
+}
+
+// inheritedAnswerTime is how long after the claim an inherited worker that hasn't answered counts as
+// silent in the worker list.
+const inheritedAnswerTime = 300 * time.Millisecond
+
+// reviewInherited records which workers are silent as soon as that is known, and when the leases
+// there expire, so that the next owner needn't wait for them anew.
+func (s *Shard) reviewInherited() {
+	isKnown := s.quorum.earlierFenced || s.options.OwnerEnded
+	isDue := isKnown && s.workersListed && s.now.Sub(s.claimedAt) >= inheritedAnswerTime
+	if s.inheritedAnnounced || !isDue || len(s.inheritedExpiry) == 0 {
+		return
+	}
+	s.inheritedAnnounced = true
+	s.listOutdated = true
+	s.emit(AnnounceInherited{Resignation: s.inheritedResignation()})
+}
+
+// inheritedResignation returns how long leases of earlier owners may remain valid from now on.
+func (s *Shard) inheritedResignation() recorder.Resignation {
+	r := recorder.Resignation{Epoch: s.options.Epoch - 1, BySuccessor: true}
+	r.Silent, _ = s.inheritedLeases()
+	for _, f := range s.fenced {
+		r.Remaining = max(r.Remaining, f.expiry.Sub(s.now))
+	}
+	for _, lease := range r.Silent {
+		r.Remaining = max(r.Remaining, lease.Remaining)
+	}
+	return r
+}
+
+// inheritedLeases returns the inherited workers that haven't answered in time or aren't registered, sorted
 // by id, and how long leases there may remain valid. isComplete is false if others haven't
 // answered yet.
 func (s *Shard) inheritedLeases() (leases []recorder.WorkerLease, isComplete bool) {
 	for id, expiry := range s.inheritedExpiry {
-		if w := s.workers[id]; w == nil || w.failedPolls > 0 {
+		if w := s.workers[id]; w == nil || w.failedPolls > 0 || s.now.Sub(s.claimedAt) >= inheritedAnswerTime {
 			leases = append(leases, recorder.WorkerLease{Worker: id, Remaining: max(expiry.Sub(s.now), 0)})
 		}
 	}
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -39,6 +39,9 @@
 	if w.failedPolls > 0 || !w.reported {
 		s.refuteLosses(w, e.Inventory.Clock)
 	}
+	if e.Inventory.Incarnation == w.reg.Incarnation {
+		w.noteAcceptance(e.Sent)
+	}
 	s.applyInventory(w, e)
 	s.acknowledge(w)
 	w.nextPoll = s.now
--- a/internal/job/dispatcher/ownerend.go
+++ b/internal/job/dispatcher/ownerend.go
@@ -13,23 +13,7 @@
 	if !s.options.EarlierKnown || s.options.Released {
 		return
 	}
-	latest := e.Noticed.Add(withDrift(s.options.Lease) + expiryMargin)
-	expiryOn := func(id string) time.Time {
-		if earlier := s.earlierExpiry[id]; earlier.After(latest) {
-			return earlier
-		}
-		return latest
-	}
-	for id, expiry := range s.inheritedExpiry {
-		if at := expiryOn(id); at.Before(expiry) {
-			s.inheritedExpiry[id] = at
-		}
-	}
-	for id, f := range s.fenced {
-		if at := expiryOn(id); at.Before(f.expiry) {
-			s.fenced[id] = fence{f.incarnation, at}
-		}
-	}
+	s.limitInherited(e.Noticed.Add(withDrift(s.options.Lease)+expiryMargin), true)
 	s.earlierEnded = true
 	s.emit(Log{Message: "earlier owner has ended", Age: s.now.Sub(e.Noticed)})
 }
--- a/internal/job/dispatcher/ownership.go
+++ b/internal/job/dispatcher/ownership.go
@@ -47,11 +47,6 @@
 	return true
 }
 
-// mayAct reports whether the shard may start runs and renew leases. An owner
-// that the store hasn't confirmed for OutageLimit must not: a new owner relies
-// on it when it computes the expiry of inherited leases.
-func (s *Shard) mayAct() bool { return s.now.Sub(s.ownership.confirmedAt) < s.options.OutageLimit }
-
 // isExclusive reports whether no other daemon can own the shard.
 func (s *Shard) isExclusive() bool { return s.now.Sub(s.ownership.renewedAt) < confirmationTime }
 
--- a/internal/job/dispatcher/resignation.go
+++ b/internal/job/dispatcher/resignation.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
@@ -15,6 +16,11 @@
 
 func (EarlierOwnerResigned) event() {}
 
+// AnnounceInherited tells later owners how long leases of earlier ones may remain valid.
+type AnnounceInherited struct{ Resignation recorder.Resignation }
+
+func (AnnounceInherited) effect() {}
+
 // Resignation returns how long leases may remain valid if the owner gives no orders
 // from now on. Workers that don't answer are listed one by one: their leases expire
 // first, and the next owner waits for them.
@@ -33,28 +39,27 @@
 
 // applyResignation shortens the wait for inherited runs by what the last owner says.
 func (s *Shard) applyResignation(e EarlierOwnerResigned) {
-	if e.Resignation.Epoch != s.options.Epoch-1 {
-		return
+	switch {
+	case e.Resignation.BySuccessor && e.Resignation.Epoch == s.options.Epoch-2:
+		s.shortenInherited(e.expiryOn, s.isInheritedTwice)
+	case !e.Resignation.BySuccessor && e.Resignation.Epoch == s.options.Epoch-1:
+		s.shortenInherited(e.expiryOn, func(string) bool { return true })
+		s.emit(Log{Message: "earlier owner resigned", Age: s.now.Sub(e.Received)})
 	}
-	remaining := make(map[string]time.Duration, len(e.Resignation.Silent))
+}
+
+// expiryOn returns when the leases on a worker have expired by the resignation.
+func (e *EarlierOwnerResigned) expiryOn(worker string) time.Time {
 	for _, lease := range e.Resignation.Silent {
-		remaining[lease.Worker] = lease.Remaining
-	}
-	earliest := func(id string, expiry time.Time) time.Time {
-		left, ok := remaining[id]
-		if !ok {
-			left = e.Resignation.Remaining
+		if lease.Worker == worker {
+			return e.Received.Add(lease.Remaining)
 		}
-		if at := e.Received.Add(left); at.Before(expiry) {
-			return at
-		}
-		return expiry
-	}
-	for id, expiry := range s.inheritedExpiry {
-		s.inheritedExpiry[id] = earliest(id, expiry)
-	}
-	for id, f := range s.fenced {
-		s.fenced[id] = fence{f.incarnation, earliest(id, f.expiry)}
 	}
-	s.emit(Log{Message: "earlier owner resigned", Age: s.now.Sub(e.Received)})
+	return e.Received.Add(e.Resignation.Remaining)
+}
+
+// isInheritedTwice reports whether the previous owner inherited the worker as well, and has granted
+// no leases there.
+func (s *Shard) isInheritedTwice(id string) bool {
+	return slices.ContainsFunc(s.options.Previous.Inherited, func(l recorder.WorkerLease) bool { return l.Worker == id })
 }
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -32,6 +32,7 @@
 	pollSent        time.Time     // when the last poll was ordered
 	failedPollSent  time.Time     // when the last failed poll was ordered
 	silentSince     time.Time     // when the first of the failed polls in a row was ordered
+	acceptedAt      time.Time     // when the last answered poll of this incarnation was sent
 	startUnanswered bool          // a start got no answer, and no poll has been answered since
 	leavesAt        time.Time     // while draining: the announced time, at the earliest
 	rival           *worker       // another registered worker at its address; nil if there is none
@@ -151,6 +152,7 @@
 		s.updateCold(w)
 		s.addWorker(w)
 		s.reviewFence(w)
+		s.awaitConfirmation(w)
 		s.emit(Log{Message: "worker registered", Worker: reg.ID})
 		s.poll(w)
 		return
@@ -211,7 +213,7 @@
 		// Without an inventory, no lease has been granted since the last restart.
 		w.leaseExpiry = s.earlierOrderExpiry()
 	}
-	w.reported, w.polledAt, w.polledClock = false, time.Time{}, 0
+	w.reported, w.acceptedAt, w.polledAt, w.polledClock = false, time.Time{}, time.Time{}, 0
 	w.clockFloor, w.pollLeaseEnd, w.grantedLeaseEnd = 0, 0, 0
 	w.lastEnd, w.ackedEnd, w.pollAck, w.confirmedAck, w.pendingEnds = 0, 0, 0, 0, nil
 	w.failuresInRow, w.avoidUntil, w.latencyRatio = 0, time.Time{}, 0
@@ -306,7 +308,7 @@
 
 // poll requests a worker's inventory and renews its leases, if a poll is due.
 func (s *Shard) poll(w *worker) {
-	if w.polling || w.replaced || s.now.Before(w.nextPoll) || !s.mayAct() {
+	if w.polling || w.replaced || s.now.Before(w.nextPoll) || !s.mayPoll() {
 		return
 	}
 	order := PollWorker{Worker: w.reg}
@@ -314,13 +316,13 @@
 		// Repeated to the next incarnation, it would acknowledge other ends.
 		order.Acknowledged = w.ackedEnd
 	}
-	if s.mayRenewLeases(w) {
+	if s.mayAct() && s.mayRenewLeases(w) {
 		order.LeaseEnd = s.newLeaseEnd(w)
 	}
 	if w.reported && len(w.pendingEnds) == 0 && w.failedPolls == 0 {
-		order.Wait = s.options.PollWait
+		order.Wait = s.pollWait()
 		if len(w.servingRuns) > 0 && (w.allocated.filler > 0 || s.fillersWait) {
-			order.Wait = paceInterval // to notice soon what fillers do to the serving tasks
+			order.Wait = min(order.Wait, paceInterval) // to notice soon what fillers do to the serving tasks
 		}
 	}
 	w.polling, w.pollSent, w.pollWait = true, s.now, order.Wait
@@ -354,7 +356,7 @@
 	if w.polledAt.IsZero() {
 		return 0
 	}
-	return s.grantLease(w, w.polledClock+s.now.Sub(w.polledAt)+s.options.Lease)
+	return s.grantLease(w, w.polledClock+s.now.Sub(w.polledAt)+s.leaseLength())
 }
 
 // grantLease updates leaseExpiry for a lease end by the worker's clock, and returns it.
--- a/internal/job/dispatcher/workerlist.go
+++ b/internal/job/dispatcher/workerlist.go
@@ -21,6 +21,7 @@
 	if s.earlierEnded && !list.Settled && !list.InheritedKnown {
 		list.EarlierEnded, list.Earlier = true, s.longInheritedLeases()
 	}
+	s.setVoters(&list)
 	for _, w := range s.sortedWorkers {
 		if !isListed(&list, w) {
 			w.recorded = false
@@ -32,11 +33,25 @@
 		}
 	}
 	s.batchList, s.settled, s.listOutdated = list, list.Settled, false
+	s.quorum.pending = list.QuorumVoters()
+}
+
+// setVoters sets the rule of a list, and the voters of earlier owners as long as they may renew
+// leases: an owner that doesn't follow QuorumRule may do so until its outage limit.
+func (s *Shard) setVoters(list *recorder.WorkerList) {
+	previous := &s.options.Previous
+	isKnown := list.KnowsEarlier() && (previous.Rule != recorder.QuorumRule || list.Settled || s.earlierEnded)
+	if isKnown || previous.Rule != recorder.QuorumRule && s.options.Epoch == 0 {
+		list.Rule = recorder.QuorumRule
+		return
+	}
+	list.Rule, list.Voters = previous.Rule, previous.QuorumVoters()
 }
 
 // listCommitted handles the confirmation of the commit with the last worker list.
 func (s *Shard) listCommitted() {
 	s.durableList = s.batchList
+	s.quorum.durable = s.quorum.pending
 	for _, w := range s.sortedWorkers {
 		_, isLeaving := slices.BinarySearch(s.durableList.Leaving, w.reg.ID)
 		isNew := !w.recorded && isListed(&s.durableList, w)
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -57,7 +57,7 @@
 	}
 	o.state = dispatcher.New(dispatcher.Options{
 		Name: spec.Name, Service: spec.service, Domain: spec.Domain, Divided: spec.divided,
-		Epoch: fence.Epoch, Previous: fence.Previous, Released: fence.Released, WorkerLeases: fence.WorkerLeases,
+		Epoch: fence.Epoch, Previous: fence.Previous, Claimed: fence.Claimed, Released: fence.Released, WorkerLeases: fence.WorkerLeases,
 		OwnerEnded: fence.OwnerEnded, EarlierKnown: fence.EarlierKnown,
 		Lease:       min(workerLease, m.options.MaxLease),
 		MaxLease:    m.options.MaxLease,
@@ -282,6 +282,8 @@
 		o.calls.Go(func() { o.post(o.manager.planBalance(o.spec, e)) })
 	case dispatcher.ReportBalance:
 		o.reportBalance(e)
+	case dispatcher.AnnounceInherited:
+		o.calls.Go(func() { o.announce(ctx, e.Resignation) })
 	case dispatcher.MoveJob:
 		o.calls.Go(func() { o.moveJob(ctx, e) })
 	default:
--- a/internal/job/manager/resignation.go
+++ b/internal/job/manager/resignation.go
@@ -21,7 +21,9 @@
 	limited, cancel := context.WithTimeout(ctx, resignationTimeout)
 	defer cancel()
 	for limited.Err() == nil {
-		err := o.writeResignation(limited)
+		resignation := o.state.Resignation(time.Now())
+		resignation.Epoch = o.fence.Epoch
+		err := o.writeResignation(limited, resignation)
 		if err == nil {
 			o.log.Info().Int64("epoch", o.fence.Epoch).Msg("resignation written")
 			return
@@ -31,10 +33,17 @@
 	}
 }
 
-// writeResignation writes the shard's resignation with the leases as they are now, unless a
-// later owner has resigned already. The write may be carried out late, so it requires that
-// nobody has resigned in the meantime.
-func (o *ownedShard) writeResignation(ctx context.Context) error {
+// announce tells later owners what this one knows of the leases of earlier ones. It is tried once: without
+// it they wait longer.
+func (o *ownedShard) announce(ctx context.Context, resignation recorder.Resignation) {
+	if err := o.writeResignation(ctx, resignation); err != nil {
+		o.log.Warn().Err(err).Msg("announcement of inherited leases failed")
+	}
+}
+
+// writeResignation writes a resignation, unless a later owner has resigned already. The write may be
+// carried out late, so it requires that nobody has resigned in the meantime.
+func (o *ownedShard) writeResignation(ctx context.Context, resignation recorder.Resignation) error {
 	key := recorder.ResignationKey(o.spec.Name)
 	readCtx, cancelRead := context.WithTimeout(ctx, callTimeout)
 	defer cancelRead()
@@ -44,13 +53,11 @@
 		item.Revision = 0
 	case err != nil:
 		return err
-	case o.isLaterResignation(item):
+	case o.isLaterResignation(item, resignation.Epoch):
 		return nil
 	}
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	resignation := o.state.Resignation(time.Now())
-	resignation.Epoch = o.fence.Epoch
 	_, err = o.manager.store.Commit(limited, storer.Transaction{
 		If:  []storer.Condition{{Key: key, Revision: item.Revision}},
 		Put: []storer.Write{{Key: key, Value: recorder.Encode(resignation)}},
@@ -58,15 +65,15 @@
 	return err
 }
 
-// isLaterResignation reports whether an item is the resignation of a later owner. One that can't
-// be decoded tells nobody anything, and counts as an earlier one.
-func (o *ownedShard) isLaterResignation(item storer.Item) bool {
+// isLaterResignation reports whether an item is the resignation of a later owner than that of epoch. One
+// that can't be decoded tells nobody anything, and counts as an earlier one.
+func (o *ownedShard) isLaterResignation(item storer.Item, epoch int64) bool {
 	var last recorder.Resignation
 	if err := recorder.Decode(item.Value, &last); err != nil {
 		o.log.Warn().Err(err).Str("key", item.Key).Msg("record decoding failed")
 		return false
 	}
-	return last.Epoch > o.fence.Epoch
+	return last.Epoch > epoch
 }
 
 // updateResignation applies the resignation of a shard's earlier owner to the view
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -239,60 +239,17 @@
 	Done       bool          `json:"done,omitempty"`       // it has completed
 }
 
-// Fence is replaced by every write of a shard's owner, so that only the current
-// owner can write.
-type Fence struct {
-	Owner   string `json:"owner"`
-	Epoch   int64  `json:"epoch"`             // number of earlier claims
-	WriteID string `json:"write"`             // random id of the write
-	Process int64  `json:"process,omitempty"` // of the owner, see Host
-
-	WorkerList
-
-	// Released is set when the owner has released the shard. WorkerLeases then
-	// replaces Workers.
-	Released     bool          `json:"released,omitempty"`
-	WorkerLeases []WorkerLease `json:"leftovers,omitempty"`
-}
-
-// WorkerList tells the next owner of a shard which workers may have runs of it.
-type WorkerList struct {
-	Workers []string `json:"workers,omitempty"` // ids of all of them
-
-	// Settled is set when the owner knows all runs of earlier owners. Only its own leases
-	// are valid then.
-	Settled bool `json:"settled,omitempty"`
-
-	// Inherited are those of Workers that didn't answer the owner. It grants no lease there
-	// while they are listed, but earlier owners may have.
-	Inherited []WorkerLease `json:"inherited,omitempty"`
-
-	// InheritedKnown is set when no other workers have leases of earlier owners.
-	InheritedKnown bool `json:"complete,omitempty"`
-
-	// EarlierEnded is set if all earlier owners have ended, so that their leases expire within an
-	// owner's lease from the write, but for those in Earlier.
-	EarlierEnded bool          `json:"ended,omitempty"`
-	Earlier      []WorkerLease `json:"earlier,omitempty"`
-
-	// Leaving are those of Workers that drain or aren't registered any more. While they are
-	// listed, the owner starts nothing there, and renews leases only while the store confirms its
-	// ownership.
-	Leaving []string `json:"leaving,omitempty"`
-}
-
-// WorkerLease is a worker that may have runs, and how long leases there may remain valid.
-type WorkerLease struct {
-	Worker    string        `json:"worker"`
-	Remaining time.Duration `json:"lapse"` // time from the write of this record until all have expired
-}
-
-// Resignation is written by an owner that lost its shard, after its last order. It
-// says how long leases may remain valid from then on.
+// Resignation is written by an owner that lost its shard, after its last order, or by its successor
+// when it knows that no earlier owner renews leases any more. It says how long leases may remain valid
+// from then on.
 type Resignation struct {
 	Epoch     int64         `json:"epoch"`            // of the owner that resigned
 	Remaining time.Duration `json:"lapse"`            // of the leases on workers that aren't in Silent, nanoseconds
 	Silent    []WorkerLease `json:"silent,omitempty"` // workers that didn't answer the owner
+
+	// BySuccessor is set if the successor has written it. Silent are the workers that didn't answer that
+	// one, and on which it has granted no leases.
+	BySuccessor bool `json:"successor,omitempty"`
 }
 
 // Claim identifies one ownership of a shard.
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -69,8 +69,8 @@
 	// Previous is what the previous owner recorded of the workers that may have runs.
 	Previous recorder.WorkerList
 
-	// Workers is what this owner has recorded of them.
-	Workers recorder.WorkerList
+	// Claimed is what the claim has recorded of them, and Workers what this owner has recorded last.
+	Claimed, Workers recorder.WorkerList
 
 	// Process identifies the owner's process, see recorder.Host; 0 if that isn't known. HasEnded
 	// reports whether a process of a daemon has ended; without it, all processes of this daemon
@@ -153,6 +153,7 @@
 	switch {
 	case errors.Is(err, storer.ErrNotFound):
 		previous.Epoch = -1
+		previous.Rule = recorder.QuorumRule // there are no earlier owners
 	case err != nil:
 		return err
 	default:
@@ -167,13 +168,11 @@
 		f.Previous.Workers = append(f.Previous.Workers, left.Worker)
 	}
 	f.PreviousOwner, f.PreviousProcess = previous.Owner, previous.Process
-	f.EarlierKnown = previous.Settled || previous.InheritedKnown || previous.EarlierEnded
-	f.OwnerEnded = f.EarlierKnown && f.hasEnded(previous.Owner, previous.Process)
-	// This owner may grant leases on all of them before its next write.
-	f.Workers = recorder.WorkerList{Workers: f.Previous.Workers, EarlierEnded: f.OwnerEnded}
-	if f.OwnerEnded {
-		f.Workers.Earlier = slices.Concat(previous.Inherited, previous.Earlier, previous.WorkerLeases)
-	}
+	hasEnded := f.hasEnded(previous.Owner, previous.Process)
+	f.EarlierKnown = previous.KnowsEarlier()
+	f.OwnerEnded = f.EarlierKnown && hasEnded
+	f.Claimed = previous.Succeed(hasEnded)
+	f.Workers = f.Claimed
 	ownerRevision, err := f.replaceableRevision(ctx, owner.Key)
 	if err != nil {
 		return err
