job/dispatcher: a new owner knows which tasks have run for long, and which workers restarted

What callers saw: jobs with long-running tasks are given up when the owner dies with the workers, several times in a row.

Cause: that a task has run for long without crashing its worker was known to its owner only, so its successor counted each loss in full; and a worker that was back before the successor's claim wasn't among the crashes that a loss is compared with.

Change: it is part of the progress of a task, and of a transfer. An inherited worker that has started less than 20 s ago counts as crashed, as it already did for the losses that a new owner infers.

TestMassCrashesWithOwnersFailNoJob failed before (2 or 3 of 10 jobs), and passes now. TestDeadlyTasks and TestDeadlyLongRunningJobsForgiveEachOther pass.

--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -83,6 +83,7 @@
 			s.partlyListed[w.reg.ID] = true
 		}
 		if isFirstFence && e.Inventory.Clock < recentStart {
+			s.addCrash(workerCrash{worker: w.reg.ID, at: s.now}) // of an earlier incarnation
 			s.inferLosses(w.reg.ID)
 		}
 	}
@@ -252,7 +253,7 @@
 	}
 	r.progress = listed.ProgressPercent
 	r.metric = listed.Metric
-	r.noteReadiness(s.now)
+	s.noteReadiness(r)
 	if r.task != nil && listed.Checkpoint != "" {
 		r.task.checkpoint = listed.Checkpoint
 	}
@@ -306,7 +307,7 @@
 	}
 	w.addRun(r)
 	s.noteDuplicable(r)
-	r.noteReadiness(s.now)
+	s.noteReadiness(r)
 	reason := ""
 	if !isFirst {
 		reason = "second run of the task"
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -69,7 +69,7 @@
 	step           *step
 	index          int
 	done           bool
-	wasProven      bool            // a run of it has proven itself under this owner, see proven.go
+	wasProven      bool            // a run of it has proven itself, see proven.go
 	worker         *worker         // worker that has or may have a run of it; nil without one
 	duplicate      *run            // second run of it, on another worker; nil without one
 	lastRun        int64           // highest known number of its runs
--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -27,6 +27,7 @@
 	t.checkpoint, t.sentCheckpoint = p.Checkpoint, p.Checkpoint
 	t.hop = p.Hop
 	s.restoreLosses(t, p.Losses)
+	t.wasProven = t.wasProven || p.Proven
 	isPart := s.isPart(t.step.job)
 	if p.Done && !isPart {
 		s.markDone(t)
@@ -78,11 +79,11 @@
 	p := recorder.Progress{Shards: j.otherShards}
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			if t.done || t.completedHere || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 {
+			if t.done || t.completedHere || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 || t.wasProven {
 				p.Tasks = append(p.Tasks, recorder.TaskProgress{
 					Occurrence: st.occurrence, Step: st.number, Index: t.index,
 					Done: t.done || t.completedHere, Failed: t.failed, Checkpoint: t.checkpointToStore(),
-					Hop: t.hop, Away: t.hop > 0 && t.elsewhere, Losses: slices.Clone(t.losses),
+					Hop: t.hop, Away: t.hop > 0 && t.elsewhere, Losses: slices.Clone(t.losses), Proven: t.wasProven,
 				})
 			}
 		}
--- a/internal/job/dispatcher/proven.go
+++ b/internal/job/dispatcher/proven.go
@@ -5,8 +5,9 @@
 // A run that has been ready for provenTime doesn't crash its worker. It stays proven,
 // whatever the owner does to it later: it may be stopped, or not be ready for a while.
 
-// noteReadiness updates whether a run that its worker lists is proven.
-func (r *run) noteReadiness(now time.Time) {
+// noteReadiness updates whether a run that its worker lists is proven. That a task has been proven is
+// durable, so that a new owner judges its losses in the same way.
+func (s *Shard) noteReadiness(r *run) {
 	if r.proven || r.phase != active || r.task == nil || !r.task.step.spec.LongRunning {
 		return
 	}
@@ -14,13 +15,22 @@
 	case r.progress < full:
 		r.readyAt = time.Time{}
 	case r.readyAt.IsZero():
-		r.readyAt = now
-	default:
-		r.proven = now.Sub(r.readyAt) >= provenTime
-		r.task.wasProven = r.task.wasProven || r.proven
+		r.readyAt = s.now
+	case s.now.Sub(r.readyAt) >= provenTime:
+		r.proven = true
+		s.noteProven(r.task)
 	}
 }
 
+// noteProven records that a run of the task hasn't crashed its worker for long.
+func (s *Shard) noteProven(t *task) {
+	if t.wasProven || t.step.job.final != "" {
+		return
+	}
+	t.wasProven = true
+	s.markDirty(t.step.job)
+}
+
 // proveInheritedRuns marks runs as proven that a new owner finds beside an isolated one in
 // a worker's first inventory. The earlier owner has started that one beside proven runs
 // only, and nothing after it. Runs that aren't ready can't be among them; they were started
--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -188,7 +188,7 @@
 	}
 	j.handovers = append(j.handovers, Handover{Task: t.id(), Shard: shard, Transfer: recorder.Transfer{
 		Job: j.spec, Home: j.home, Hop: t.hop, LastRun: t.nextRun(s.options.Epoch) - 1, Waited: waited, Tried: t.triedShards, Checkpoint: t.checkpoint,
-		Failed: slices.Clone(t.failed), Losses: slices.Clone(t.losses), Done: t.completedHere,
+		Failed: slices.Clone(t.failed), Losses: slices.Clone(t.losses), Proven: t.wasProven, Done: t.completedHere,
 	}})
 	s.markDirty(j)
 	s.emit(Log{Message: "task transferred", Task: t.id().String(), Job: j.spec.ID, Reason: "to " + shard, Age: waited})
@@ -237,6 +237,7 @@
 	t.failed = slices.Clone(transfer.Failed)
 	t.completedHere, t.returns = false, false
 	s.restoreLosses(t, transfer.Losses)
+	t.wasProven = t.wasProven || transfer.Proven
 	t.triedShards, t.transferAfter = transfer.Tried, time.Time{}
 	t.allRunsKnown = true // its arrival isn't durable here, so nobody has started it
 	t.waitingSince = s.now
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -208,6 +208,7 @@
 	Hop        int     `json:"hop,omitempty"`        // how often the task was transferred, as far as this shard knows
 	Away       bool    `json:"away,omitempty"`       // another shard has the task
 	Losses     []Loss  `json:"losses,omitempty"`     // runs that were lost with their worker
+	Proven     bool    `json:"proven,omitempty"`     // a run of it hasn't crashed its worker for long
 }
 
 // Loss is a run of a task that was lost with its worker. The task may have crashed it.
@@ -236,6 +237,7 @@
 	Checkpoint string        `json:"checkpoint,omitempty"` // checkpoint to resume from
 	Failed     []int64       `json:"failed,omitempty"`     // numbers of the failed runs
 	Losses     []Loss        `json:"losses,omitempty"`     // runs that were lost with their worker
+	Proven     bool          `json:"proven,omitempty"`     // see TaskProgress
 	Done       bool          `json:"done,omitempty"`       // it has completed
 }
 
