job/dispatcher, job/manager: the lifetime of an owner record shortens the wait of a successor

The store removes an owner record only after its lifetime, so the owner was confirmed 2 s before the claim at the latest, and has granted longer leases for 1.5 s since. A successor that found no record counts from there. A planned stop whose release failed doesn't revoke the lease any more, and the record has to expire as well.

The simulated store kept to no lifetime when an owner paused for less than 2 s; it does now.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -77,6 +77,10 @@
 	// OwnerEnded if it also gives no leases any more.
 	EarlierKnown, OwnerEnded bool
 
+	// RecordTTL is how long before the claim the store has confirmed the previous owner last, at least.
+	// It is the lifetime of an owner record without renewals, and 0 if the record hadn't expired.
+	RecordTTL time.Duration
+
 	Released     bool                   // the previous owner released the shard
 	WorkerLeases []recorder.WorkerLease // replaces Previous if Released is set
 
--- a/internal/job/dispatcher/outage_test.go
+++ b/internal/job/dispatcher/outage_test.go
@@ -61,6 +61,7 @@
 	listed := WorkersListed{Workers: o.home.registrations(), ReadAt: s.now}
 	var events []Event
 	if !s.outage.noRenewals && !o.outage.recordGone {
+		o.home.renewedAt = s.now
 		events = append(events, OwnershipChecked{Confirmed: true})
 	}
 	switch delay := s.outage.readDelay; {
--- a/internal/job/dispatcher/property_test.go
+++ b/internal/job/dispatcher/property_test.go
@@ -91,7 +91,9 @@
 	case 7:
 		s.logf("owner %d pauses for %s", o.token, length)
 		o.paused = true
-		s.schedule(min(length, 3*time.Second), sh.claimFrom(o))
+		if length >= simOwnerTTL { // before, its record hasn't expired
+			s.schedule(min(length, 3*time.Second), sh.claimFrom(o))
+		}
 		s.schedule(length, o.resume)
 	case 8:
 		s.logf("owner %d is cut off from %s for %s", o.token, w.id, length)
--- a/internal/job/dispatcher/quorum.go
+++ b/internal/job/dispatcher/quorum.go
@@ -139,9 +139,10 @@
 	s.placementDue = true
 }
 
-// quorumExpiry returns when the last leases expire of owners that have no quorum any more.
+// quorumExpiry returns when the last leases expire of owners that have no quorum any more. The store
+// has kept their record for RecordTTL after they were confirmed last.
 func (s *Shard) quorumExpiry() time.Time {
-	exclusive := s.claimedAt.Add(withDrift(s.options.Lease))
+	exclusive := s.claimedAt.Add(withDrift(s.options.Lease) - max(s.options.RecordTTL-confirmationTime, 0))
 	voted := s.now.Add(quorumAge + withDrift(min(s.options.Lease, quorumLease)))
 	if voted.After(exclusive) {
 		return voted.Add(expiryMargin)
--- a/internal/job/dispatcher/quorum_test.go
+++ b/internal/job/dispatcher/quorum_test.go
@@ -84,6 +84,23 @@
 	g.Expect(h.mayAct()).To(BeTrue())
 }
 
+// TestVotersOfOpenCommitCount guards against an owner that has a quorum of the list that was durable
+// last, while a commit without an answer may have replaced it.
+func TestVotersOfOpenCommitCount(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(departureQueue, "w1", "w2", "w3")
+	h.advance(time.Second)
+	h.answerWithoutStore("w1", "w2", "w3")
+	h.feedUnconfirmed(WorkersListed{Workers: []specifier.Worker{
+		{ID: "w1", Incarnation: 1}, {ID: "w2", Incarnation: 1}, {ID: "w3", Incarnation: 1},
+		{ID: "w4", Incarnation: 1}, {ID: "w5", Incarnation: 1}, {ID: "w6", Incarnation: 1},
+	}})
+	for range 10 {
+		h.answerWithoutStore("w1", "w2", "w3", "w4", "w5", "w6")
+	}
+	g.Expect(h.mayAct()).To(BeFalse(), "w4 to w6 weren't known when the ownership was confirmed")
+}
+
 // TestSuccessorWaitsForOneLease guards against long-running tasks that wait for the outage limit after
 // their owner was lost together with some of the workers, and against a shorter wait than is safe.
 func TestSuccessorWaitsForOneLease(t *testing.T) {
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -254,18 +254,30 @@
 	}
 	m.mu.Unlock()
 	var releases sync.WaitGroup
+	var isKept atomic.Bool
 	for _, o := range shards {
-		releases.Go(func() { o.release(ctx, "planned shutdown") })
+		releases.Go(func() {
+			if !o.release(ctx, "planned shutdown") {
+				isKept.Store(true)
+			}
+		})
 	}
 	releases.Wait()
-	for _, lease := range [...]*leaser.Lease{m.lease, m.presence} {
-		if err := lease.Revoke(ctx); err != nil {
-			m.log.Info().Err(err).Msg("lease revocation failed")
-		}
+	if !isKept.Load() {
+		m.revoke(ctx, m.lease)
 	}
+	m.revoke(ctx, m.presence)
 	m.Close()
 }
 
+// revoke ends a lease. That of the owner records has to expire by itself while one of them is left: the
+// next owner relies on its TTL, see dispatcher.Options.RecordTTL.
+func (m *Manager) revoke(ctx context.Context, lease *leaser.Lease) {
+	if err := lease.Revoke(ctx); err != nil {
+		m.log.Info().Err(err).Msg("lease revocation failed")
+	}
+}
+
 // Close ends the manager without releasing shards. Their ownership ends when the
 // lease in the store expires, as after a crash.
 func (m *Manager) Close() {
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -58,7 +58,7 @@
 	o.state = dispatcher.New(dispatcher.Options{
 		Name: spec.Name, Service: spec.service, Domain: spec.Domain, Divided: spec.divided,
 		Epoch: fence.Epoch, Previous: fence.Previous, Claimed: fence.Claimed, Released: fence.Released, WorkerLeases: fence.WorkerLeases,
-		OwnerEnded: fence.OwnerEnded, EarlierKnown: fence.EarlierKnown,
+		RecordTTL: recordTTL(fence, m.options.TTL), OwnerEnded: fence.OwnerEnded, EarlierKnown: fence.EarlierKnown,
 		Lease:       min(workerLease, m.options.MaxLease),
 		MaxLease:    m.options.MaxLease,
 		OutageLimit: outageLimit,
@@ -75,6 +75,14 @@
 	return o
 }
 
+// recordTTL returns dispatcher.Options.RecordTTL of a claimed shard. All daemons have the same ttl.
+func recordTTL(fence *fencer.Fence, ttl time.Duration) time.Duration {
+	if fence.RecordExpired {
+		return ttl
+	}
+	return 0
+}
+
 // post queues an event for the shard. After the shard has ended, events are
 // dropped.
 func (o *ownedShard) post(event dispatcher.Event) {
@@ -170,14 +178,16 @@
 }
 
 // release ends the shard and removes its owner record, so that another daemon
-// can claim it at once.
-func (o *ownedShard) release(ctx context.Context, reason string) {
+// can claim it at once. It reports whether that is known to have succeeded.
+func (o *ownedShard) release(ctx context.Context, reason string) bool {
 	o.end(reason, false)
 	<-o.done
 	leases := o.state.WorkerLeases(time.Now())
 	limited, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
-	o.manager.logRelease(o.fence, o.fence.Release(limited, recorder.OwnerKey(o.spec.Name), leases))
+	err := o.fence.Release(limited, recorder.OwnerKey(o.spec.Name), leases)
+	o.manager.logRelease(o.fence, err)
+	return err == nil
 }
 
 // followJobs watches the shard's prefix for new jobs, transferred tasks,
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -87,6 +87,9 @@
 	// those and its own leases may still be valid.
 	EarlierKnown, OwnerEnded bool
 
+	// RecordExpired reports whether the previous owner's record had been removed with its lease.
+	RecordExpired bool
+
 	// Released reports whether the previous owner released the shard in a
 	// planned stop. WorkerLeases then says how long leases may still be valid on
 	// each of Workers.
@@ -177,6 +180,7 @@
 	if err != nil {
 		return err
 	}
+	f.RecordExpired = ownerRevision == 0 && !f.Released
 	tx := storer.Transaction{
 		If: []storer.Condition{{Key: owner.Key, Revision: ownerRevision}},
 		Put: []storer.Write{owner, {
