--- a/internal/job/dispatcher/quorum_test.go
+++ b/internal/job/dispatcher/quorum_test.go
@@ -92,8 +92,12 @@
 	h.advance(time.Second)
 	h.answerWithoutStore("w1", "w2", "w3")
 	h.feedUnconfirmed(WorkersListed{Workers: []specifier.Worker{
-		{ID: "w1", Incarnation: 1}, {ID: "w2", Incarnation: 1}, {ID: "w3", Incarnation: 1},
-		{ID: "w4", Incarnation: 1}, {ID: "w5", Incarnation: 1}, {ID: "w6", Incarnation: 1},
+		{ID: "w1", Incarnation: 1},
+		{ID: "w2", Incarnation: 1},
+		{ID: "w3", Incarnation: 1},
+		{ID: "w4", Incarnation: 1},
+		{ID: "w5", Incarnation: 1},
+		{ID: "w6", Incarnation: 1},
 	}})
 	for range 10 {
 		h.answerWithoutStore("w1", "w2", "w3", "w4", "w5", "w6")
