job/dispatcher: polls that can't renew leases are short

An inherited worker that hasn't answered within 0.3 s is listed as one that gets no lease. If it answers then, its next poll renews none until a list without it is durable, but waited for up to 1.5 s; with what is left of a lease after a take-over its runs could lapse.

--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -321,6 +321,9 @@
 	}
 	if w.reported && len(w.pendingEnds) == 0 && w.failedPolls == 0 {
 		order.Wait = s.pollWait()
+		if s.isListedAsInherited(w) {
+			order.Wait = min(order.Wait, pendingPollDelay) // the next poll may renew the leases
+		}
 		if len(w.servingRuns) > 0 && (w.allocated.filler > 0 || s.fillersWait) {
 			order.Wait = min(order.Wait, paceInterval) // to notice soon what fillers do to the serving tasks
 		}
--- a/internal/job/dispatcher/workerlist_test.go
+++ b/internal/job/dispatcher/workerlist_test.go
@@ -162,6 +162,22 @@
 	}
 }
 
+// TestPollsAreShortWhileLeasesCannotBeRenewed guards against runs that lapse because a worker answers
+// after it was listed as inherited, and the next poll, which renews nothing, waits there for long.
+func TestPollsAreShortWhileLeasesCannotBeRenewed(t *testing.T) {
+	g := NewWithT(t)
+	h := newSuccessor(Options{
+		Previous: recorder.WorkerList{Workers: []string{"w1"}}, PollWait: 1500 * time.Millisecond,
+	}, departureQueue, longRunningJob(), "w1")
+	h.advance(inheritedAnswerTime)
+	h.register([]string{"w1", "w2"}) // a commit has w1 as inherited
+	takeEffects[PollWorker](h)
+	h.feedUnconfirmed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute}})
+	g.Expect(takeEffects[PollWorker](h)).To(ConsistOf(And(
+		HaveField("Worker.ID", "w1"), HaveField("LeaseEnd", BeZero()), HaveField("Wait", BeNumerically("<=", pendingPollDelay)),
+	)))
+}
+
 // TestInheritedWorkerGetsNoLeaseWhileListed guards against an owner that renews leases on a worker
 // which has answered late, and of which the durable list says that its leases expire soon.
 func TestInheritedWorkerGetsNoLeaseWhileListed(t *testing.T) {
