job/dispatcher, job/manager: what a read of the change found

A task whose losses are refuted kept the worker that was to become empty for it, and could open it while another task was isolated there; TestRefutedTaskOpensNoWorker failed before. An announcement by a successor replaced the resignation of the owner itself, which says more.

--- a/internal/job/dispatcher/isolation.go
+++ b/internal/job/dispatcher/isolation.go
@@ -59,7 +59,7 @@
 
 // openFor opens the worker that was closed for a task among candidates, and returns its index, or -1.
 func (p *placement) openFor(t *task, candidates []fitter.Candidate) int {
-	if t.emptying == nil {
+	if t.emptying == nil || !t.isSuspect() {
 		return -1
 	}
 	i := slices.Index(p.workers, t.emptying)
@@ -86,7 +86,7 @@
 func (p *placement) mayIsolate(t *task) bool {
 	others := p.isolating
 	for _, m := range t.startedWith() {
-		if m.emptying != nil {
+		if m.emptying != nil && m.isSuspect() {
 			others--
 		}
 	}
--- a/internal/job/dispatcher/isolation_test.go
+++ b/internal/job/dispatcher/isolation_test.go
@@ -366,3 +366,20 @@
 	h.advance(100 * time.Millisecond)
 	g.Expect(takeEffects[StartRun](h)).To(ConsistOf(HaveField("Task.Job", longRunningID)))
 }
+
+// TestRefutedTaskOpensNoWorker guards against a task that opens the worker which was once to become
+// empty for it, and now isolates another task: its own losses have been refuted since.
+func TestRefutedTaskOpensNoWorker(t *testing.T) {
+	g := NewWithT(t)
+	h := newHarness(lossQueue, "w1")
+	h.occupyWorker()
+	job := oneStep(1, nil)
+	h.loadSuspect(job, twoLosses())
+	for range 3 {
+		h.advance(200 * time.Millisecond)
+	}
+	waiting := h.jobs[job.ID].steps[0].tasks[0]
+	g.Expect(waiting.emptying).NotTo(BeNil())
+	h.dropLosses(waiting, func(*recorder.Loss) bool { return true })
+	g.Expect(waiting.emptying).To(BeNil())
+}
--- a/internal/job/dispatcher/suspect.go
+++ b/internal/job/dispatcher/suspect.go
@@ -21,6 +21,7 @@
 	}
 	if len(t.losses) == 0 {
 		delete(s.suspects, t.id())
+		t.emptying = nil
 	}
 }
 
--- a/internal/job/manager/resignation.go
+++ b/internal/job/manager/resignation.go
@@ -53,7 +53,7 @@
 		item.Revision = 0
 	case err != nil:
 		return err
-	case o.isLaterResignation(item, resignation.Epoch):
+	case o.isLaterResignation(item, &resignation):
 		return nil
 	}
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
@@ -65,15 +65,17 @@
 	return err
 }
 
-// isLaterResignation reports whether an item is the resignation of a later owner than that of epoch. One
-// that can't be decoded tells nobody anything, and counts as an earlier one.
-func (o *ownedShard) isLaterResignation(item storer.Item, epoch int64) bool {
+// isLaterResignation reports whether an item is to stay: it is the resignation of a later owner, or the
+// owner's own one and the other is by its successor, which knows less. One that can't be decoded tells
+// nobody anything, and is replaced.
+func (o *ownedShard) isLaterResignation(item storer.Item, other *recorder.Resignation) bool {
 	var last recorder.Resignation
 	if err := recorder.Decode(item.Value, &last); err != nil {
 		o.log.Warn().Err(err).Str("key", item.Key).Msg("record decoding failed")
 		return false
 	}
-	return last.Epoch > epoch
+	isOwn := last.Epoch == other.Epoch && !last.BySuccessor
+	return last.Epoch > other.Epoch || isOwn && other.BySuccessor
 }
 
 // updateResignation applies the resignation of a shard's earlier owner to the view
