--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -139,6 +139,8 @@
 	adviceSlot      chan struct{}          // semaphore: the adviser takes one call at a time
 	ownerlessSince  map[string]time.Time   // when a shard was first seen without an owner, by name
 	claimedBefore   map[string]bool        // names of shards that this process has tried to claim
+
+	leftToOthersUntil map[string]time.Time // until when this daemon doesn't claim a shard that it has released, by name
 }
 
 // New starts a manager. It claims shards only after SetCatalog. The caller ends
@@ -162,6 +164,8 @@
 		adviceSlot:     make(chan struct{}, 1),
 		ownerlessSince: make(map[string]time.Time),
 		claimedBefore:  make(map[string]bool),
+
+		leftToOthersUntil: make(map[string]time.Time),
 	}
 	m.catalog.Store(&specifier.Catalog{})
 	m.evacuations.maxAge = evacuator.MaxAge(o.EvacuationNotice, callTimeout)
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -39,17 +39,21 @@
 
 // newDaemonWith does the same with a time in which evacuations take effect.
 func newDaemonWith(name string, store *faker.Store, workers *fleet, notice time.Duration) *daemon {
-	client := store.Client(name)
+	return newDaemonOn(manager.Options{Daemon: name, Domain: "bne", EvacuationNotice: notice}, store, workers)
+}
+
+// newDaemonOn does the same for the host and the times in options; the other options are set here.
+func newDaemonOn(options manager.Options, store *faker.Store, workers *fleet) *daemon {
+	client := store.Client(options.Daemon)
 	workers.register(context.Background(), store.Client("registrar"))
-	m := manager.New(manager.Options{
-		Daemon: name, Domain: "bne", TTL: 3 * time.Second, MaxLease: 10 * time.Second,
-		Random: rand.New(rand.NewPCG(1, 2)), EvacuationNotice: notice,
-		CancellationNotice: 4 * time.Second,
-		Scope:              tally.NoopScope, Log: zerolog.Nop(),
-	}, client, workers, workers)
+	options.TTL, options.MaxLease = 3*time.Second, 10*time.Second
+	options.Random = rand.New(rand.NewPCG(1, 2))
+	options.CancellationNotice = 4 * time.Second
+	options.Scope, options.Log = tally.NoopScope, zerolog.Nop()
+	m := manager.New(options, client, workers, workers)
 	m.SetCatalog(catalog)
 	return &daemon{m, receiver.New(receiver.Options{
-		Domain: "bne", Random: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope, Log: zerolog.Nop(),
+		Domain: options.Domain, Random: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope, Log: zerolog.Nop(),
 	}, m, client), client}
 }
 
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -30,7 +30,7 @@
 			m.background.Go(func() { m.claim(ctx, spec) })
 		}
 		if o := m.unbearable(now); o != nil {
-			m.background.Go(func() { o.release(ctx, "another host has more capacity") })
+			m.background.Go(func() { m.leaveToBetterOwner(ctx, o) })
 		}
 	}
 }
@@ -59,7 +59,7 @@
 		delete(m.ownerlessSince, spec.Name)
 		return false
 	}
-	if m.claiming[spec.Name] {
+	if m.claiming[spec.Name] || now.Before(m.leftToOthersUntil[spec.Name]) {
 		return false
 	}
 	if owner != "" {
@@ -116,10 +116,29 @@
 
 // Limits of releases to better owners.
 const (
-	minOwnership = 8 * time.Second // from the claim to a release
-	overloadWait = 2 * time.Second // overload before a release
+	minOwnership    = 8 * time.Second // from the claim to a release
+	overloadWait    = 2 * time.Second // overload before a release
+	betterOwnerWait = 3 * time.Second // from a release until its owner may claim the shard again
 )
 
+// leaveToBetterOwner releases a shard and leaves it to other hosts for betterOwnerWait. Until the
+// release is in the view, the shard looks like one that an earlier process of this daemon owned.
+func (m *Manager) leaveToBetterOwner(ctx context.Context, o *ownedShard) {
+	m.leaveToOthers(o.spec.Name, time.Now().Add(releaseTimeout+betterOwnerWait))
+	until := time.Time{}
+	if o.release(ctx, "another host has more capacity") {
+		until = time.Now().Add(betterOwnerWait)
+	}
+	m.leaveToOthers(o.spec.Name, until)
+}
+
+// leaveToOthers makes this daemon not claim a shard until a time.
+func (m *Manager) leaveToOthers(shard string, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.leftToOthersUntil[shard] = until
+}
+
 // jitter returns a delay up to maxClaimJitter that differs between daemons.
 func (m *Manager) jitter(name string) time.Duration {
 	return time.Duration(xxhash.Sum64String(name+m.options.Daemon) % uint64(maxClaimJitter))
