--- a/internal/control/divider/host.go
+++ b/internal/control/divider/host.go
@@ -86,9 +86,10 @@
 // Delays before a host claims a shard without an owner.
 const (
 	loadDelay         = 100 * time.Millisecond // for a load of 1.5 times the capacity, quadratic above half of it
-	maxLoadDelay      = 4 * time.Second
+	overloadDelay     = 3 * time.Second        // in addition, for each capacity by which the load exceeds it
+	maxLoadDelay      = 3500 * time.Millisecond
 	otherDomainDelay  = 300 * time.Millisecond
-	otherRegionDelay  = 300 * time.Millisecond // in addition
+	otherRegionDelay  = 900 * time.Millisecond // in addition; hosts far from the store learn of a shard later
 	tolerableLoad     = 0.5                    // fraction of the capacity that causes no delay
 	releaseLoad       = 1.5                    // load from which on a host looks for another one
 	releaseAdvantage  = 0.5                    // fraction of its load that the other one may have at most
@@ -97,12 +98,14 @@
 
 // ClaimDelay returns how long the host leaves a shard without an owner to others.
 // It is shorter the less the shard would load the host, and in the shard's failure
-// domain. Each host computes it on its own, so that mostly the best one claims.
+// domain. A host that the shard would overload leaves it even to idle hosts of another
+// region, to which it would have to release it later, see [BetterOwner]. Each host
+// computes it on its own, so that mostly the best one claims.
 func (h *Host) ClaimDelay(s *Shard) time.Duration {
-	delay := time.Duration(0)
-	if excess := h.loadWith(s) - tolerableLoad; excess > 0 {
-		delay = min(time.Duration(excess*excess*float64(loadDelay)), maxLoadDelay)
-	}
+	load := h.loadWith(s)
+	excess := max(load-tolerableLoad, 0)
+	overload := max(load-1, 0)
+	delay := min(time.Duration(excess*excess*float64(loadDelay)+overload*float64(overloadDelay)), maxLoadDelay)
 	if s.Domain != "" && s.Domain != h.Domain {
 		delay += otherDomainDelay
 	}
