--- a/internal/control/divider/divider_test.go
+++ b/internal/control/divider/divider_test.go
@@ -227,7 +227,7 @@
 		owner := busy
 		owner.Load += shard.Workers
 		Expect(BetterOwner(&owner, &shard, []Host{idle})).To(BeTrue())
-		Expect(idle.ClaimDelay(&shard)+claimPhases).To(BeNumerically("<", busy.ClaimDelay(&shard)))
+		Expect(idle.ClaimDelay(&shard) + claimPhases).To(BeNumerically("<", busy.ClaimDelay(&shard)))
 	})
 
 	It("is released by a host that it overloads only if another one carries it well", func() {
