--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -5,11 +5,15 @@
 //
 // An accepted job is guaranteed to be run, so accepting more work than the
 // workers can do would make all of it late. For each shard [Decide] predicts
-// when the job would end there. It accepts the job on the shard with the
-// earliest predicted end if that end meets the job's objective with a fixed
-// tolerance. Otherwise it refuses the job at once and says after which time to
-// retry, which is when enough of the backlog will be done. No job is refused
-// while some shard has room for it.
+// when the job would end there. It accepts the job if a shard meets the job's
+// objective with a fixed tolerance. Otherwise it refuses the job at once and says
+// after which time to retry, which is when enough of the backlog will be done. No
+// job is refused while some shard has room for it.
+//
+// Many hosts decide by the same summaries, which are a second or more old. If all
+// took the shard with the earliest predicted end, it would be overloaded until they
+// learn of it. So while jobs wait somewhere, the shard is drawn at random among those
+// that meet the objective, by the work that each of them can still take.
 //
 // Long-running tasks hold their processors until their job is cancelled. If
 // they took everything, short tasks would find no capacity, so each shard
@@ -32,6 +36,7 @@
 const (
 	objectiveTolerance = 1.3                    // accepted ratio of the predicted end to the objective
 	otherDomainPenalty = 150 * time.Millisecond // added to the prediction for a shard of another failure domain
+	shortWait          = otherDomainPenalty     // wait up to which the nearest shard is better than any
 	minRetryAfter      = 500 * time.Millisecond
 	maxRetryAfter      = 8 * time.Second // limit before jitter is added
 	minRate            = 50              // millicores; lowest processing rate assumed for a backlog, also in a full shard
@@ -100,12 +105,12 @@
 	if len(candidates) == 0 {
 		return Decision{Reason: "no shard has suitable workers", RetryAfter: jitter(minRetryAfter*2, random)}
 	}
-	s := w.choose(candidates, random)
+	limit := time.Duration(objectiveTolerance * float64(w.Objective))
+	s := w.choose(candidates, limit, random)
 	if s == nil {
 		return Decision{Shard: candidates[0].Name, Age: candidates[0].Age, Reason: "the limit of lasting tasks is reached", RetryAfter: jitter(maxRetryAfter, random)}
 	}
 	best := Decision{Shard: s.Name, Age: s.Age, Predicted: w.predict(s), Reason: "predicted end is within reach"}
-	limit := time.Duration(objectiveTolerance * float64(w.Objective))
 	if best.Predicted <= limit {
 		best.Accepted = true
 		return best
@@ -115,15 +120,34 @@
 	return best
 }
 
-// choose returns the shard with the earliest predicted end. For a job with
-// long-running tasks it draws one that is below its limit, or returns nil.
-func (w *Work) choose(shards []*Shard, random *rand.Rand) *Shard {
+// choose draws a shard of which the predicted end is within limit, or returns the one with the
+// earliest predicted end if there is none, or if jobs like this one hardly wait anywhere. For a job
+// with long-running tasks it draws one that is below its limit of these, or returns nil.
+func (w *Work) choose(shards []*Shard, limit time.Duration, random *rand.Rand) *Shard {
 	if w.LongRunningCPU > 0 {
 		return w.drawLongRunning(shards, random)
 	}
+	if slices.ContainsFunc(shards, func(s *Shard) bool { return w.wait(s) > shortWait }) {
+		if s := draw(shards, random, func(s *Shard) float64 { return w.headroom(s, limit) }); s != nil {
+			return s
+		}
+	}
 	return slices.MinFunc(shards, func(a, b *Shard) int { return cmp.Compare(w.predict(a), w.predict(b)) })
 }
 
+// headroom returns the work that the shard can still take until the predicted end of the job
+// exceeds limit, in millicore-seconds. It is 0 if the end is out of reach.
+func (w *Work) headroom(s *Shard, limit time.Duration) float64 {
+	rate := int64(0)
+	if w.ReservedWork > 0 {
+		rate += s.Free.CPU + s.FiniteCPU
+	}
+	if w.FillerWork > 0 {
+		rate += s.UnusedCPU + s.FillerCPU
+	}
+	return max((limit-w.predict(s)).Seconds(), 0) * float64(max(rate, minRate))
+}
+
 // ChooseLongRunning draws a shard for a job's long-running tasks and returns its
 // name. It returns "" if all suitable shards are at their limits.
 func ChooseLongRunning(w Work, shards []Shard, random *rand.Rand) string {
@@ -157,32 +181,13 @@
 // time; if all took the best shard it would be overloaded for as long as the
 // tasks run.
 func (w *Work) drawLongRunning(shards []*Shard, random *rand.Rand) *Shard {
-	total := 0.0
-	for _, s := range shards {
-		total += w.longRunningHeadroom(s)
-	}
-	if total == 0 {
-		return nil
-	}
-	point := random.Float64() * total
-	var chosen *Shard
-	for _, s := range shards {
-		headroom := w.longRunningHeadroom(s)
-		if headroom == 0 {
-			continue
-		}
-		chosen = s
-		if point -= headroom; point < 0 {
-			break
-		}
-	}
-	return chosen
+	return draw(shards, random, w.longRunningHeadroom)
 }
 
 // predict returns the expected time from acceptance to the end of the job if
 // the shard runs it.
 func (w *Work) predict(s *Shard) time.Duration {
-	wait := max(w.reservedWait(s), w.fillerWait(s))
+	wait := w.wait(s)
 	if w.LongRunningCPU > s.Free.CPU {
 		wait += longRunningWait * time.Duration(w.LongRunningCPU-s.Free.CPU) / time.Duration(max(w.LongRunningCPU, 1))
 	}
@@ -211,6 +216,9 @@
 	return 0
 }
 
+// wait returns how long the job waits for the backlog ahead of it.
+func (w *Work) wait(s *Shard) time.Duration { return max(w.reservedWait(s), w.fillerWait(s)) }
+
 // reservedWait returns how long the job's tasks that reserve capacity wait for
 // the backlog ahead of them.
 func (w *Work) reservedWait(s *Shard) time.Duration {
--- a/internal/control/admitter/rate.go
+++ b/internal/control/admitter/rate.go
@@ -12,11 +12,11 @@
 // proportional to the CPU that finite work has or can get there. It returns the
 // shard's name, or "" without one.
 func ChooseRate(needs describer.Resources, shards []Shard, random *rand.Rand) string {
-	s := draw(shards, random, func(s *Shard) int64 {
+	s := draw(pointers(shards), random, func(s *Shard) float64 {
 		if s.Workers == 0 || !s.HasLabel || !needs.Fits(s.MaxUsable) {
 			return 0
 		}
-		return max(s.Free.CPU+s.FiniteCPU, minRate)
+		return float64(max(s.Free.CPU+s.FiniteCPU, minRate))
 	})
 	if s == nil {
 		return ""
