--- a/internal/job/manager/load.go
+++ b/internal/job/manager/load.go
@@ -58,9 +58,25 @@
 	for _, b := range load.Backlog {
 		line = line.Int64(fmt.Sprintf("backlog%d", b.Priority), b.ReservedWork).Int64(fmt.Sprintf("fillers%d", b.Priority), b.FillerWork)
 	}
+	if f := slowestFillers(load.Fillers); f != nil {
+		line = line.Str("slowest", f.Image).Int64("slowestWork", f.Work).Int64("slowestCPU", f.CPU)
+	}
 	line.Msg("load summary changed")
 }
 
+// slowestFillers returns the fillers of the image that would take longest if they ran alone, or nil
+// if none are unfinished.
+func slowestFillers(loads []recorder.FillerLoad) *recorder.FillerLoad {
+	var slowest *recorder.FillerLoad
+	for i := range loads {
+		f := &loads[i]
+		if slowest == nil || f.Work*max(slowest.CPU, 1) > slowest.Work*max(f.CPU, 1) {
+			slowest = f
+		}
+	}
+	return slowest
+}
+
 // updateLoad updates the load of an owned shard in the view.
 func (m *Manager) updateLoad(shard string, load recorder.Load) {
 	m.mu.Lock()
