--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -12,8 +12,9 @@
 //
 // Many hosts decide by the same summaries, which are a second or more old. If all
 // took the shard with the earliest predicted end, it would be overloaded until they
-// learn of it. So while jobs wait somewhere, the shard is drawn at random among those
-// that meet the objective, by the work that each of them can still take.
+// learn of it. So while jobs wait somewhere, two shards that meet the objective are
+// drawn at random, and the job gets the one with the earlier predicted end (the power
+// of two choices).
 //
 // Long-running tasks hold their processors until their job is cancelled. If
 // they took everything, short tasks would find no capacity, so each shard
@@ -122,19 +123,35 @@
 
 // choose draws a shard of which the predicted end is within limit, or returns the one with the
 // earliest predicted end if there is none, or if jobs like this one hardly wait anywhere. For a job
-// with long-running tasks it draws one that is below its limit of these, or returns nil.
+// with long-running tasks it draws one that is below its limit of these, or returns nil if none is.
 func (w *Work) choose(shards []*Shard, limit time.Duration, random *rand.Rand) *Shard {
 	if w.LongRunningCPU > 0 {
 		return w.drawLongRunning(shards, random)
 	}
 	if slices.ContainsFunc(shards, func(s *Shard) bool { return w.wait(s) > shortWait }) {
-		if s := draw(shards, random, func(s *Shard) float64 { return w.headroom(s, limit) }); s != nil {
+		if s := w.betterOfTwo(shards, limit, random); s != nil {
 			return s
 		}
 	}
+	return w.earliest(shards)
+}
+
+// earliest returns the shard with the earliest predicted end.
+func (w *Work) earliest(shards []*Shard) *Shard {
 	return slices.MinFunc(shards, func(a, b *Shard) int { return cmp.Compare(w.predict(a), w.predict(b)) })
 }
 
+// betterOfTwo draws two shards with a probability proportional to their headroom, and returns the
+// one with the earlier predicted end. It returns nil if the end is out of reach on all shards.
+func (w *Work) betterOfTwo(shards []*Shard, limit time.Duration, random *rand.Rand) *Shard {
+	weight := func(s *Shard) float64 { return w.headroom(s, limit) }
+	first := draw(shards, random, weight)
+	if first == nil {
+		return nil
+	}
+	return w.earliest([]*Shard{first, draw(shards, random, weight)})
+}
+
 // headroom returns the work that the shard can still take until the predicted end of the job
 // exceeds limit, in millicore-seconds. It is 0 if the end is out of reach.
 func (w *Work) headroom(s *Shard, limit time.Duration) float64 {
