--- a/internal/job/manager/overload_test.go
+++ b/internal/job/manager/overload_test.go
@@ -1,6 +1,7 @@
 package manager_test
 
 import (
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,7 +9,9 @@
 	. "github.com/onsi/gomega"
 
 	"dotterelcart.dev/dotterelcart/internal/job/manager"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
+	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/state/faker"
 )
 
@@ -49,6 +52,33 @@
 	}
 }
 
+// TestOverloadedOwnerReleasesInVain has a host that could carry a shard better, but doesn't claim it,
+// such as one that has lost the store. It guards against a shard that is without an owner for seconds
+// again and again.
+func TestOverloadedOwnerReleasesInVain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers, operator := newService(g, []string{"w1"}, []string{"w2"})
+		a := newDaemonOn(oneWorkerHost("a"), store, workers)
+		defer a.Close()
+		time.Sleep(10 * time.Second) // until both shards are claimed
+		g.Expect(owners(a)).To(Equal([]string{"a", "a"}))
+		commit(g, operator, storer.Write{
+			Key: recorder.HostKey("idle"), Value: recorder.Encode(recorder.Host{Domain: "bne", CPU: 4, Format: recorder.Format}),
+		})
+		const interval = 100 * time.Millisecond
+		ownerless := time.Duration(0)
+		for range int(time.Minute / interval) {
+			time.Sleep(interval)
+			if slices.Contains(owners(a), "") {
+				ownerless += interval
+			}
+		}
+		g.Expect(ownerless).To(BeNumerically(">", time.Second), "a shard is left to the idle host")
+		g.Expect(ownerless).To(BeNumerically("<", 8*time.Second))
+	})
+}
+
 // storeDelay is the duration of a call to the store from another region.
 func storeDelay(faker.Call) time.Duration { return 60 * time.Millisecond }
 
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -59,18 +59,19 @@
 		delete(m.ownerlessSince, spec.Name)
 		return false
 	}
-	if m.claiming[spec.Name] || now.Before(m.leftToOthersUntil[spec.Name]) {
+	if m.claiming[spec.Name] {
 		return false
 	}
+	isLeft := now.Before(m.leftToOthersUntil[spec.Name])
 	if owner != "" {
-		return true // an earlier process of this daemon left the owner record behind
+		return !isLeft // an earlier process of this daemon left the owner record behind
 	}
 	since, ok := m.ownerlessSince[spec.Name]
 	if !ok {
 		m.ownerlessSince[spec.Name] = now
 		since = now
 	}
-	return now.Sub(since) >= m.claimDelay(spec)
+	return !isLeft && now.Sub(since) >= m.claimDelay(spec)
 }
 
 // claimDelay returns how long the daemon leaves a shard to others. It is shorter
@@ -95,6 +96,11 @@
 	defer m.mu.Unlock()
 	owner := m.self()
 	var found *ownedShard
+	for _, o := range m.owned {
+		if now.Sub(m.leftToOthersUntil[o.spec.Name]) < unclaimedWait {
+			return nil // it was released, and no other host has claimed it
+		}
+	}
 	for _, o := range m.owned {
 		shard := divider.Shard(o.spec.ShardLayout)
 		if now.Sub(o.startedAt) > minOwnership && divider.BetterOwner(owner, &shard, m.hosts()) {
@@ -119,6 +125,7 @@
 	minOwnership    = 8 * time.Second // from the claim to a release
 	overloadWait    = 2 * time.Second // overload before a release
 	betterOwnerWait = 3 * time.Second // from a release until its owner may claim the shard again
+	unclaimedWait   = time.Minute     // from then until the next release if the host has claimed the shard again
 )
 
 // leaveToBetterOwner releases a shard and leaves it to other hosts for betterOwnerWait. Until the
