--- a/internal/job/dispatcher/quorum.go
+++ b/internal/job/dispatcher/quorum.go
@@ -1,10 +1,6 @@
 package dispatcher
 
-import (
-	"time"
-
-	"dotterelcart.dev/dotterelcart/internal/job/recorder"
-)
+import "time"
 
 // An owner that can't reach the store doesn't know whether it has been replaced. Its successor has
 // to know how long it goes on renewing leases, since the runs on workers that don't answer the
@@ -117,10 +113,10 @@
 // reviewQuorum checks whether earlier owners still renew leases, when one more of their workers takes
 // no orders from them any more.
 func (s *Shard) reviewQuorum() {
-	previous := &s.options.Previous
-	if s.quorum.earlierFenced || previous.Rule != recorder.QuorumRule {
+	if s.quorum.earlierFenced {
 		return
 	}
+	previous := &s.options.Previous
 	voters := previous.QuorumVoters()
 	fenced := 0
 	for _, id := range voters {
--- a/internal/job/manager/record.go
+++ b/internal/job/manager/record.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
 	"dotterelcart.dev/dotterelcart/internal/state/fencer"
@@ -14,7 +13,7 @@
 // confirms the ownership of exactly those shards whose record is bound to the renewed lease.
 
 // leaseRenewed confirms the ownership of the shards whose owner record is bound to the lease.
-func (m *Manager) leaseRenewed(time.Time) {
+func (m *Manager) leaseRenewed() {
 	m.recordContact()
 	lease, sent := m.lease.Renewal()
 	m.mu.Lock()
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// claim makes a daemon the owner of the shard.
+func claim(ctx context.Context, g Gomega, client *faker.Client, daemon string) *Fence {
+	f := New("menus", daemon, client)
+	g.Expect(f.Claim(ctx, ownerWrite(ctx, g, client, daemon))).To(Succeed())
+	return f
+}
+
 // put returns a write of text to the key "k".
 func put(text string) []storer.Write { return []storer.Write{{Key: "k", Value: []byte(text)}} }
 
@@ -64,8 +71,7 @@
 		ctx := t.Context()
 		a, b := store.Client("a"), store.Client("b")
 		claim := func(daemon string, client *faker.Client) *Fence {
-			f := New("menus", daemon, client)
-			g.Expect(f.Claim(ctx, ownerWrite(ctx, g, client, daemon))).To(Succeed())
+			f := claim(ctx, g, client, daemon)
 			return f
 		}
 		g.Expect(claim("a", a).OwnerEnded).To(BeFalse())
@@ -102,8 +108,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a := store.Client("a")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		lost := 0
 		a.SetFault(func(c faker.Call) faker.Outcome {
 			if c.Operation == "commit" && lost < 2 {
@@ -124,8 +129,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a, key := store.Client("a"), recorder.OwnerKey("menus")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		a.SetDelay(func(c faker.Call) time.Duration { return 2 * time.Second })
 		limited, cancel := context.WithTimeout(ctx, time.Second)
 		defer cancel()
@@ -143,8 +147,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a := store.Client("a")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		a.SetDown(true)
 		time.AfterFunc(30*time.Second, func() { a.SetDown(false) })
 		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
@@ -181,8 +184,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a := store.Client("a")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
 		g.Expect(f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "k"}}, Put: put("2")})).To(MatchError(ErrConditionFailed))
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
@@ -234,8 +236,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		a := store.Client("a")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		f.store = &silentStore{Client: a}
 		began := time.Now()
 		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
--- a/internal/state/fencer/late_test.go
+++ b/internal/state/fencer/late_test.go
@@ -29,8 +29,7 @@
 			inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 				ctx := t.Context()
 				a, b := store.Client("a"), store.Client("b")
-				first := New("menus", "a", a)
-				g.Expect(first.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+				first := claim(ctx, g, a, "a")
 				g.Expect(end(ctx, first)).To(Succeed())
 				time.Sleep(4 * time.Second) // the first owner's lease expires
 
@@ -44,8 +43,7 @@
 				defer cancel()
 				g.Expect(New("menus", "b", b).Claim(limited, ownerWrite(ctx, g, b, "b"))).NotTo(Succeed())
 				b.SetDelay(nil)
-				second := New("menus", "b", b)
-				g.Expect(second.Claim(ctx, ownerWrite(ctx, g, b, "b"))).To(Succeed())
+				second := claim(ctx, g, b, "b")
 				g.Expect(second.Epoch).To(BeEquivalentTo(2), "the late claim has taken effect")
 				g.Expect(second.Previous).To(Equal(recorder.WorkerList{Workers: list.Workers}), "the longest wait for each worker")
 				g.Expect(second.OwnerEnded).To(BeFalse())
@@ -77,8 +75,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a, operator := store.Client("a"), store.Client("operator")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		late := &lateStore{Client: a}
 		f.store = late
 		time.AfterFunc(attemptTimeout/2, func() {
--- a/internal/state/fencer/restore_test.go
+++ b/internal/state/fencer/restore_test.go
@@ -19,8 +19,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a := store.Client("a")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		time.Sleep(4 * time.Second) // the lease ends
 		record := ownerWrite(ctx, g, a, "a")
 		a.SetDelay(func(faker.Call) time.Duration { return 2 * time.Second })
@@ -62,8 +61,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a := store.Client("a")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		f.store = &endedLeaseStore{Client: a}
 		g.Expect(f.RestoreOwner(ctx, ownerWrite(ctx, g, a, "a"))).To(MatchError(storer.ErrNoLease))
 		g.Expect(f.RestoreOwner(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
@@ -76,8 +74,7 @@
 	inBubble(t, func(t *testing.T, g Gomega, store *faker.Store) {
 		ctx := t.Context()
 		a, key := store.Client("a"), recorder.OwnerKey("menus")
-		f := New("menus", "a", a)
-		g.Expect(f.Claim(ctx, ownerWrite(ctx, g, a, "a"))).To(Succeed())
+		f := claim(ctx, g, a, "a")
 		a.SetDelay(func(faker.Call) time.Duration { return time.Second })
 		restored := make(chan error)
 		record := ownerWrite(ctx, g, a, "a")
--- a/internal/state/holder/holder.go
+++ b/internal/state/holder/holder.go
@@ -128,7 +128,7 @@
 	h.lease = leaser.New(leaser.Options{
 		TTL:     o.TTL,
 		Margin:  o.Margin,
-		Renewed: func(time.Time) { h.onRenewal() },
+		Renewed: h.onRenewal,
 		Ended:   func(int64) { h.restoreOwners() },
 		Log:     o.Log,
 	}, h.store)
--- a/internal/state/leaser/leaser.go
+++ b/internal/state/leaser/leaser.go
@@ -42,9 +42,8 @@
 	TTL    time.Duration // time to live in the store without renewals
 	Margin time.Duration // allowance for clock drift during one TTL
 
-	// Renewed is called after each successful renewal, with the time at which it was sent;
-	// nil means no call.
-	Renewed func(sent time.Time)
+	// Renewed is called after each successful renewal; nil means no call.
+	Renewed func()
 	// Ended is called with the ID of the lease when the store reports that it
 	// does not exist any more; nil means no call. The next Acquire has a new
 	// lease granted.
@@ -198,7 +197,7 @@
 	switch {
 	case err == nil:
 		if l.extend(id, sent) && l.options.Renewed != nil {
-			l.options.Renewed(sent)
+			l.options.Renewed()
 		}
 	case errors.Is(err, storer.ErrNoLease):
 		l.log.Warn().Int64("lease", id).Msg("lease expired")
