--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -12,9 +12,8 @@
 //
 // Many hosts decide by the same summaries, which are a second or more old. If all
 // took the shard with the earliest predicted end, it would be overloaded until they
-// learn of it. So while jobs wait somewhere, two shards that meet the objective are
-// drawn at random, and the job gets the one with the earlier predicted end (the power
-// of two choices).
+// learn of it. So while jobs wait somewhere, the shard is drawn at random among those
+// that meet the objective and on which the job would end hardly later than on the best.
 //
 // Long-running tasks hold their processors until their job is cancelled. If
 // they took everything, short tasks would find no capacity, so each shard
@@ -38,6 +37,7 @@
 	objectiveTolerance = 1.3                    // accepted ratio of the predicted end to the objective
 	otherDomainPenalty = 150 * time.Millisecond // added to the prediction for a shard of another failure domain
 	shortWait          = otherDomainPenalty     // wait up to which the nearest shard is better than any
+	spreadMargin       = time.Second            // by how much later than on the best shard a job may be predicted to end
 	minRetryAfter      = 500 * time.Millisecond
 	maxRetryAfter      = 8 * time.Second // limit before jitter is added
 	minRate            = 50              // millicores; lowest processing rate assumed for a backlog, also in a full shard
@@ -121,35 +121,25 @@
 	return best
 }
 
-// choose draws a shard of which the predicted end is within limit, or returns the one with the
-// earliest predicted end if there is none, or if jobs like this one hardly wait anywhere. For a job
-// with long-running tasks it draws one that is below its limit of these, or returns nil if none is.
+// choose returns the shard with the earliest predicted end, or draws one of those that are hardly
+// later if jobs like this one wait somewhere. For a job with long-running tasks it draws one that
+// is below its limit of these, or returns nil if none is.
 func (w *Work) choose(shards []*Shard, limit time.Duration, random *rand.Rand) *Shard {
 	if w.LongRunningCPU > 0 {
 		return w.drawLongRunning(shards, random)
 	}
-	if slices.ContainsFunc(shards, func(s *Shard) bool { return w.wait(s) > shortWait }) {
-		if s := w.betterOfTwo(shards, limit, random); s != nil {
-			return s
-		}
+	earliest := slices.MinFunc(shards, func(a, b *Shard) int { return cmp.Compare(w.predict(a), w.predict(b)) })
+	if !slices.ContainsFunc(shards, func(s *Shard) bool { return w.wait(s) > shortWait }) {
+		return earliest
 	}
-	return w.earliest(shards)
-}
-
-// earliest returns the shard with the earliest predicted end.
-func (w *Work) earliest(shards []*Shard) *Shard {
-	return slices.MinFunc(shards, func(a, b *Shard) int { return cmp.Compare(w.predict(a), w.predict(b)) })
-}
-
-// betterOfTwo draws two shards with a probability proportional to their headroom, and returns the
-// one with the earlier predicted end. It returns nil if the end is out of reach on all shards.
-func (w *Work) betterOfTwo(shards []*Shard, limit time.Duration, random *rand.Rand) *Shard {
-	weight := func(s *Shard) float64 { return w.headroom(s, limit) }
-	first := draw(shards, random, weight)
-	if first == nil {
-		return nil
-	}
-	return w.earliest([]*Shard{first, draw(shards, random, weight)})
+	latest := w.predict(earliest) + spreadMargin
+	drawn := draw(shards, random, func(s *Shard) float64 {
+		if w.predict(s) > latest {
+			return 0
+		}
+		return w.headroom(s, limit)
+	})
+	return cmp.Or(drawn, earliest)
 }
 
 // headroom returns the work that the shard can still take until the predicted end of the job
