--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -37,7 +37,7 @@
 	objectiveTolerance = 1.3                    // accepted ratio of the predicted end to the objective
 	otherDomainPenalty = 150 * time.Millisecond // added to the prediction for a shard of another failure domain
 	shortWait          = otherDomainPenalty     // wait up to which the nearest shard is better than any
-	spreadMargin       = time.Second            // by how much later than on the best shard a job may be predicted to end
+	spreadMargin       = 2 * time.Second        // by how much later than on the best shard a job may be predicted to end
 	minRetryAfter      = 500 * time.Millisecond
 	maxRetryAfter      = 8 * time.Second // limit before jitter is added
 	minRate            = 50              // millicores; lowest processing rate assumed for a backlog, also in a full shard
