--- a/internal/control/divider/host.go
+++ b/internal/control/divider/host.go
@@ -86,7 +86,7 @@
 // Delays before a host claims a shard without an owner.
 const (
 	loadDelay         = 100 * time.Millisecond // for a load of 1.5 times the capacity, quadratic above half of it
-	overloadDelay     = 3 * time.Second        // in addition, for each capacity by which the load exceeds it
+	overloadDelay     = 3 * time.Second        // in addition, for a load of twice the capacity, linear above it
 	maxLoadDelay      = 3500 * time.Millisecond
 	otherDomainDelay  = 300 * time.Millisecond
 	otherRegionDelay  = 900 * time.Millisecond // in addition; hosts far from the store learn of a shard later
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -96,10 +96,8 @@
 	defer m.mu.Unlock()
 	owner := m.self()
 	var found *ownedShard
-	for _, o := range m.owned {
-		if now.Sub(m.leftToOthersUntil[o.spec.Name]) < unclaimedWait {
-			return nil // it was released, and no other host has claimed it
-		}
+	if m.hasReleasedInVain(now) {
+		return nil
 	}
 	for _, o := range m.owned {
 		shard := divider.Shard(o.spec.ShardLayout)
@@ -120,6 +118,17 @@
 	return nil
 }
 
+// hasReleasedInVain reports whether this daemon has lately claimed a shard again that it had
+// released, since no other host did. The caller holds m.mu.
+func (m *Manager) hasReleasedInVain(now time.Time) bool {
+	for name := range m.owned {
+		if now.Sub(m.leftToOthersUntil[name]) < unclaimedWait {
+			return true
+		}
+	}
+	return false
+}
+
 // Limits of releases to better owners.
 const (
 	minOwnership    = 8 * time.Second // from the claim to a release
