--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -313,6 +313,28 @@
 // owners returns the hosts' names in the owner records that the store holds.
 func (d *deployment) owners() map[string]string { return d.store.values("owner/") }
 
+// removeOwners removes the machines of all owners of shards for good.
+func (d *deployment) removeOwners() {
+	for _, value := range d.owners() {
+		for _, h := range d.hosts {
+			if strings.Contains(value, `"`+h.name+`"`) {
+				h.remove()
+			}
+		}
+	}
+}
+
+// remove kills the process for good.
+func (h *host) remove() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+	if h.cmd != nil {
+		h.record.printf("host %s: removed for good", h.name)
+		_ = h.cmd.Process.Signal(syscall.SIGKILL)
+	}
+}
+
 // close ends all processes.
 func (d *deployment) close() {
 	for _, h := range d.hosts {
--- a/review/standin-2/lasting.go
+++ b/review/standin-2/lasting.go
@@ -6,7 +6,10 @@
 	"time"
 )
 
-func init() { cases["lost-workers"] = lostWorkers }
+func init() {
+	cases["lost-workers"] = func(d *deployment, trouble bool) outcome { return lostWorkers(d, trouble, 84, false) }
+	cases["lost-owner"] = func(d *deployment, trouble bool) outcome { return lostWorkers(d, trouble, 50, true) }
+}
 
 // Bounds of the rule LOST for tasks that last.
 const (
@@ -16,15 +19,18 @@
 	watchEvery = 20 * time.Millisecond
 )
 
-// lostWorkers fills four fifths of the service with tasks that last, and loses a quarter of the
-// workers for good.
-func lostWorkers(d *deployment, trouble bool) outcome {
+// ownerDelay is how long after the workers the owner's machine is lost.
+const ownerDelay = 1500 * time.Millisecond
+
+// lostWorkers fills a share of the service, in percent, with tasks that last, and loses a seventh of
+// the workers for good. If alsoOwner is set, the machine of the owner is lost for good as well.
+func lostWorkers(d *deployment, trouble bool, share int, alsoOwner bool) outcome {
 	d.configure(3, plainRoute("batch"))
 	if !d.start() {
 		return failed
 	}
 	workers := len(d.fleet.slots)
-	tasks := workers * workerCPU * 84 / 100 / lastingCPU
+	tasks := workers * workerCPU * share / 100 / lastingCPU
 	var jobs []*job
 	for i := 0; i < tasks/4; i++ {
 		j := &job{ID: newID(), Specification: "x", queue: "batch", Steps: []*step{{Count: 4, Cpu: lastingCPU, MemoryRequestMb: 100, EstimatedMs: 300, Persistent: true, length: time.Hour}}}
@@ -46,6 +52,9 @@
 			d.fleet.crash(d.fleet.slots[k])
 		}
 	}
+	if trouble && alsoOwner {
+		time.AfterFunc(ownerDelay, d.removeOwners)
+	}
 	lost := time.Now()
 	noted := map[string]time.Time{}
 	worst := time.Duration(0)
