--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -37,6 +37,7 @@
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	stopped bool // no process is to run
+	lapses  int  // readiness checks that failed after the first good one
 	exits   int  // processes that ended by themselves, or went over the limit of memory
 	peakMb  int
 }
@@ -251,6 +252,9 @@
 			ready = response.StatusCode == http.StatusOK
 		}
 		h.mu.Lock()
+		if h.ready && !ready {
+			h.lapses++
+		}
 		if ready != h.ready {
 			h.record.printf("host %s: ready %t", h.name, ready)
 		}
@@ -313,6 +317,24 @@
 // owners returns the hosts' names in the owner records that the store holds.
 func (d *deployment) owners() map[string]string { return d.store.values("owner/") }
 
+// verdict returns the outcome of a case whose hosts have to be in touch all the while: their
+// processes run, and are ready.
+func (d *deployment) verdict(rule string) outcome {
+	code := held
+	if d.record.count(rule) > 0 {
+		code = broke
+	}
+	for _, h := range d.hosts {
+		h.mu.Lock()
+		d.record.printf("host %s: %d processes have ended, %d lapses of readiness", h.name, h.exits, h.lapses)
+		if h.exits+h.lapses > 0 {
+			code = failed
+		}
+		h.mu.Unlock()
+	}
+	return code
+}
+
 // removeOwners removes the machines of all owners of shards for good.
 func (d *deployment) removeOwners() {
 	for _, value := range d.owners() {
--- a/review/standin-2/lasting.go
+++ b/review/standin-2/lasting.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"time"
 )
 
@@ -19,6 +20,9 @@
 	watchEvery = 20 * time.Millisecond
 )
 
+// pollTime is the longest time between two polls of a worker.
+const pollTime = 1500 * time.Millisecond
+
 // ownerDelay is how long after the workers the owner's machine is lost.
 const ownerDelay = 1500 * time.Millisecond
 
@@ -47,6 +51,7 @@
 	if waiting > 0 || len(jobs) < tasks/4*9/10 {
 		return failed
 	}
+	time.Sleep(rand.N(pollTime)) // the owner polls in its own time, which must not decide
 	if trouble {
 		for k := range workers / 7 {
 			d.fleet.crash(d.fleet.slots[k])
@@ -63,10 +68,13 @@
 		d.watchIdle(jobs, noted, &worst)
 	}
 	d.record.printf("the longest time without a run was %v", worst.Round(10*time.Millisecond))
-	if d.record.count("LOST") > 0 {
-		return broke
+	if alsoOwner {
+		if d.record.count("LOST") > 0 {
+			return broke
+		}
+		return held
 	}
-	return held
+	return d.verdict("LOST")
 }
 
 // idle returns how many tasks of the jobs don't run.
