job/manager: the outcome of each request for placement advice in logs and metrics

The logs had "advice request failed" without workers, limit or time, so that they couldn't tell a limit that is too short from a wait for the turn, a refusal (429) or a connection that fails.

The outcome is typed in place of a flag. No decision changes.

--- a/internal/job/dispatcher/advice.go
+++ b/internal/job/dispatcher/advice.go
@@ -18,8 +18,9 @@
 // RequestAdvice requests tickets that allow workers to run a step. The answer is
 // AdviceAnswered.
 type RequestAdvice struct {
-	Step    specifier.TaskID // id of the step's first task
-	Workers []specifier.Worker
+	Step     specifier.TaskID // id of the step's first task
+	Workers  []specifier.Worker
+	Expected time.Duration // how long it takes by the configuration
 }
 
 // AdviceAnswered is the outcome of RequestAdvice. Requested workers without a ticket
@@ -29,7 +30,24 @@
 	Requested []specifier.Worker
 	Tickets   []Ticket
 	Validity  time.Duration
-	Failed    bool // no answer; the request has to be repeated
+	Outcome   AdviceOutcome
+}
+
+// AdviceOutcome is how a request for placement advice has ended.
+type AdviceOutcome uint8
+
+// Outcomes of requests for placement advice.
+const (
+	AdviceGiven       AdviceOutcome = iota
+	AdviceTimedOut                  // no answer in time
+	AdviceRefused                   // the adviser refused the request, as when too many wait
+	AdviceUnreachable               // the connection failed
+	AdviceNoService                 // the settings name no adviser
+)
+
+// String returns the text of the outcome in logs and metrics.
+func (o AdviceOutcome) String() string {
+	return [...]string{"given", "timeout", "refused", "unreachable", "no-service"}[o]
 }
 
 // Ticket allows one incarnation of a worker to run a step.
@@ -78,7 +96,7 @@
 		return
 	}
 	st.advice.requested = true
-	s.emit(RequestAdvice{Step: st.tasks[0].id(), Workers: workers})
+	s.emit(RequestAdvice{Step: st.tasks[0].id(), Workers: workers, Expected: st.job.queue.Advice.CallTime(len(workers))})
 	s.emit(Log{Message: "advice requested", Job: st.job.spec.ID, Task: st.tasks[0].id().StepID()})
 }
 
@@ -118,7 +136,7 @@
 	}
 	st := j.task(e.Step).step
 	st.advice.requested = false
-	if e.Failed {
+	if e.Outcome != AdviceGiven {
 		st.advice.retryAt = s.now.Add(adviceRetryDelay)
 		return
 	}
--- a/internal/job/dispatcher/advice_test.go
+++ b/internal/job/dispatcher/advice_test.go
@@ -101,7 +101,7 @@
 		h := newHarness(advised, "w1")
 		h.feed(JobArrived{Job: oneStep(9, nil)})
 		requests := takeEffects[RequestAdvice](h)
-		h.feed(AdviceAnswered{Step: requests[0].Step, Failed: true})
+		h.feed(AdviceAnswered{Step: requests[0].Step, Outcome: AdviceTimedOut})
 		Expect(takeEffects[RequestAdvice](h)).To(BeEmpty())
 		h.advance(adviceRetryDelay)
 		requests = takeEffects[RequestAdvice](h)
--- a/internal/job/manager/metrics.go
+++ b/internal/job/manager/metrics.go
@@ -20,6 +20,7 @@
 	polls      tally.Histogram // duration of polls without a wait
 	commits    tally.Histogram // duration of commits, from the first attempt to the known outcome
 	reduce     tally.Histogram // duration of Shard.Reduce
+	advice     tally.Histogram // duration of requests for placement advice, without the wait for earlier ones
 	lostShards tally.Counter   // shards lost to another owner or released
 
 	startedDuplicates tally.Counter // second runs that were started
@@ -42,6 +43,7 @@
 		polls:      scope.Histogram("worker_hold", latencyBuckets),
 		commits:    scope.Histogram("shard_commit", latencyBuckets),
 		reduce:     scope.Histogram("shard_reduce", tally.MustMakeExponentialDurationBuckets(time.Microsecond*10, 2, 16)),
+		advice:     scope.Histogram("advice_request", latencyBuckets),
 		lostShards: scope.Counter("shards_lost"),
 
 		startedDuplicates: scope.Counter("duplicates_started"),
@@ -64,6 +66,12 @@
 	counter.Inc(1)
 }
 
+// countAdvice counts a request for placement advice by its outcome.
+func (m *metrics) countAdvice(outcome dispatcher.AdviceOutcome, took time.Duration) {
+	m.scope.Tagged(map[string]string{"outcome": outcome.String()}).Counter("advice_requests").Inc(1)
+	m.advice.RecordDuration(took)
+}
+
 // countLostRuns counts runs that were lost with their worker.
 func (m *metrics) countLostRuns(e dispatcher.RunsLost) {
 	m.scope.Tagged(map[string]string{"cause": e.Cause.String()}).Counter("runs_lost").Inc(int64(e.Runs))
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -283,7 +283,7 @@
 	case dispatcher.ReportWaiting:
 		o.calls.Go(func() { o.reportWaiting(e.Waits) })
 	case dispatcher.RequestAdvice:
-		o.calls.Go(func() { o.post(o.manager.advise(ctx, e)) })
+		o.calls.Go(func() { o.post(o.advise(ctx, e)) })
 	case dispatcher.Commit:
 		o.calls.Go(func() { o.commit(ctx, e) })
 	case dispatcher.FindShard:
@@ -301,23 +301,6 @@
 	}
 }
 
-// advise calls the adviser, one call at a time.
-func (m *Manager) advise(ctx context.Context, e dispatcher.RequestAdvice) dispatcher.AdviceAnswered {
-	failed := dispatcher.AdviceAnswered{Step: e.Step, Failed: true}
-	if m.options.Adviser == nil {
-		return failed
-	}
-	select {
-	case m.adviceSlot <- struct{}{}:
-	case <-ctx.Done():
-		return failed
-	}
-	defer func() { <-m.adviceSlot }()
-	limited, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	return m.options.Adviser.Advise(limited, e)
-}
-
 // callWorker sends an order to a worker and posts the outcome.
 func (o *ownedShard) callWorker(ctx context.Context, effect dispatcher.Effect) {
 	token := o.fence.Token
--- a/internal/job/specifier/catalog.go
+++ b/internal/job/specifier/catalog.go
@@ -37,6 +37,11 @@
 	Validity      time.Duration `json:"validity,omitempty"` // lifetime of a ticket
 }
 
+// CallTime returns how long a request takes that names a number of workers.
+func (a *Advice) CallTime(workers int) time.Duration {
+	return a.RequestTime + time.Duration(workers)*a.PerWorkerTime
+}
+
 // Service is a pool of workers that run the same kind of tasks.
 type Service struct {
 	Name            string
