job: requests for advice by the queue's own times, few workers at a time, answers used however late

Cause: a request named up to 24 workers and was given up after 1.5 s, whatever the configuration says of the queue's advice: RequestTime, PerWorkerTime and Validity were read by the checks of files only. It was made again, unchanged, after 0.4 s. A ticket counted as expired 0.3 s early, so that one that lives for less was never used.

No 429, no connection error, no start without a ticket.

Change: the dispatcher has one request in progress for a shard and gives its queues turns by time (package rotator, start-time fair queueing). A request names the workers that the step would use now, as many as bring nearly the most approvals a second by the queue's times (package batcher), and less time than its tickets last where that can be. A gang finds allowed workers first and then renews all tickets that would expire, with one request. The manager gives no request up before twice the expected time and 30 s: the adviser may go on with it, and the answer counts when it comes. 1.5 s beyond one and a half times the expected time the next request may go beside it (three at most), with fewer workers for the same step. Failures are followed by growing delays, and so are answers after which nothing starts. A ticket's margin is at most half of its lifetime.

Tests, with virtual time. TestAdviceThatTakesLong (manager): on the commit before the jobs stay queued. TestAdviceOfAnyDuration (dispatcher; a property over the times, queues, workers, gangs): failed after 0 tests on the commit before, as did TestSlowAdviceKeepsNoQueueWaiting and TestLostAdviceAnswer. TestSlowerAdviserThanConfigured and TestGangOfManyWorkersWithShortTickets passed there, since the limit is the manager's.

--- a/internal/control/fitter/fitter.go
+++ b/internal/control/fitter/fitter.go
@@ -12,7 +12,12 @@
 // that as long as a worker there has room.
 package fitter
 
-import "dotterelcart.dev/dotterelcart/internal/control/describer"
+import (
+	"cmp"
+	"slices"
+
+	"dotterelcart.dev/dotterelcart/internal/control/describer"
+)
 
 // Candidate is what one worker has left for further tasks.
 type Candidate struct {
@@ -59,6 +64,20 @@
 	return best
 }
 
+// Rank returns the indices of the candidates on which the request fits and for which allowed
+// returns true, the best first.
+func Rank(candidates []Candidate, r Request, allowed func(i int) bool) []int {
+	var out []int
+	scores := make([]float64, len(candidates))
+	for i := range candidates {
+		if c := &candidates[i]; r.Fits(c) && allowed(i) {
+			out, scores[i] = append(out, i), r.score(c)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b int) int { return cmp.Compare(scores[b], scores[a]) })
+	return out
+}
+
 // sameImageWeight groups serving tasks of one image on the same workers. That
 // leaves other workers without tasks that fillers of a given image disturb.
 const sameImageWeight = 1.5
--- a/internal/control/fitter/fitter_test.go
+++ b/internal/control/fitter/fitter_test.go
@@ -81,6 +81,12 @@
 		Expect(Choose(candidates, r, anywhere)).To(Equal(2))
 	})
 
+	It("ranks the allowed workers with room as it chooses among them", func() {
+		candidates := []Candidate{candidate(2000), candidate(500), candidate(8000), candidate(4000)}
+		ranked := Rank(candidates, request(1000), func(i int) bool { return i != 3 })
+		Expect(ranked).To(Equal([]int{2, 0}))
+	})
+
 	It("subtracts what a task takes", func() {
 		c := candidate(4000)
 		r := request(1000)
--- a/internal/job/dispatcher/advice.go
+++ b/internal/job/dispatcher/advice.go
@@ -2,34 +2,53 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
+	"dotterelcart.dev/dotterelcart/internal/control/rotator"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
+// On some queues a step may run only on workers for which the adviser has issued a ticket.
+// The adviser handles one request of a host at a time and takes longer the more workers a
+// request names, see specifier.Advice. So a shard has one request in progress, and gives
+// the queues turns. A request names the workers that the step would use now, few of them if
+// each takes long, so that the first tasks start before the last worker is judged.
+//
+// A ticket is used as soon as it arrives. Whether the adviser allows a worker never changes,
+// so that a late answer is used, too.
+
 // Limits of requests for placement advice.
 const (
-	maxAdviceWorkers = 24                     // workers in one request; each takes the service additional time
-	adviceRetryDelay = 400 * time.Millisecond // delay after a failed request
-	ticketMargin     = 300 * time.Millisecond // a ticket isn't used any more this long before it expires
+	maxAdviceWorkers   = 100                    // workers in one request
+	maxAdviceRequests  = 3                      // requests in progress, of which all but the last one are delayed
+	minAdviceBackoff   = 400 * time.Millisecond // first delay after a request that failed
+	maxAdviceBackoff   = 3200 * time.Millisecond
+	minAdviceTurn      = 10 * time.Millisecond // shortest time that a request counts for in the turns of the queues
+	maxCountedVerdicts = 200                   // verdicts about a queue after which earlier ones count half
 )
 
-// RequestAdvice requests tickets that allow workers to run a step. The answer is
-// AdviceAnswered.
+// RequestAdvice requests tickets that allow workers to run a step. Each request is answered
+// by one AdviceAnswered, however late.
 type RequestAdvice struct {
+	Number   int64            // of the request in this shard
 	Step     specifier.TaskID // id of the step's first task
 	Workers  []specifier.Worker
 	Expected time.Duration // how long it takes by the configuration
 }
 
+// AdviceDelayed reports that a request takes much longer than expected. The answer may still
+// come.
+type AdviceDelayed struct{ Number int64 }
+
 // AdviceAnswered is the outcome of RequestAdvice. Requested workers without a ticket
 // must not run the step.
 type AdviceAnswered struct {
+	Number    int64
 	Step      specifier.TaskID
 	Requested []specifier.Worker
 	Tickets   []Ticket
-	Validity  time.Duration
+	Validity  time.Duration // lifetime of the tickets
+	Received  time.Time     // when the answer arrived; zero is now
 	Outcome   AdviceOutcome
 }
 
@@ -57,101 +76,172 @@
 }
 
 func (RequestAdvice) effect() {}
+func (AdviceDelayed) event()  {}
 func (AdviceAnswered) event() {}
 
-// advice is what is known about which workers may run a step.
-type advice struct {
-	requested bool // a request has no answer yet
-	retryAt   time.Time
-	verdicts  map[string]verdict // by worker id
+// advising is how a shard uses the adviser.
+type advising struct {
+	last      int64 // number of the last request
+	requests  []adviceRequest
+	turns     rotator.Turns[string] // by queue
+	failures  int                   // requests that failed since the last answer
+	retryAt   time.Time             // no request before this time
+	approvals map[string]approval   // by queue
 }
 
-// verdict is the advice about one worker. Whether the worker is allowed never
-// changes; a ticket expires and is for one incarnation of the worker.
-type verdict struct {
-	allowed     bool
-	ticket      string
-	incarnation int64
-	expires     time.Time
+// adviceRequest is a request in progress.
+type adviceRequest struct {
+	number  int64
+	step    *step
+	workers int // number of workers that it names
+	delayed bool
 }
 
-// ticketFor returns a ticket for the step that is valid on the worker now.
-func (st *step) ticketFor(w *worker, now time.Time) (string, bool) {
-	v := st.advice.verdicts[w.reg.ID]
-	if !v.allowed || v.incarnation != w.reg.Incarnation || !now.Before(v.expires) {
-		return "", false
+// approval counts the verdicts about workers for the steps of a queue.
+type approval struct{ allowed, judged float64 }
+
+// rate returns the probability that a further worker is allowed.
+func (a approval) rate() float64 { return (a.allowed + 1) / (a.judged + 2) }
+
+// isBusy reports whether the adviser may still work on a request without which another one
+// would only wait.
+func (a *advising) isBusy() bool {
+	for _, r := range a.requests {
+		if !r.delayed {
+			return true
+		}
 	}
-	return v.ticket, true
+	return len(a.requests) >= maxAdviceRequests
 }
 
-// requestAdvice requests tickets for workers that have room for the step's
-// waiting tasks but no valid ticket.
-func (p *placement) requestAdvice(st *step) {
-	s := p.shard
-	if !st.job.queue.Advice.Needed || st.advice.requested || st.waiting == 0 || s.now.Before(st.advice.retryAt) {
-		return
+// count adds a verdict about a worker that is new.
+func (a *advising) count(queue string, allowed bool) {
+	if a.approvals == nil {
+		a.approvals = make(map[string]approval)
 	}
-	workers := p.adviceCandidates(st)
-	if len(workers) == 0 {
-		return
+	c := a.approvals[queue]
+	if c.judged >= maxCountedVerdicts {
+		c.allowed, c.judged = c.allowed/2, c.judged/2
+	}
+	c.judged++
+	if allowed {
+		c.allowed++
 	}
-	st.advice.requested = true
-	s.emit(RequestAdvice{Step: st.tasks[0].id(), Workers: workers, Expected: st.job.queue.Advice.CallTime(len(workers))})
-	s.emit(Log{Message: "advice requested", Job: st.job.spec.ID, Task: st.tasks[0].id().StepID()})
-}
-
-// adviceCandidates returns at most maxAdviceWorkers workers that have room for
-// the step but no valid ticket: first those known to be allowed, then those
-// about which there is no answer yet.
-func (p *placement) adviceCandidates(st *step) []specifier.Worker {
-	request := st.request()
-	var known, unknown []int
-	for i, w := range p.workers {
-		v, answered := st.advice.verdicts[w.reg.ID]
-		_, valid := st.ticketFor(w, p.shard.now)
-		switch {
-		case valid || answered && !v.allowed || !request.Fits(&p.candidates[i]) || !w.reg.HasLabel(st.spec.Label):
-		case answered:
-			known = append(known, i)
-		default:
-			unknown = append(unknown, i)
+	a.approvals[queue] = c
+}
+
+// adviceBackoff returns the delay before the next request after n that failed in a row.
+func adviceBackoff(n int) time.Duration {
+	backoff := minAdviceBackoff
+	for range n - 1 {
+		backoff = min(2*backoff, maxAdviceBackoff)
+	}
+	return backoff
+}
+
+// advice is what is known about which workers may run a step.
+type advice struct {
+	verdicts   map[string]verdict // by worker id
+	maxWorkers int                // limit of workers that no verdict is known about in one request; 0 is none
+	failures   int                // requests that failed since the last answer
+	unused     int                // answers in a row that said nothing new, and after which nothing started
+	retryAt    time.Time          // no request before this time
+}
+
+// started notes that a start with a ticket has succeeded.
+func (a *advice) started() { a.unused, a.retryAt = 0, time.Time{} }
+
+// waste notes an answer that was of no use. The first one is followed by another request at
+// once, since the step's situation may have changed while it was in progress.
+func (a *advice) waste(now time.Time) {
+	a.unused++
+	if a.unused > 1 {
+		a.retryAt = now.Add(adviceBackoff(a.unused - 1))
+	}
+}
+
+// adviceDelayed lets other requests go on beside one that takes long. The next one for the
+// same step names fewer workers.
+func (s *Shard) adviceDelayed(e AdviceDelayed) {
+	for i := range s.advising.requests {
+		r := &s.advising.requests[i]
+		if r.number != e.Number {
+			continue
 		}
+		r.delayed = true
+		r.step.advice.maxWorkers = max(r.workers/2, 1)
+		s.placementDue = true
+		s.emit(Log{Message: "advice delayed", Job: r.step.job.spec.ID, Task: r.step.tasks[0].id().StepID()})
 	}
-	byRoom := func(a, b int) int { return cmp.Compare(p.candidates[b].Free.CPU, p.candidates[a].Free.CPU) }
-	slices.SortStableFunc(known, byRoom)
-	slices.SortStableFunc(unknown, byRoom)
-	chosen := append(known, unknown...)
-	var out []specifier.Worker
-	for _, i := range chosen[:min(len(chosen), maxAdviceWorkers)] {
-		out = append(out, p.workers[i].reg)
+}
+
+// endRequest removes a request that was answered.
+func (a *advising) endRequest(number int64) {
+	var left []adviceRequest
+	for _, r := range a.requests {
+		if r.number != number {
+			left = append(left, r)
+		}
 	}
-	return out
+	a.requests = left
 }
 
 // adviceAnswered stores the tickets of an answer.
 func (s *Shard) adviceAnswered(e AdviceAnswered) {
-	j := s.jobs[e.Step.Job]
-	if j == nil || j.task(e.Step) == nil {
-		return
+	s.advising.endRequest(e.Number)
+	s.placementDue = true
+	var st *step
+	if t := s.findTask(e.Step); t != nil {
+		st = t.step
 	}
-	st := j.task(e.Step).step
-	st.advice.requested = false
 	if e.Outcome != AdviceGiven {
-		st.advice.retryAt = s.now.Add(adviceRetryDelay)
+		s.adviceFailed(st)
+		return
+	}
+	s.advising.failures, s.advising.retryAt = 0, time.Time{}
+	if st == nil {
 		return
 	}
+	st.advice.failures = 0
+	if !s.learnVerdicts(st, &e) {
+		st.advice.waste(s.now)
+	}
+}
+
+// adviceFailed delays further requests after one that failed.
+func (s *Shard) adviceFailed(st *step) {
+	a := &s.advising
+	a.failures++
+	a.retryAt = s.now.Add(adviceBackoff(a.failures))
+	if st != nil {
+		st.advice.failures++
+		st.advice.retryAt = s.now.Add(adviceBackoff(st.advice.failures))
+	}
+}
+
+// learnVerdicts stores the verdicts of an answer and reports whether one of them is about a
+// worker of which none was known.
+func (s *Shard) learnVerdicts(st *step, e *AdviceAnswered) (isNew bool) {
 	if st.advice.verdicts == nil {
 		st.advice.verdicts = make(map[string]verdict)
 	}
+	tickets := make(map[string]string, len(e.Tickets))
+	for _, t := range e.Tickets {
+		tickets[t.Worker] = t.Text
+	}
+	received := cmp.Or(e.Received, s.now)
 	for _, w := range e.Requested {
-		v := verdict{incarnation: w.Incarnation}
-		for _, t := range e.Tickets {
-			if t.Worker == w.ID {
-				v.allowed, v.ticket = true, t.Text
-				v.expires = s.now.Add(e.Validity - ticketMargin)
-			}
+		text, allowed := tickets[w.ID]
+		earlier, judged := st.advice.verdicts[w.ID]
+		if !judged || earlier.incarnation != w.Incarnation {
+			isNew = true
+			s.advising.count(st.job.spec.Queue, allowed)
+		}
+		v := verdict{allowed: allowed, ticket: text, incarnation: w.Incarnation, received: received}
+		if allowed {
+			v.expires = received.Add(e.Validity - ticketMargin(e.Validity))
 		}
 		st.advice.verdicts[w.ID] = v
 	}
-	s.placementDue = true
+	return isNew
 }
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -171,6 +171,7 @@
 	staleCancels   []string           // cancellations to delete, of unknown jobs, by job id
 
 	reservations reservations // for tasks that fit nowhere
+	advising     advising
 
 	fillersWait  bool // fillers were waiting in the last placement
 	placementDue bool // waiting work or free room has changed since the last placement
@@ -265,6 +266,8 @@
 		s.startAnswered(e)
 	case StopAnswered:
 		s.stopAnswered(e)
+	case AdviceDelayed:
+		s.adviceDelayed(e)
 	case AdviceAnswered:
 		s.adviceAnswered(e)
 	case PaceAnswered:
--- a/internal/job/dispatcher/gang.go
+++ b/internal/job/dispatcher/gang.go
@@ -8,12 +8,11 @@
 
 // placeGang starts all tasks of a step together, or none.
 func (p *placement) placeGang(st *step) {
-	unknown := func(t *task) bool { return !p.inheritedKnown && !t.allRunsKnown || t.hasOpenLoss() || t.isExhausted() }
-	if st.waiting < len(st.tasks) || slices.ContainsFunc(st.tasks, unknown) {
+	if !p.mayGangStart(st) {
 		return
 	}
 	st.sharesWorkers = p.shard.hasTooFewWorkers(st)
-	chosen, candidates := p.chooseForGang(st)
+	chosen, candidates := p.chooseForGang(st, func(w *worker) bool { return st.hasTicket(w, p.shard.now) })
 	if len(chosen) < len(st.tasks) {
 		p.emptyWorkers(st, chosen)
 		p.reserveGang(st)
@@ -30,9 +29,15 @@
 	}
 }
 
-// chooseForGang returns the indices of workers for the tasks of a gang, up to the first task
-// without one, and the candidates without the room that they take.
-func (p *placement) chooseForGang(st *step) (chosen []int, candidates []fitter.Candidate) {
+// mayGangStart reports whether all tasks of a gang wait for nothing but workers.
+func (p *placement) mayGangStart(st *step) bool {
+	unknown := func(t *task) bool { return !p.inheritedKnown && !t.allRunsKnown || t.hasOpenLoss() || t.isExhausted() }
+	return st.waiting == len(st.tasks) && !slices.ContainsFunc(st.tasks, unknown)
+}
+
+// chooseForGang returns the indices of workers for the tasks of a gang among some workers, up
+// to the first task without one, and the candidates without the room that they take.
+func (p *placement) chooseForGang(st *step, among func(*worker) bool) (chosen []int, candidates []fitter.Candidate) {
 	candidates = slices.Clone(p.candidates)
 	for _, t := range st.tasks {
 		p.openFor(t, candidates)
@@ -44,7 +49,7 @@
 		i := fitter.Choose(candidates, request, func(i int) bool {
 			w := p.workers[i]
 			free := st.spec.MaxPerWorker == 0 || w.perStep[st]+count[i] < st.spec.MaxPerWorker
-			isAllowed := free && p.mayBackfill(st, i) && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil && p.hasTicket(st, w)
+			isAllowed := free && p.mayBackfill(st, i) && w.reg.HasLabel(st.spec.Label) && w.runs[t.id()] == nil && among(w)
 			return isAllowed && (!t.isSuspect() || (count[i] == 0 || st.sharesWorkers) && p.maySuspectStart(t, w))
 		})
 		if i < 0 {
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -382,6 +382,7 @@
 	}
 	if e.Fault == NoFault {
 		s.markActive(r)
+		r.task.step.advice.started()
 		return
 	}
 	s.emit(Log{
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -32,6 +32,7 @@
 	longRunningCPU   int64             // CPU reserved by running long-running tasks, millicores
 	longRunningLimit int64             // see Shard.longRunningLimit
 	pinnedCPU        int64             // CPU for the long-running tasks of all jobs that can't be moved, millicores
+	advice           adviceChoice      // request for advice of this round
 }
 
 // placeSteps starts waiting tasks, best-ranked steps first, where there is room.
@@ -58,7 +59,6 @@
 	p.rankSteps()
 	p.largeWorkWaits = p.hasLargeWork()
 	for _, st := range s.waitingSteps {
-		p.requestAdvice(st)
 		before := p.pinnedCPUOf(st)
 		switch {
 		case p.isDeferred(st):
@@ -68,7 +68,9 @@
 			p.placeStep(st)
 		}
 		p.pinnedCPU += p.pinnedCPUOf(st) - before
+		p.considerAdvice(st)
 	}
+	p.requestAdvice()
 	p.placeDuplicates(stragglers)
 	s.dropUnusedReservations()
 }
@@ -309,13 +311,7 @@
 func (p *placement) chooseAmong(st *step, t *task, request fitter.Request, mayDisturb bool, among func(*worker) bool) int {
 	allowed := func(i int) bool {
 		w := p.workers[i]
-		if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil || !among(w) {
-			return false
-		}
-		if st.spec.Filler && w.wouldNearTarget(p.growth[i]) && !mayDisturb || !p.hasTicket(st, w) {
-			return false
-		}
-		return p.mayBackfill(st, i) && (st.spec.MaxPerWorker == 0 || w.perStep[st] < st.spec.MaxPerWorker)
+		return among(w) && st.hasTicket(w, p.shard.now) && p.mayStartOn(t, i, mayDisturb)
 	}
 	if t.lastFailedOn == "" {
 		return fitter.Choose(p.candidates, request, allowed)
@@ -331,14 +327,17 @@
 // that it may return to the same one, which may have the only room.
 const otherWorkerWait = 300 * time.Millisecond
 
-// hasTicket reports whether the worker may run the step now: the queue needs no
-// advice, or there is a valid ticket.
-func (p *placement) hasTicket(st *step, w *worker) bool {
-	if !st.job.queue.Advice.Needed {
-		return true
-	}
-	_, ok := st.ticketFor(w, p.shard.now)
-	return ok
+// mayStartOn reports whether the task may start on the worker with an index, apart from the
+// room and the ticket that it needs.
+func (p *placement) mayStartOn(t *task, i int, mayDisturb bool) bool {
+	st, w := t.step, p.workers[i]
+	if !w.reg.HasLabel(st.spec.Label) || w.runs[t.id()] != nil {
+		return false
+	}
+	if st.spec.Filler && w.wouldNearTarget(p.growth[i]) && !mayDisturb {
+		return false
+	}
+	return p.mayBackfill(st, i) && (st.spec.MaxPerWorker == 0 || w.perStep[st] < st.spec.MaxPerWorker)
 }
 
 // nextRun returns the number of the task's next run. It is higher than that of
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -283,7 +283,7 @@
 	case dispatcher.ReportWaiting:
 		o.calls.Go(func() { o.reportWaiting(e.Waits) })
 	case dispatcher.RequestAdvice:
-		o.calls.Go(func() { o.post(o.advise(ctx, e)) })
+		o.calls.Go(func() { o.requestAdvice(ctx, e) })
 	case dispatcher.Commit:
 		o.calls.Go(func() { o.commit(ctx, e) })
 	case dispatcher.FindShard:
