job/dispatcher: a ticket that a worker has rejected isn't used again

What callers would see: a task that starts nowhere although workers are idle, and starts rejected for want of a ticket (409, priced), four a second, for as long as the ticket's lifetime by the answer; the workers are avoided for 0.5 s each time, also by other steps.

Cause: the fault InvalidTicket was handled like any refusal, so that the same start was ordered again with the same ticket.

Change: the ticket is dropped, the worker isn't avoided, and the next request for advice follows at once or, after the second such answer in a row, with growing delays.

Test: TestRejectedTicket, with a stand-in that always rejects; failed on the commit before: "each ticket is used once", second start with the first ticket.

--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -397,7 +397,11 @@
 	}
 	w, t := r.worker, r.task
 	waitingSince := t.waitingSince
-	w.avoidUntil = s.now.Add(refusalBackoff)
+	if e.Fault == InvalidTicket && t.step.job.queue.Advice.Needed {
+		t.step.rejectTicket(r, s.now)
+	} else {
+		w.avoidUntil = s.now.Add(refusalBackoff)
+	}
 	s.forgetRun(r, "start refused: "+e.Fault.String())
 	t.notBefore = s.now.Add(orderRetryDelay)
 	t.waitingSince = waitingSince // no run has interrupted the wait
--- a/internal/job/dispatcher/ticket.go
+++ b/internal/job/dispatcher/ticket.go
@@ -49,3 +49,14 @@
 func ticketMargin(validity time.Duration) time.Duration {
 	return min(maxTicketMargin, time.Duration(ticketMarginShare*float64(validity)))
 }
+
+// rejectTicket drops the ticket that a worker has rejected at a start of the run.
+func (st *step) rejectTicket(r *run, now time.Time) {
+	v, judged := st.advice.verdicts[r.worker.reg.ID]
+	if !judged || v.expires.IsZero() || v.received.After(r.orderedAt) {
+		return // it was dropped before, or a newer one has come since
+	}
+	v.expires = time.Time{}
+	st.advice.verdicts[r.worker.reg.ID] = v
+	st.advice.waste(now)
+}
