job/dispatcher: a prepared start waits for a new ticket if its own has expired

What callers would see: a task that was lost with its worker starts nowhere again, on a queue whose tickets live for less than a commit takes; each try is a start without a ticket, which the worker rejects.

Cause: the start of a suspect task is recorded before it is ordered. The ticket was read when the start was ordered, and nothing looked whether there still was one.

Change: such a run keeps its room and requests a ticket for its worker, before waiting steps do; the members of a gang are ordered when all have theirs. If the adviser has refused the worker meanwhile the run is dropped.

--- a/internal/job/dispatcher/advice.go
+++ b/internal/job/dispatcher/advice.go
@@ -206,6 +206,7 @@
 	if !s.learnVerdicts(st, &e) {
 		st.advice.waste(s.now)
 	}
+	s.orderPrepared()
 }
 
 // adviceFailed delays further requests after one that failed.
--- a/internal/job/dispatcher/adviceturn.go
+++ b/internal/job/dispatcher/adviceturn.go
@@ -41,6 +41,34 @@
 	return !s.now.Before(s.advising.retryAt) && !s.now.Before(st.advice.retryAt)
 }
 
+// considerPrepared is considerAdvice for the prepared runs whose tickets have expired. They
+// come first, since they hold room.
+func (p *placement) considerPrepared() {
+	for _, r := range p.shard.preparing {
+		st := r.task.step
+		if p.advice.step != nil || !r.isDurable() || !p.isAdviceDue(st) || !p.shard.needsTickets(r) {
+			continue
+		}
+		p.advice = adviceChoice{step: st, workers: p.preparedOn(st)}
+	}
+}
+
+// preparedOn returns the workers on which the step has prepared runs that need tickets. For
+// a gang these are all whose tickets would expire before the answer.
+func (p *placement) preparedOn(st *step) []*worker {
+	at := p.shard.now
+	if st.spec.Gang {
+		at = p.answerTime(st, len(st.tasks))
+	}
+	var out []*worker
+	for _, r := range p.shard.preparing {
+		if r.task.step == st && !st.hasTicket(r.worker, at) && !slices.Contains(out, r.worker) {
+			out = append(out, r.worker)
+		}
+	}
+	return out[:min(len(out), maxAdviceWorkers)]
+}
+
 // answerTime returns when a request that names a number of workers, sent now, is expected to
 // be answered at the latest if nothing delays it.
 func (p *placement) answerTime(st *step, workers int) time.Time {
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -363,6 +363,7 @@
 		s.expireForgotten()
 	}
 	s.reportWaiting()
+	s.orderPrepared()
 	s.placementDue = true
 }
 
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -48,7 +48,7 @@
 		return
 	}
 	stragglers := s.findStragglers()
-	if len(s.waitingSteps) == 0 && len(stragglers) == 0 {
+	if len(s.waitingSteps) == 0 && len(stragglers) == 0 && len(s.preparing) == 0 {
 		return
 	}
 	s.fillersWait = slices.ContainsFunc(s.waitingSteps, func(st *step) bool { return st.spec.Filler })
@@ -56,6 +56,7 @@
 	if len(p.workers) == 0 {
 		return
 	}
+	p.considerPrepared()
 	p.rankSteps()
 	p.largeWorkWaits = p.hasLargeWork()
 	for _, st := range s.waitingSteps {
