job/dispatcher: tasks that wait for advice are reported, with the reason

Long-running tasks without a ticket were reported as "reserved" or "no-room", finite ones not at all.

Test: TestWaitForAdviceIsReported; without the change there is no such line.

--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -24,6 +24,8 @@
 	WaitLimit                         // long-running tasks have their share of the CPU
 	WaitIsolation                     // the task may crash its workers, and none is free for it alone
 	WaitReserved                      // a worker has room, but it is kept for tasks that rank higher
+	WaitAdvice                        // workers have room, but no ticket for the step
+	WaitRefused                       // the adviser allows none of the workers that have room
 	WaitUnusable                      // only workers that are avoided or don't answer have room
 	WaitEvacuated                     // only workers of evacuated failure domains have room
 	WaitNoRoom                        // no worker of the shard has room
@@ -32,7 +34,7 @@
 
 // String returns the text of the reason in logs and metrics.
 func (r WaitReason) String() string {
-	return [...]string{"unconfirmed", "earlier-runs", "unsettled", "move", "limit", "isolation", "reserved", "unusable", "evacuated", "no-room"}[r]
+	return [...]string{"unconfirmed", "earlier-runs", "unsettled", "move", "limit", "isolation", "reserved", "advice", "refused", "unusable", "evacuated", "no-room"}[r]
 }
 
 // Wait is the long-running tasks that wait for the same reason.
@@ -98,6 +100,7 @@
 	if len(report.Waits) > 0 {
 		s.emit(report)
 	}
+	p.reportAdvice()
 }
 
 // addWait counts the tasks of a step that have waited for long, under the reason of t,
@@ -178,6 +181,10 @@
 		return WaitIsolation
 	case p.chooseWorker(st, t, st.request(), false) >= 0:
 		return WaitReserved
+	case st.job.queue.Advice.Needed && p.couldStart(t, func(w *worker) bool { return !st.isRefused(w) }):
+		return WaitAdvice
+	case st.job.queue.Advice.Needed && p.couldStart(t, anyWorker):
+		return WaitRefused
 	case slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool { return !w.isUsable(s.now) && !w.evacuated && w.stays() && w.hasRoomFor(st) }):
 		return WaitUnusable
 	case slices.ContainsFunc(s.sortedWorkers, func(w *worker) bool { return w.evacuated && w.stays() && w.hasRoomFor(st) }):
@@ -186,6 +193,41 @@
 	return WaitNoRoom
 }
 
+// couldStart reports whether one of some workers has room for the task and only lacks a ticket.
+func (p *placement) couldStart(t *task, among func(*worker) bool) bool {
+	request := t.step.request()
+	for i, w := range p.workers {
+		if request.Fits(&p.candidates[i]) && among(w) && p.mayStartOn(t, i, true) {
+			return true
+		}
+	}
+	return false
+}
+
+// reportAdvice logs the finite task that has waited longest for advice, and the one that the
+// adviser allows on no worker with room, if they have waited for long.
+func (p *placement) reportAdvice() {
+	var oldest [WaitReasons]*task
+	for _, st := range p.shard.waitingSteps {
+		t := st.oldestWaiting()
+		if t == nil || st.spec.LongRunning || !st.job.queue.Advice.Needed || p.shard.now.Sub(t.waitingSince) < reportDelay {
+			continue
+		}
+		reason := p.waitReason(t)
+		if other := oldest[reason]; other == nil || t.waitingSince.Before(other.waitingSince) {
+			oldest[reason] = t
+		}
+	}
+	for _, reason := range [...]WaitReason{WaitAdvice, WaitRefused} {
+		if t := oldest[reason]; t != nil {
+			p.shard.emit(Log{
+				Message: "task waiting for advice", Job: t.step.job.spec.ID, Task: t.id().String(),
+				Reason: reason.String(), Age: p.shard.now.Sub(t.waitingSince),
+			})
+		}
+	}
+}
+
 // stays reports whether the worker is registered and isn't about to leave.
 func (w *worker) stays() bool { return w.unregisteredAt.IsZero() && !w.reg.Draining }
 
