job/receiver: admission counts placement advice, and refuses what can't be advised

What callers would see: more jobs accepted on a queue with slow advice than the adviser can judge (one request at a time), so that they stay queued far beyond their objective; and, without an adviser in the settings, jobs accepted that can never start.

Cause: the times of advice were read by the checks of files only.

Change: objective and critical path have the advice of each step; a load summary has the duration of the first requests of its waiting steps, which admission counts like a backlog. Without an adviser such jobs are refused, with a reason and a time to come back; a job that was accepted before is still acknowledged.

--- a/internal/control/admitter/admitter.go
+++ b/internal/control/admitter/admitter.go
@@ -62,8 +62,9 @@
 	ReservedBacklog  int64               // waiting work of equal or higher priority that reserves capacity, millicore-seconds
 	FillerBacklog    int64               // waiting work of fillers of equal or higher priority, millicore-seconds
 	Fillers          []FillerLoad
-	HasRack          bool // whether it contains the rack of the job's data
-	HasLabel         bool // whether it has workers with every label that the job requires
+	AdviceBacklog    time.Duration // requests for placement advice that come before one of the job
+	HasRack          bool          // whether it contains the rack of the job's data
+	HasLabel         bool          // whether it has workers with every label that the job requires
 }
 
 // FillerLoad is the load of a shard by fillers of one image, of equal or higher
@@ -81,6 +82,7 @@
 	FillerImages   []string      // images of the fillers
 	LongRunningCPU int64         // millicores that long-running tasks reserve
 	CriticalPath   time.Duration // estimated run time of the longest chain of dependent steps
+	AdviceTime     time.Duration // of a request for placement advice; 0 if the job needs none
 	Objective      time.Duration // wanted time from acceptance to the end
 	NeedsRack      bool          // whether the job prefers the rack that holds its data
 	Spread         int           // see specifier.Job.Spread
@@ -223,8 +225,20 @@
 	return 0
 }
 
-// wait returns how long the job waits for the backlog ahead of it.
-func (w *Work) wait(s *Shard) time.Duration { return max(w.reservedWait(s), w.fillerWait(s)) }
+// wait returns how long the job waits for the backlog ahead of it. What it waits for frees
+// room meanwhile, so that the longest wait counts.
+func (w *Work) wait(s *Shard) time.Duration {
+	return max(w.reservedWait(s), w.fillerWait(s), w.adviceWait(s))
+}
+
+// adviceWait returns how long the job waits for requests for placement advice, which are
+// answered one at a time.
+func (w *Work) adviceWait(s *Shard) time.Duration {
+	if w.AdviceTime == 0 {
+		return 0
+	}
+	return s.AdviceBacklog
+}
 
 // reservedWait returns how long the job's tasks that reserve capacity wait for
 // the backlog ahead of them.
--- a/internal/control/admitter/admitter_test.go
+++ b/internal/control/admitter/admitter_test.go
@@ -43,6 +43,18 @@
 		Expect(d.RetryAfter).To(BeNumerically("<=", maxRetryAfter*3/2))
 	})
 
+	It("refuses a job that waits too long for placement advice, and no other job", func() {
+		s := shard("a", 20000, 0)
+		s.AdviceBacklog = 10 * time.Second
+		advised := short
+		advised.AdviceTime = 300 * time.Millisecond
+		d := Decide(advised, []Shard{s}, random())
+		Expect(d.Accepted).To(BeFalse())
+		Expect(d.RetryAfter).To(BeNumerically(">", 5*time.Second))
+		Expect(Decide(short, []Shard{s}, random()).Accepted).To(BeTrue())
+		Expect(Decide(advised, []Shard{s, shard("b", 20000, 0)}, random()).Shard).To(Equal("b"))
+	})
+
 	It("adds jitter to the time to retry after", func() {
 		r := random()
 		seen := make(map[time.Duration]bool)
--- a/internal/job/dispatcher/advice.go
+++ b/internal/job/dispatcher/advice.go
@@ -47,7 +47,7 @@
 	Step      specifier.TaskID
 	Requested []specifier.Worker
 	Tickets   []Ticket
-	Validity  time.Duration // lifetime of the tickets
+	Validity  time.Duration // lifetime of the tickets; 0 is that of the configuration
 	Received  time.Time     // when the answer arrived; zero is now
 	Outcome   AdviceOutcome
 }
@@ -160,6 +160,17 @@
 	}
 }
 
+// adviceBacklog returns how long the adviser needs for the first requests of the waiting steps.
+func (s *Shard) adviceBacklog() time.Duration {
+	total := time.Duration(0)
+	for _, st := range s.waitingSteps {
+		if a := &st.job.queue.Advice; a.Needed && st.waiting > 0 && len(st.advice.verdicts) == 0 {
+			total += a.CallTime(min(st.waiting, specifier.TypicalAdviceWorkers))
+		}
+	}
+	return total
+}
+
 // adviceDelayed lets other requests go on beside one that takes long. The next one for the
 // same step names fewer workers.
 func (s *Shard) adviceDelayed(e AdviceDelayed) {
@@ -230,7 +241,7 @@
 	for _, t := range e.Tickets {
 		tickets[t.Worker] = t.Text
 	}
-	received := cmp.Or(e.Received, s.now)
+	received, validity := cmp.Or(e.Received, s.now), cmp.Or(e.Validity, st.job.queue.Advice.Validity)
 	for _, w := range e.Requested {
 		text, allowed := tickets[w.ID]
 		earlier, judged := st.advice.verdicts[w.ID]
@@ -240,7 +251,7 @@
 		}
 		v := verdict{allowed: allowed, ticket: text, incarnation: w.Incarnation, received: received}
 		if allowed {
-			v.expires = received.Add(e.Validity - ticketMargin(e.Validity))
+			v.expires = received.Add(validity - ticketMargin(validity))
 		}
 		st.advice.verdicts[w.ID] = v
 	}
--- a/internal/job/dispatcher/expect.go
+++ b/internal/job/dispatcher/expect.go
@@ -1,10 +1,10 @@
 package dispatcher
 
 import (
-	"slices"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/control/estimator"
+	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 )
 
 const (
@@ -113,12 +113,12 @@
 			}
 			st.times.planned = times[i]
 		}
-		paths := j.spec.Paths(times)
+		paths := j.spec.Paths(j.queue.Advice.AddTo(times, specifier.TypicalAdviceWorkers))
 		for i, st := range occurrence {
 			st.path = paths[i]
 		}
 		if first == 0 {
-			j.setObjective(slices.Max(paths))
+			j.setObjective(j.spec.CriticalPath(j.queue.Advice.AddTo(times, specifier.ObjectiveAdviceWorkers)))
 		}
 	}
 }
--- a/internal/job/dispatcher/load.go
+++ b/internal/job/dispatcher/load.go
@@ -37,6 +37,7 @@
 	l.LongRunningLimit = s.longRunningLimit(l.Capacity.CPU)
 	s.addJobs(&l)
 	s.addReadyWork(&l)
+	l.AdviceBacklog = s.adviceBacklog()
 	l.Fillers = s.fillerLoads()
 	l.RunTimes = s.runTimes.model.Summary()
 	return l
--- a/internal/job/receiver/admission.go
+++ b/internal/job/receiver/admission.go
@@ -42,6 +42,9 @@
 // admit decides whether to accept a job and in which shard, based on the load
 // summaries of the shards.
 func (r *Receiver) admit(queue specifier.Queue, job *specifier.Job) admitter.Decision {
+	if queue.Advice.Needed && r.options.NoAdviser {
+		return admitter.Decision{Reason: "the queue needs placement advice, and there is no adviser", RetryAfter: unadvisedRetryAfter}
+	}
 	view := r.shards.View()
 	work := estimateWork(queue, job, expectedRunTimes(queue, job, &view))
 	r.mu.Lock()
@@ -95,6 +98,7 @@
 		Name: name, SameDomain: s.Load.Domain == "" || s.Load.Domain == r.options.Domain, Age: loadAge(s),
 		Workers: s.Load.Workers, Free: s.Load.Free, LongRunningCPU: s.Load.LongRunningCPU, LongRunningLimit: s.Load.LongRunningLimit,
 		FiniteCPU: s.Load.FiniteCPU, UnusedCPU: s.Load.UnusedCPU, FillerCPU: s.Load.FillerCPU, HasLabel: true,
+		AdviceBacklog: s.Load.AdviceBacklog,
 	}
 	if !out.SameDomain {
 		out.RoundTrip = remoteRoundTrip
@@ -119,6 +123,7 @@
 	for _, a := range unseen {
 		out.ReservedBacklog += a.work.ReservedWork
 		out.FillerBacklog += a.work.FillerWork
+		out.AdviceBacklog += a.work.AdviceTime
 		for _, image := range a.work.FillerImages {
 			out.Fillers = append(out.Fillers, admitter.FillerLoad{Image: image, Work: a.work.FillerWork / int64(len(a.work.FillerImages))})
 		}
@@ -152,8 +157,13 @@
 // estimateWork returns the work in a job and its completion target, by the run times of
 // each step's tasks.
 func estimateWork(queue specifier.Queue, job *specifier.Job, runTimes []time.Duration) admitter.Work {
-	w := admitter.Work{CriticalPath: job.CriticalPath(runTimes), Spread: job.Spread()}
-	w.Objective = time.Duration(float64(w.CriticalPath)*queue.Slack) + queue.Completion
+	advice := &queue.Advice
+	w := admitter.Work{CriticalPath: job.CriticalPath(advice.AddTo(runTimes, specifier.TypicalAdviceWorkers)), Spread: job.Spread()}
+	objectivePath := job.CriticalPath(advice.AddTo(runTimes, specifier.ObjectiveAdviceWorkers))
+	w.Objective = time.Duration(float64(objectivePath)*queue.Slack) + queue.Completion
+	if advice.Needed {
+		w.AdviceTime = advice.CallTime(specifier.TypicalAdviceWorkers)
+	}
 	for i, step := range job.Steps {
 		cpu := step.Needs.CPU * int64(step.Count)
 		work := cpu * int64(runTimes[i]) / int64(time.Second) * int64(job.Occurrences())
--- a/internal/job/receiver/receiver.go
+++ b/internal/job/receiver/receiver.go
@@ -43,6 +43,7 @@
 	initialRetryDelay     = 40 * time.Millisecond   // first delay before a failed store call is repeated
 	maxRetryDelay         = 500 * time.Millisecond  // maximum delay before a failed store call is repeated
 	unavailableRetryAfter = time.Second             // Retry-After while the store doesn't answer
+	unadvisedRetryAfter   = 8 * time.Second         // Retry-After for a queue that needs advice, without an adviser
 	remoteRoundTrip       = 60 * time.Millisecond   // assumed round trip to a shard in another failure domain
 	maxContactAge         = 2500 * time.Millisecond // if the store's last answer is older, submissions are refused
 	maxLoadAge            = 10 * time.Second        // older load summaries are ignored
@@ -67,10 +68,11 @@
 
 // Options configure a Receiver.
 type Options struct {
-	Domain string // failure domain of this daemon
-	Random *rand.Rand
-	Scope  tally.Scope
-	Log    zerolog.Logger
+	Domain    string // failure domain of this daemon
+	NoAdviser bool   // jobs of queues that need placement advice are refused
+	Random    *rand.Rand
+	Scope     tally.Scope
+	Log       zerolog.Logger
 }
 
 // Receiver accepts, cancels and looks up jobs. It is safe for concurrent use.
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -325,6 +325,7 @@
 	Backlog          []Backlog           `json:"backlog,omitempty"`
 	Fillers          []FillerLoad        `json:"images,omitempty"`   // images with unfinished fillers
 	Labels           []string            `json:"labels,omitempty"`   // labels of the usable workers
+	AdviceBacklog    time.Duration       `json:"advising,omitempty"` // duration of the first requests for placement advice of the waiting steps
 	RunTimes         estimator.Records   `json:"runtimes,omitempty"` // what the owner has learned about run times
 }
 
--- a/internal/job/specifier/catalog.go
+++ b/internal/job/specifier/catalog.go
@@ -42,6 +42,25 @@
 	return a.RequestTime + time.Duration(workers)*a.PerWorkerTime
 }
 
+// AddTo returns the run times of a job's steps, each with the duration of one request about
+// the given number of workers. They stay as they are if no advice is needed.
+func (a *Advice) AddTo(runTimes []time.Duration, workers int) []time.Duration {
+	if !a.Needed {
+		return runTimes
+	}
+	out := make([]time.Duration, len(runTimes))
+	for i, t := range runTimes {
+		out[i] = t + a.CallTime(workers)
+	}
+	return out
+}
+
+// Numbers of workers in a request for advice.
+const (
+	ObjectiveAdviceWorkers = 30 // for each step in the critical path by which a job's objective is set
+	TypicalAdviceWorkers   = 4  // that a step's first request is assumed to name
+)
+
 // Service is a pool of workers that run the same kind of tasks.
 type Service struct {
 	Name            string
