job/dispatcher: a lost long-running task above the limit doesn't wait twice

Cause: two waits add up. The leases on a silent worker take up to 6.4 s to expire; from then on the task, which is above nine tenths of the remaining CPU, waited deferralLimit, 4 s, as if it had had a run until then.

Change: the 4 s count from when the worker fell silent, so that they are over when the leases have expired. The sum is 6.4 s, as for tasks below the limit; a refused start doesn't begin them anew. What short tasks get is unchanged otherwise: two such tasks have to fit before one may exceed the limit (TestLastingTasksLeaveRoom).

--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -396,7 +396,7 @@
 		return
 	}
 	w, t := r.worker, r.task
-	waitingSince := t.waitingSince
+	waitingSince, lostSince := t.waitingSince, t.lostSince
 	if e.Fault == InvalidTicket && t.step.job.queue.Advice.Needed {
 		t.step.rejectTicket(r, s.now)
 	} else {
@@ -404,7 +404,7 @@
 	}
 	s.forgetRun(r, "start refused: "+e.Fault.String())
 	t.notBefore = s.now.Add(orderRetryDelay)
-	t.waitingSince = waitingSince // no run has interrupted the wait
+	t.waitingSince, t.lostSince = waitingSince, lostSince // no run has interrupted the wait
 	if e.Fault == WorkerRestarted {
 		w.reported = false
 	}
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -89,6 +89,7 @@
 	lastFailedOn   string    // id of the worker of the last failed or stalled run
 	notBefore      time.Time // no start before this time
 	waitingSince   time.Time // when it began to wait for a run
+	lostSince      time.Time // since when its last run may have been over; zero unless it was lost with its worker
 	allRunsKnown   bool      // no run of it by an earlier owner can exist that isn't known here
 	emptying       *worker   // kept closed until it is empty for the task; nil for none, see isolation.go
 	emptyingSince  time.Time // when that worker was chosen
@@ -295,7 +296,7 @@
 	if t.done {
 		return
 	}
-	t.waitingSince = s.now
+	t.waitingSince, t.lostSince = s.now, time.Time{}
 	t.step.waiting++
 	s.enqueue(t.step)
 	s.placementDue = true
--- a/internal/job/dispatcher/longrunning.go
+++ b/internal/job/dispatcher/longrunning.go
@@ -13,7 +13,7 @@
 	// finiteMemory is how long that limit applies after the last start of a
 	// finite task. Bursts of finite tasks tend to recur.
 	finiteMemory = time.Minute
-	// deferralLimit is how long a long-running task above the limit waits before
+	// deferralLimit is how long a long-running task above the limit has no run before
 	// it may exceed it. The task's users notice longer interruptions.
 	deferralLimit = 4 * time.Second
 	// minFreeSlots is how many such tasks must fit before one may exceed the
@@ -59,7 +59,16 @@
 		return false
 	}
 	t := st.oldestWaiting()
-	return t != nil && p.shard.now.Sub(t.waitingSince) >= deferralLimit && p.countSlots(st, t) >= minFreeSlots
+	return t != nil && p.shard.now.Sub(t.idleSince()) >= deferralLimit && p.countSlots(st, t) >= minFreeSlots
+}
+
+// idleSince returns since when the task has had no run, as far as known: if its last run was lost,
+// not only since the leases on the worker have expired.
+func (t *task) idleSince() time.Time {
+	if !t.lostSince.IsZero() && t.lostSince.Before(t.waitingSince) {
+		return t.lostSince
+	}
+	return t.waitingSince
 }
 
 // countSlots returns how many tasks like t would fit now, at most minFreeSlots.
--- a/internal/job/dispatcher/longrunning_test.go
+++ b/internal/job/dispatcher/longrunning_test.go
@@ -129,3 +129,28 @@
 	h.advance(refusalBackoff)
 	g.Expect(takeEffects[StartRun](h)).To(HaveLen(1), "started again %s after the refusal", refusalBackoff)
 }
+
+// TestLostLongRunningTasksAboveTheLimit loses two of 15 workers while long-running tasks have 84 % of
+// the CPU, so that those that were lost are above the limit of what is left. It guards against
+// tasks that wait for the leases on the lost workers and then anew for their turn: over 9 s, the
+// time after which tasks that last have to run again.
+func TestLostLongRunningTasksAboveTheLimit(t *testing.T) {
+	for seed := range uint64(4) {
+		g := NewWithT(t)
+		s := newSimulation(t, seed, 15)
+		const longRunning = "00000000000000ff"
+		s.submit(specifier.Job{ID: longRunning, Steps: []specifier.Step{
+			{Count: 126, Needs: resources(400), Estimate: time.Minute, LongRunning: true},
+		}})
+		s.submit(specifier.Job{ID: "0000000000000001", Steps: []specifier.Step{{Count: 1, Needs: resources(100), Estimate: time.Second}}})
+		s.advance(5 * time.Second)
+		g.Expect(s.running(longRunning)).To(Equal(126))
+		s.advance(time.Duration(seed) * 400 * time.Millisecond) // polls of a worker are up to 1.5 s apart
+		for _, w := range s.workers[:2] {
+			w.registered = false
+			w.crash()
+		}
+		s.advance(8 * time.Second)
+		g.Expect(s.running(longRunning)).To(BeNumerically(">=", 126-minFreeSlots))
+	}
+}
--- a/internal/job/dispatcher/loss.go
+++ b/internal/job/dispatcher/loss.go
@@ -122,6 +122,9 @@
 			suspects = append(suspects, r.task)
 		}
 		s.forgetRun(r, cause.String())
+		if r.task != nil && w.failedPolls > 0 {
+			r.task.lostSince = w.silentSince
+		}
 	}
 	for _, t := range suspects {
 		s.failIfExhausted(t)
