job/dispatcher: the progress of a large job has its completed tasks as ranges

Cause: progress has an entry of some 45 bytes for each completed task. Above the store's limit of a value, 1 MiB, the write is refused and repeated without end, and with it each other write of the shard.

Change: from 5,000 completed tasks on, those of which nothing else matters are stored as ranges of ordinals. Smaller jobs are stored as before: earlier versions don't know the ranges, and a larger job stops their writes in any case.

--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -10,6 +10,12 @@
 // restore applies durable progress to a job.
 func (s *Shard) restore(j *job, progress recorder.Progress) {
 	j.otherShards = progress.Shards
+	for ordinal := range progress.Done.All {
+		id, _ := j.spec.TaskAt(ordinal)
+		if t := j.task(id); t != nil {
+			s.restoreTask(t, &recorder.TaskProgress{Done: true})
+		}
+	}
 	for i := range progress.Tasks {
 		p := &progress.Tasks[i]
 		t := j.task(specifier.TaskID{Occurrence: p.Occurrence, Step: p.Step, Index: p.Index})
@@ -74,11 +80,23 @@
 	return j.progress()
 }
 
+// compactFrom is the number of completed tasks from which a job's progress has them as ranges, so
+// that it doesn't exceed the store's limit of a value. Earlier versions don't know the ranges, so
+// that smaller jobs go without.
+const compactFrom = 5000
+
 // progress returns the job's state for the store.
 func (j *job) progress() recorder.Progress {
 	p := recorder.Progress{Shards: j.otherShards}
+	isCompact := j.countCompleted() >= compactFrom
+	ordinal := -1
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
+			ordinal++
+			if isCompact && t.isOnlyDone() {
+				p.Done.Add(ordinal)
+				continue
+			}
 			if t.done || t.completedHere || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 || t.wasProven {
 				p.Tasks = append(p.Tasks, recorder.TaskProgress{
 					Occurrence: st.occurrence, Step: st.number, Index: t.index,
@@ -91,6 +109,18 @@
 	return p
 }
 
+// countCompleted returns the number of completed tasks.
+func (j *job) countCompleted() int {
+	n := 0
+	for _, st := range j.steps {
+		n += st.completed
+	}
+	return n
+}
+
+// isOnlyDone reports whether nothing matters about the task but that it has completed here.
+func (t *task) isOnlyDone() bool { return t.done && !t.completedHere && t.hop == 0 }
+
 // checkpointToStore returns the checkpoint, or "" if the task has completed.
 func (t *task) checkpointToStore() string {
 	if t.done {
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -194,9 +194,33 @@
 // Progress is the part of a job's state that a new owner needs.
 type Progress struct {
 	Tasks  []TaskProgress `json:"tasks"`
+	Done   Ranges         `json:"done,omitempty"`   // ordinals of further completed tasks, see specifier.Job.TaskAt
 	Shards []string       `json:"shards,omitempty"` // shards that got tasks of the job from this one
 }
 
+// Ranges is a set of numbers as ascending ranges, each with its first and its last number.
+type Ranges [][2]int
+
+// Add adds a number that is higher than all others.
+func (r *Ranges) Add(n int) {
+	if last := len(*r) - 1; last >= 0 && (*r)[last][1] == n-1 {
+		(*r)[last][1] = n
+		return
+	}
+	*r = append(*r, [2]int{n, n})
+}
+
+// All calls yield for each number of the set, in order, until it returns false.
+func (r Ranges) All(yield func(int) bool) {
+	for _, part := range r {
+		for n := part[0]; n <= part[1]; n++ {
+			if !yield(n) {
+				return
+			}
+		}
+	}
+}
+
 // TaskProgress is the progress of one task. Tasks without any are left out.
 type TaskProgress struct {
 	Occurrence int     `json:"occurrence,omitempty"`
--- a/internal/job/recorder/recorder_test.go
+++ b/internal/job/recorder/recorder_test.go
@@ -1,6 +1,7 @@
 package recorder_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -54,3 +55,14 @@
 		Expect(recorder.Decode([]byte("{"), &out)).To(HaveOccurred())
 	})
 })
+
+var _ = Describe("Ranges", func() {
+	It("hold numbers that follow each other as one range", func() {
+		var r recorder.Ranges
+		for _, n := range []int{0, 1, 2, 5, 7, 8} {
+			r.Add(n)
+		}
+		Expect(r).To(Equal(recorder.Ranges{{0, 2}, {5, 5}, {7, 8}}))
+		Expect(slices.Collect(r.All)).To(Equal([]int{0, 1, 2, 5, 7, 8}))
+	})
+})
--- a/internal/job/specifier/job.go
+++ b/internal/job/specifier/job.go
@@ -152,6 +152,32 @@
 // Occurrences returns how often the job's steps run, at least 1.
 func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
 
+// TaskCount returns the number of tasks of one occurrence.
+func (j *Job) TaskCount() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
+// TaskAt returns the id of the task with an ordinal: its place among all tasks of the job by
+// occurrence, step and index, counting from 0. It returns false for a number that isn't one.
+func (j *Job) TaskAt(ordinal int) (TaskID, bool) {
+	count := j.TaskCount()
+	if ordinal < 0 || count == 0 {
+		return TaskID{}, false
+	}
+	id := TaskID{Job: j.ID, Occurrence: ordinal / count}
+	rest := ordinal % count
+	for rest >= j.Steps[id.Step].Count {
+		rest -= j.Steps[id.Step].Count
+		id.Step++
+	}
+	id.Index = rest
+	return id, id.Occurrence < j.Occurrences()
+}
+
 // Due returns when an occurrence may start, by the wall clock. The zero time
 // means at once.
 func (j *Job) Due(occurrence int) time.Time {
--- a/internal/job/specifier/specifier_test.go
+++ b/internal/job/specifier/specifier_test.go
@@ -55,6 +55,28 @@
 	)
 })
 
+var _ = Describe("TaskAt", func() {
+	It("counts the tasks by occurrence, step and index", func() {
+		job := valid()
+		job.Repeat = 2
+		var ids []string
+		for ordinal := range 2 * job.TaskCount() {
+			id, ok := job.TaskAt(ordinal)
+			Expect(ok).To(BeTrue())
+			ids = append(ids, id.String()[len(job.ID)+1:])
+		}
+		Expect(ids).To(Equal([]string{"0.0.0", "0.0.1", "0.1.0", "0.1.1", "0.1.2", "1.0.0", "1.0.1", "1.1.0", "1.1.1", "1.1.2"}))
+	})
+
+	It("returns false for other numbers", func() {
+		job := valid()
+		for _, ordinal := range []int{-1, job.TaskCount()} {
+			_, ok := job.TaskAt(ordinal)
+			Expect(ok).To(BeFalse())
+		}
+	})
+})
+
 var _ = Describe("TaskID", func() {
 	It("is parsed from its text form", func() {
 		id := specifier.TaskID{Job: "5c0e7a21d94b36f8", Occurrence: 1, Step: 2, Index: 17}
