job/specifier: a job with more tasks than an owner can hold is refused

What callers saw (review repetitions): a job that repeats each minute for a year is accepted, its owner creates 4.2 million tasks and goes over its memory, as does each successor; no other job of the shard runs.

Cause: the bound of 10,000 tasks is for one occurrence, and an owner creates the tasks of all occurrences at once.

Change: at most 100,000 tasks in all; more are refused as invalid, with the number and the field. This is partial: occurrences that are created as they come due would serve such jobs.

Test: the entry "more occurrences than an owner can hold"; such a job was valid before.

--- a/internal/job/dispatcher/largejob_test.go
+++ b/internal/job/dispatcher/largejob_test.go
@@ -23,7 +23,7 @@
 		isDone             func(n int) bool
 	}{
 		{"500 tasks each second", 55, 500, func(int) bool { return true }},
-		{"every second of 100,000 tasks", 10000, 5, func(n int) bool { return n%2 == 0 }},
+		{"every second task of the largest job", specifier.MaxJobTasks / 10, 5, func(n int) bool { return n%2 == 0 }},
 	} {
 		t.Run(one.name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/job/specifier/job.go
+++ b/internal/job/specifier/job.go
@@ -14,7 +14,9 @@
 	MaxPayload = 4000  // bytes
 	MaxSteps   = 200   // steps in a job
 	MaxTasks   = 10000 // tasks in one occurrence
-	idDigits   = 16    // hexadecimal digits in a job id
+
+	MaxJobTasks = 100000 // tasks in all occurrences; an owner holds all of them
+	idDigits    = 16     // hexadecimal digits in a job id
 )
 
 // Job is what a caller submits. ID is chosen by the caller and makes the
@@ -111,6 +113,11 @@
 	if tasks > MaxTasks {
 		return &FieldError{Field: "steps", Reason: fmt.Sprintf("have %d tasks, at most %d are taken", tasks, MaxTasks)}
 	}
+	if tasks > MaxJobTasks/j.Occurrences() {
+		return &FieldError{Field: "repeat", Reason: fmt.Sprintf(
+			"is %d, with %d tasks each time; at most %d tasks are taken in all", j.Repeat, tasks, MaxJobTasks,
+		)}
+	}
 	return nil
 }
 
--- a/internal/job/specifier/specifier_test.go
+++ b/internal/job/specifier/specifier_test.go
@@ -51,6 +51,7 @@
 		Entry("an unknown step", func(j *specifier.Job) { j.Steps[1].After = []int{7} }, "steps[1].after"),
 		Entry("no tasks", func(j *specifier.Job) { j.Steps[0].Count = 0 }, "steps[0].count"),
 		Entry("negative needs", func(j *specifier.Job) { j.Steps[0].Needs.CPU = -1 }, "steps[0].needs"),
+		Entry("more occurrences than an owner can hold", func(j *specifier.Job) { j.Repeat = specifier.MaxJobTasks/5 + 1 }, "repeat"),
 		Entry("negative repetitions", func(j *specifier.Job) { j.Repeat = -1 }, "repeat"),
 	)
 })
