job/dispatcher: all members of a gang start from one checkpoint

Cause: each start carried the task's own checkpoint, which is as old as the last list of its worker, up to 1.5 s, and the end of a failed run leaves it as it was.

Change: a gang starts from the newest checkpoint that any member's worker has listed, after a change of owner from one of those that are durable. "The value from any member of a gang is valid for that gang, and all must carry the same value" (PROTOCOL.md).

Tests: TestGangStartsFromOneCheckpoint, TestGangOfEarlierOwnerStartsFromOneCheckpoint; both fail without the change.

--- a/internal/job/dispatcher/gang.go
+++ b/internal/job/dispatcher/gang.go
@@ -23,12 +23,30 @@
 	for _, t := range st.tasks {
 		number = max(number, t.nextRun(p.shard.options.Epoch))
 	}
+	st.shareCheckpoint()
 	for k, t := range st.tasks {
 		r := p.shard.startRun(t, p.workers[chosen[k]], number)
 		p.noteStart(r, chosen[k])
 	}
 }
 
+// shareCheckpoint gives all members of a gang the newest checkpoint. That of any member is valid
+// for all, and they work together only from the same one.
+func (st *step) shareCheckpoint() {
+	var newest *task
+	for _, t := range st.tasks {
+		if t.checkpoint != "" && (newest == nil || t.checkpointAt.After(newest.checkpointAt)) {
+			newest = t
+		}
+	}
+	if newest == nil {
+		return
+	}
+	for _, t := range st.tasks {
+		t.checkpoint, t.checkpointAt = newest.checkpoint, newest.checkpointAt
+	}
+}
+
 // mayGangStart reports whether all tasks of a gang wait for nothing but workers.
 func (p *placement) mayGangStart(st *step) bool {
 	unknown := func(t *task) bool { return !p.inheritedKnown && !t.allRunsKnown || t.hasOpenLoss() || t.isExhausted() }
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -156,7 +156,7 @@
 		s.failTask(t, w, end.Run)
 	default:
 		if end.Checkpoint != "" && end.Checkpoint != t.checkpoint {
-			t.checkpoint = end.Checkpoint
+			t.setCheckpoint(end.Checkpoint, s.now)
 			s.markDirty(t.step.job)
 		}
 	}
@@ -258,7 +258,7 @@
 	r.metric = listed.Metric
 	s.noteReadiness(r)
 	if r.task != nil && listed.Checkpoint != "" {
-		r.task.checkpoint = listed.Checkpoint
+		r.task.setCheckpoint(listed.Checkpoint, s.now)
 	}
 }
 
@@ -306,7 +306,7 @@
 	}
 	t.step.job.started = true
 	if listed.Checkpoint != "" {
-		t.checkpoint = listed.Checkpoint
+		t.setCheckpoint(listed.Checkpoint, s.now)
 	}
 	w.addRun(r)
 	s.noteDuplicable(r)
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -85,6 +85,7 @@
 	completedHere  bool            // in a part: it has completed, and the home may not know
 	returns        bool            // in a part: it is to return to the home
 	checkpoint     string
+	checkpointAt   time.Time // when a worker first listed the checkpoint to this owner
 	sentCheckpoint string    // in the last commit that contains the job
 	lastFailedOn   string    // id of the worker of the last failed or stalled run
 	notBefore      time.Time // no start before this time
--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
@@ -62,6 +63,13 @@
 	}
 }
 
+// setCheckpoint sets the checkpoint that a worker has listed.
+func (t *task) setCheckpoint(checkpoint string, now time.Time) {
+	if t.checkpoint != checkpoint {
+		t.checkpoint, t.checkpointAt = checkpoint, now
+	}
+}
+
 // saveCheckpoint schedules a commit if the checkpoint of a task whose run has ended isn't in the
 // store. While the run is active its worker lists it, so that it needn't be durable.
 func (s *Shard) saveCheckpoint(t *task) {
