job/dispatcher: a lost long-running task may be transferred when its leases have expired

Cause: the 2 s after which a task may be transferred counted from the end of the leases.

Test: TestLostLongRunningTaskIsTransferredInTime, 8 s with instant calls; on the commit before none of the two tasks runs in the other shard by then.

--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -118,7 +118,7 @@
 // and no run of it can exist.
 func (s *Shard) mayTransfer(t *task) bool {
 	delay := t.step.minTransferWait()
-	hasWaited := s.now.Sub(t.waitingSince) >= delay && s.now.Sub(s.claimedAt) >= delay
+	hasWaited := s.now.Sub(t.idleSince()) >= delay && s.now.Sub(s.claimedAt) >= delay
 	return hasWaited && t.mayStart(s.now) && (t.allRunsKnown || s.knowsInheritedRuns()) && !s.now.Before(t.transferAfter)
 }
 
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -138,6 +139,39 @@
 	})
 }
 
+// maxInterruption is the time after its last run within which a long-running task has to run
+// again if there is room for it. Calls between hosts, the store and workers may take slowCalls of
+// it, which are instant in this test.
+const (
+	maxInterruption = 9 * time.Second
+	slowCalls       = time.Second
+)
+
+// TestLostLongRunningTaskIsTransferredInTime has a worker fall silent whose tasks fit in another
+// shard only. It guards against tasks that wait for the leases on the worker and then anew
+// before they may be transferred.
+func TestLostLongRunningTaskIsTransferredInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		store, workers, operator := newService(g, []string{"w1", "w2"}, []string{"w3"})
+		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
+		defer a.Close()
+		defer b.Close()
+		time.Sleep(10 * time.Second) // until both shards are claimed
+		for n := range 4 {
+			acceptJob(g, operator, "desk@bne", longRunningJob(n))
+		}
+		time.Sleep(2 * time.Second)
+		g.Expect(workers.active["w1"]).To(HaveLen(2))
+
+		workers.mu.Lock()
+		workers.maxToken = map[string]int64{"w1": 0, "w2": math.MaxInt64, "w3": math.MaxInt64}
+		workers.mu.Unlock()
+		time.Sleep(maxInterruption - slowCalls)
+		g.Expect(workers.active["w3"]).To(HaveLen(2))
+	})
+}
+
 // TestNoTransferBesideEarlierVersions has a daemon that doesn't know transfers, and
 // that may own the shard next.
 func TestNoTransferBesideEarlierVersions(t *testing.T) {
