--- a/internal/job/dispatcher/adviceturn.go
+++ b/internal/job/dispatcher/adviceturn.go
@@ -49,12 +49,14 @@
 		if p.advice.step != nil || !r.isDurable() || !p.isAdviceDue(st) || !p.shard.needsTickets(r) {
 			continue
 		}
-		p.advice = adviceChoice{step: st, workers: p.preparedOn(st)}
+		if workers := p.preparedOn(st); len(workers) > 0 {
+			p.advice = adviceChoice{step: st, workers: workers}
+		}
 	}
 }
 
-// preparedOn returns the workers on which the step has prepared runs that need tickets. For
-// a gang these are all whose tickets would expire before the answer.
+// preparedOn returns the workers on which the step has prepared runs that need tickets, at most as
+// many as a request can name. For a gang these are all whose tickets would expire before the answer.
 func (p *placement) preparedOn(st *step) []*worker {
 	at := p.shard.now
 	if st.spec.Gang {
