--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -97,6 +97,18 @@
 	})
 }
 
+// fillFirstShard waits until both shards are claimed, and fills the two workers of the first one
+// with long-running jobs.
+func fillFirstShard(g Gomega, operator *faker.Client, workers *fleet, jobs int) {
+	time.Sleep(10 * time.Second)
+	for n := range jobs {
+		acceptJob(g, operator, "desk@bne", longRunningJob(n))
+	}
+	time.Sleep(2 * time.Second)
+	g.Expect(workers.active["w1"]).To(HaveLen(2))
+	g.Expect(workers.active["w2"]).To(HaveLen(2))
+}
+
 // TestLongRunningTaskWaitsBesideRoomInAnotherShard has a worker leave whose
 // long-running tasks have failed. Their shard has no room for them, another has.
 func TestLongRunningTaskWaitsBesideRoomInAnotherShard(t *testing.T) {
@@ -106,14 +118,8 @@
 		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
 		defer a.Close()
 		defer b.Close()
-		time.Sleep(10 * time.Second) // until both shards are claimed
 		const jobs = 4
-		for n := range jobs {
-			acceptJob(g, operator, "desk@bne", longRunningJob(n))
-		}
-		time.Sleep(2 * time.Second)
-		g.Expect(workers.active["w1"]).To(HaveLen(2))
-		g.Expect(workers.active["w2"]).To(HaveLen(2))
+		fillFirstShard(g, operator, workers, jobs)
 
 		leave(g, operator, workers, "w1")
 		time.Sleep(maxLongRunningWait)
@@ -157,12 +163,7 @@
 		a, b := newDaemon("a", store, workers), newDaemon("b", store, workers)
 		defer a.Close()
 		defer b.Close()
-		time.Sleep(10 * time.Second) // until both shards are claimed
-		for n := range 4 {
-			acceptJob(g, operator, "desk@bne", longRunningJob(n))
-		}
-		time.Sleep(2 * time.Second)
-		g.Expect(workers.active["w1"]).To(HaveLen(2))
+		fillFirstShard(g, operator, workers, 4)
 
 		workers.mu.Lock()
 		workers.maxToken = map[string]int64{"w1": 0, "w2": math.MaxInt64, "w3": math.MaxInt64}
