--- a/internal/control/batcher/batcher.go
+++ b/internal/control/batcher/batcher.go
@@ -23,8 +23,8 @@
 
 // Size returns how many of the candidates a request asks about, in their order: at least 1,
 // and at most all. needed is the number of approvals that are of use. approvals holds the
-// probability that each candidate is approved, and duration returns the duration of a
-// request about n candidates.
+// probability that each candidate is approved; it must not be empty. duration returns the
+// duration of a request about n candidates, not negative.
 func Size(needed int, approvals []float64, duration func(n int) time.Duration) int {
 	rates := make([]float64, len(approvals))
 	expected := expectedApprovals(max(needed, 1), approvals)
--- a/internal/job/specifier/catalog.go
+++ b/internal/job/specifier/catalog.go
@@ -37,9 +37,10 @@
 	Validity      time.Duration `json:"validity,omitempty"` // lifetime of a ticket
 }
 
-// CallTime returns how long a request takes that names a number of workers.
+// CallTime returns how long a request takes that names a number of workers. Negative times
+// count as none.
 func (a *Advice) CallTime(workers int) time.Duration {
-	return a.RequestTime + time.Duration(workers)*a.PerWorkerTime
+	return max(a.RequestTime, 0) + time.Duration(workers)*max(a.PerWorkerTime, 0)
 }
 
 // AddTo returns the run times of a job's steps, each with the duration of one request about
--- a/internal/job/specifier/specifier_test.go
+++ b/internal/job/specifier/specifier_test.go
@@ -56,6 +56,15 @@
 	)
 })
 
+var _ = Describe("CallTime", func() {
+	It("counts negative times as none", func() {
+		a := specifier.Advice{RequestTime: -time.Second, PerWorkerTime: 50 * time.Millisecond}
+		Expect(a.CallTime(3)).To(Equal(150 * time.Millisecond))
+		a = specifier.Advice{RequestTime: time.Second, PerWorkerTime: -time.Hour}
+		Expect(a.CallTime(3)).To(Equal(time.Second))
+	})
+})
+
 var _ = Describe("TaskAt", func() {
 	It("counts the tasks by occurrence, step and index", func() {
 		job := valid()
