job/dispatcher: ranges of completed tasks only where they are needed, and only known ones

Now the ranges begin at 15,000. And a range that names no task of the job was read as the job's first task if it was negative, and a very long one was never left.

Tests: TestProgressWithUnknownTasks (failed before: "negative" marked a task as done, "without an end" ran into the time limit), TestProgressOfSmallerJobs, a spec of Clip. A mixed version between 15,000 and some 20,000 tasks would still run tasks again; that needs the version of the records that hosts announce.

--- a/internal/job/dispatcher/largejob_test.go
+++ b/internal/job/dispatcher/largejob_test.go
@@ -61,3 +61,47 @@
 		})
 	}
 }
+
+// TestProgressWithUnknownTasks has progress whose ranges name no task of the job. It guards against
+// a task that counts as done by a record that doesn't name it, and an owner that never gets to
+// the end of a range.
+func TestProgressWithUnknownTasks(t *testing.T) {
+	for name, done := range map[string]recorder.Ranges{
+		"negative":           {{-3, -1}},
+		"beyond the last":    {{3, 3}},
+		"without an end":     {{3, 1 << 62}},
+		"backwards":          {{2, 1}},
+		"begins before zero": {{-1 << 62, -1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			h := newHarness(specifier.Queue{Name: "menus", Slack: 2}, "w1")
+			j := h.newJob(oneStep(3, nil))
+			h.restore(j, recorder.Progress{Done: done})
+			g.Expect(j.steps[0].completed).To(BeZero())
+		})
+	}
+}
+
+// TestProgressOfSmallerJobs has the most completed tasks whose progress has no ranges, each proven.
+// It guards against a limit for the ranges at which the store refuses what comes before it.
+func TestProgressOfSmallerJobs(t *testing.T) {
+	g := NewWithT(t)
+	job := oneStep(compactFrom/15, nil)
+	job.Steps = append(job.Steps, job.Steps[0])
+	job.Repeat, job.First, job.Every = 15, epoch.Add(time.Hour), time.Second
+	h := newHarness(specifier.Queue{Name: "menus", Slack: 2}, "w1")
+	j := h.newJob(job)
+	n := 0
+	for _, st := range j.steps {
+		for _, task := range st.tasks {
+			if n++; n < compactFrom {
+				task.wasProven = true
+				h.markDone(task)
+			}
+		}
+	}
+	progress := j.progress()
+	g.Expect(progress.Done).To(BeEmpty())
+	g.Expect(len(recorder.Encode(progress))).To(BeNumerically("<", maxValue))
+}
--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -11,11 +11,13 @@
 // restore applies durable progress to a job.
 func (s *Shard) restore(j *job, progress recorder.Progress) {
 	j.otherShards = progress.Shards
-	for ordinal := range progress.Done.All {
+	done, isWhole := progress.Done.Clip(j.spec.TaskCount() * j.spec.Occurrences())
+	if !isWhole {
+		s.emit(Log{Message: "progress of unknown task ignored", Job: j.spec.ID})
+	}
+	for ordinal := range done.All {
 		id, _ := j.spec.TaskAt(ordinal)
-		if t := j.task(id); t != nil {
-			s.restoreTask(t, &recorder.TaskProgress{Done: true})
-		}
+		s.restoreTask(j.task(id), &recorder.TaskProgress{Done: true})
 	}
 	for i := range progress.Tasks {
 		p := &progress.Tasks[i]
@@ -89,9 +91,9 @@
 }
 
 // compactFrom is the number of completed tasks from which a job's progress has them as ranges, so
-// that it doesn't exceed the store's limit of a value. Earlier versions don't know the ranges, so
-// that smaller jobs go without.
-const compactFrom = 5000
+// that it doesn't exceed the store's limit of a value. Earlier versions don't know the ranges and
+// would run these tasks again, so that jobs whose progress they can write go without.
+const compactFrom = 15000
 
 // progress returns the job's state for the store.
 func (j *job) progress() recorder.Progress {
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -210,6 +210,19 @@
 	*r = append(*r, [2]int{n, n})
 }
 
+// Clip returns the numbers of the set from 0 on and below limit, and whether these are all.
+func (r Ranges) Clip(limit int) (clipped Ranges, isWhole bool) {
+	isWhole = true
+	for _, part := range r {
+		first, last := max(part[0], 0), min(part[1], limit-1)
+		isWhole = isWhole && first == part[0] && last == part[1]
+		if first <= last {
+			clipped = append(clipped, [2]int{first, last})
+		}
+	}
+	return clipped, isWhole
+}
+
 // All calls yield for each number of the set, in order, until it returns false.
 func (r Ranges) All(yield func(int) bool) {
 	for _, part := range r {
--- a/internal/job/recorder/recorder_test.go
+++ b/internal/job/recorder/recorder_test.go
@@ -57,6 +57,14 @@
 })
 
 var _ = Describe("Ranges", func() {
+	It("are clipped to the numbers that are known", func() {
+		clipped, isWhole := recorder.Ranges{{-5, 1}, {3, 4}, {6, 1 << 62}}.Clip(8)
+		Expect(clipped).To(Equal(recorder.Ranges{{0, 1}, {3, 4}, {6, 7}}))
+		Expect(isWhole).To(BeFalse())
+		_, isWhole = recorder.Ranges{{0, 7}}.Clip(8)
+		Expect(isWhole).To(BeTrue())
+	})
+
 	It("hold numbers that follow each other as one range", func() {
 		var r recorder.Ranges
 		for _, n := range []int{0, 1, 2, 5, 7, 8} {
