--- a/internal/job/dispatcher/advice.go
+++ b/internal/job/dispatcher/advice.go
@@ -19,12 +19,12 @@
 
 // Limits of requests for placement advice.
 const (
-	maxAdviceWorkers   = 100                    // workers in one request
-	maxAdviceRequests  = 3                      // requests in progress, of which all but the last one are delayed
-	minAdviceBackoff   = 400 * time.Millisecond // first delay after a request that failed
-	maxAdviceBackoff   = 3200 * time.Millisecond
-	minAdviceTurn      = 10 * time.Millisecond // shortest time that a request counts for in the turns of the queues
-	maxCountedVerdicts = 200                   // verdicts about a queue after which earlier ones count half
+	maxAdviceWorkers   = 100                     // workers in one request
+	maxAdviceRequests  = 3                       // requests in progress, of which all but the last one are delayed
+	minAdviceBackoff   = 400 * time.Millisecond  // first delay after a request that failed
+	maxAdviceBackoff   = 3200 * time.Millisecond // longest such delay
+	minAdviceTurn      = 10 * time.Millisecond   // shortest time that a request counts for in the turns of the queues
+	maxCountedVerdicts = 200                     // verdicts about a queue after which earlier ones count half
 )
 
 // RequestAdvice requests tickets that allow workers to run a step. Each request is answered
@@ -114,8 +114,8 @@
 	return len(a.requests) >= maxAdviceRequests
 }
 
-// count adds a verdict about a worker that is new.
-func (a *advising) count(queue string, allowed bool) {
+// countVerdict adds a verdict about a worker that is new.
+func (a *advising) countVerdict(queue string, allowed bool) {
 	if a.approvals == nil {
 		a.approvals = make(map[string]approval)
 	}
@@ -151,9 +151,9 @@
 // started notes that a start with a ticket has succeeded.
 func (a *advice) started() { a.unused, a.retryAt = 0, time.Time{} }
 
-// waste notes an answer that was of no use. The first one is followed by another request at
+// noteUnused notes an answer that was of no use. The first one is followed by another request at
 // once, since the step's situation may have changed while it was in progress.
-func (a *advice) waste(now time.Time) {
+func (a *advice) noteUnused(now time.Time) {
 	a.unused++
 	if a.unused > 1 {
 		a.retryAt = now.Add(adviceBackoff(a.unused - 1))
@@ -215,7 +215,7 @@
 	}
 	st.advice.failures = 0
 	if !s.learnVerdicts(st, &e) {
-		st.advice.waste(s.now)
+		st.advice.noteUnused(s.now)
 	}
 	s.orderPrepared()
 }
@@ -247,7 +247,7 @@
 		earlier, judged := st.advice.verdicts[w.ID]
 		if !judged || earlier.incarnation != w.Incarnation {
 			isNew = true
-			s.advising.count(st.job.spec.Queue, allowed)
+			s.advising.countVerdict(st.job.spec.Queue, allowed)
 		}
 		v := verdict{allowed: allowed, ticket: text, incarnation: w.Incarnation, received: received}
 		if allowed {
--- a/internal/job/dispatcher/adviceturn.go
+++ b/internal/job/dispatcher/adviceturn.go
@@ -114,7 +114,7 @@
 	}
 	p.setAffinity(st)
 	mayDisturb := p.mustProgress(st)
-	return p.named(st, len(tasks), func(i int) bool {
+	return p.adviceWorkers(st, len(tasks), func(i int) bool {
 		return slices.ContainsFunc(tasks, func(t *task) bool {
 			return p.maySuspectStart(t, p.workers[i]) && p.mayStartOn(t, i, mayDisturb)
 		})
@@ -133,9 +133,9 @@
 	return out
 }
 
-// named returns the best workers without a ticket among the allowed ones, as many as one
+// adviceWorkers returns the best workers without a ticket among the allowed ones, as many as one
 // request names if a number of them is needed.
-func (p *placement) named(st *step, needed int, allowed func(i int) bool) []*worker {
+func (p *placement) adviceWorkers(st *step, needed int, allowed func(i int) bool) []*worker {
 	ranked := fitter.Rank(p.candidates, st.request(), func(i int) bool {
 		w := p.workers[i]
 		return !st.isRefused(w) && !st.hasTicket(w, p.shard.now) && allowed(i)
@@ -196,7 +196,7 @@
 		if all, _ := p.chooseForGang(st, func(w *worker) bool { return !st.isRefused(w) }); len(all) < len(st.tasks) {
 			return nil // it doesn't fit, whatever the adviser says
 		}
-		return p.named(st, missing, func(i int) bool {
+		return p.adviceWorkers(st, missing, func(i int) bool {
 			return !st.isAllowed(p.workers[i]) && slices.ContainsFunc(st.tasks, func(t *task) bool {
 				return p.maySuspectStart(t, p.workers[i]) && p.mayStartOn(t, i, true)
 			})
--- a/internal/job/dispatcher/ticket.go
+++ b/internal/job/dispatcher/ticket.go
@@ -58,5 +58,5 @@
 	}
 	v.expires = time.Time{}
 	st.advice.verdicts[r.worker.reg.ID] = v
-	st.advice.waste(now)
+	st.advice.noteUnused(now)
 }
