--- a/internal/job/manager/fleet_test.go
+++ b/internal/job/manager/fleet_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -136,6 +137,13 @@
 	return dispatcher.NoFault
 }
 
+// activeOn returns a copy of the runs that are active on a worker.
+func (f *fleet) activeOn(id string) map[specifier.TaskID]specifier.Run {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.active[id])
+}
+
 // endRun ends a run and lists the end until it is acknowledged.
 func (f *fleet) endRun(id string, task specifier.TaskID, outcome specifier.Outcome) {
 	r, ok := f.active[id][task]
--- a/internal/job/manager/move_test.go
+++ b/internal/job/manager/move_test.go
@@ -81,8 +81,8 @@
 		}
 		time.Sleep(5 * time.Second)
 
-		g.Expect(workers.active["w1"]).To(HaveLen(2))
-		g.Expect(workers.active["w2"]).To(HaveLen(2))
+		g.Expect(workers.activeOn("w1")).To(HaveLen(2))
+		g.Expect(workers.activeOn("w2")).To(HaveLen(2))
 		g.Expect(workers.starts).To(HaveLen(jobs))
 		g.Expect(workers.starts).To(HaveEach(1))
 		for n := range jobs {
@@ -93,7 +93,7 @@
 		for n := range jobs {
 			g.Expect(a.state(g, n)).To(Equal(specifier.Cancelled))
 		}
-		g.Expect(workers.active["w2"]).To(BeEmpty())
+		g.Expect(workers.activeOn("w2")).To(BeEmpty())
 	})
 }
 
@@ -105,8 +105,8 @@
 		acceptJob(g, operator, "desk@bne", longRunningJob(n))
 	}
 	time.Sleep(2 * time.Second)
-	g.Expect(workers.active["w1"]).To(HaveLen(2))
-	g.Expect(workers.active["w2"]).To(HaveLen(2))
+	g.Expect(workers.activeOn("w1")).To(HaveLen(2))
+	g.Expect(workers.activeOn("w2")).To(HaveLen(2))
 }
 
 // TestLongRunningTaskWaitsBesideRoomInAnotherShard has a worker leave whose
@@ -123,9 +123,9 @@
 
 		leave(g, operator, workers, "w1")
 		time.Sleep(maxLongRunningWait)
-		g.Expect(workers.active["w1"]).To(BeEmpty())
-		g.Expect(workers.active["w2"]).To(HaveLen(2))
-		g.Expect(workers.active["w3"]).To(HaveLen(2))
+		g.Expect(workers.activeOn("w1")).To(BeEmpty())
+		g.Expect(workers.activeOn("w2")).To(HaveLen(2))
+		g.Expect(workers.activeOn("w3")).To(HaveLen(2))
 
 		for n := range jobs {
 			g.Expect(b.state(g, n)).To(Equal(specifier.Running))
@@ -169,7 +169,7 @@
 		workers.maxToken = map[string]int64{"w1": 0, "w2": math.MaxInt64, "w3": math.MaxInt64}
 		workers.mu.Unlock()
 		time.Sleep(maxInterruption - slowCalls)
-		g.Expect(workers.active["w3"]).To(HaveLen(2))
+		g.Expect(workers.activeOn("w3")).To(HaveLen(2))
 	})
 }
 
@@ -187,11 +187,11 @@
 		time.Sleep(2 * time.Second)
 		leave(g, operator, workers, "w1")
 		time.Sleep(maxLongRunningWait)
-		g.Expect(workers.active["w2"]).To(BeEmpty())
+		g.Expect(workers.activeOn("w2")).To(BeEmpty())
 
 		commit(g, operator, storer.Write{Key: recorder.HostKey("earlier"), Value: []byte(`{"domain":"bne","format":1}`)})
 		time.Sleep(maxLongRunningWait)
-		g.Expect(workers.active["w2"]).To(HaveLen(1))
+		g.Expect(workers.activeOn("w2")).To(HaveLen(1))
 	})
 }
 
@@ -235,7 +235,7 @@
 		time.Sleep(2 * time.Second)
 		leave(g, operator, workers, "w1")
 		time.Sleep(maxLongRunningWait)
-		g.Expect(workers.active["w2"]).To(HaveLen(1))
+		g.Expect(workers.activeOn("w2")).To(HaveLen(1))
 	})
 }
 
