--- /dev/null
+++ b/review/standin3/cases.go
@@ -0,0 +1,312 @@
+//go:build review3
+
+package main
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
+)
+
+// idleLimit is how long a job may have nothing running while a task's turn has come and there is
+// room for it, by the rule LOST.
+const idleLimit = 3 * time.Second
+
+// finish is how long after the end of the traffic and of all disruptions jobs are asked for: finish_s.
+const finish = 14 * time.Second
+
+// lookInterval is the time between two looks at what runs.
+const lookInterval = 50 * time.Millisecond
+
+// isIdleFor waits until a job has had nothing running for a time, and returns false if all of its tasks
+// are done or that doesn't happen before the deadline.
+func (d *deployment) isIdleFor(j *job, period time.Duration, deadline time.Time) bool {
+	idleSince := time.Time{}
+	for time.Now().Before(deadline) {
+		s := d.look(j)
+		switch {
+		case s.done >= j.size():
+			return false
+		case s.running > 0:
+			idleSince = time.Time{}
+		case idleSince.IsZero():
+			idleSince = time.Now()
+		case time.Since(idleSince) >= period:
+			return true
+		}
+		time.Sleep(lookInterval)
+	}
+	return false
+}
+
+// awaitStarts waits until a job has had a number of starts.
+func (d *deployment) awaitStarts(j *job, n int, deadline time.Time) bool {
+	for time.Now().Before(deadline) {
+		if d.look(j).starts >= n {
+			return true
+		}
+		time.Sleep(lookInterval)
+	}
+	return false
+}
+
+// recordJob records what the workers have seen of a job.
+func (d *deployment) recordJob(j *job) {
+	s := d.look(j)
+	d.record.printf("job %s: %d tasks, %d of them done; %d running, %d starts, %d starts refused, %d ends taken note of",
+		j.id, j.size(), s.done, s.running, s.starts, s.refused, s.observed)
+}
+
+// twoOwners plays a few small deployments, one after the other. In each, tasks that last fail now and
+// then, and the host that owns their shard is partitioned from the store once.
+func twoOwners(d *deployment, isDisrupted bool) (bool, error) {
+	const deployments = 10
+	for n := range deployments {
+		folder := filepath.Join(d.folder, strconv.Itoa(n))
+		if err := os.Mkdir(folder, 0o700); err != nil {
+			return false, err
+		}
+		next := &deployment{record: d.record, folder: folder, jobs: make(map[string]*job)}
+		overlaps, err := next.cutOwner(isDisrupted)
+		next.close()
+		if err != nil || overlaps > 0 {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+// cutOwner plays one deployment and returns the number of starts beside another run of the same task.
+func (d *deployment) cutOwner(isDisrupted bool) (int, error) {
+	const (
+		jobs     = 40
+		width    = 6
+		cutTime  = 3500 * time.Millisecond
+		shortest = 400 * time.Millisecond
+		spread   = 1200 // ms by which runs are longer than the shortest
+	)
+	err := d.deploy(layout{
+		zones: []string{"seq-bne"}, farZone: "fnq-cns", hosts: 4, workers: 16, farWorkers: 32, rack: 8, cpu: 16000, memory: 62500, hostCPU: 0.16, attempts: 2,
+	})
+	if err != nil {
+		return 0, err
+	}
+	for n := range jobs {
+		j := &job{
+			id: fmt.Sprintf("1d0000000000%04x", n), isQuiet: true,
+			steps: []step{{Count: width, Cpu: 1000, MemoryRequestMb: 500, EstimatedMs: 1000, Persistent: true, Image: "img-1"}},
+			plan: func(string, int64) plan {
+				return plan{length: shortest + time.Duration(rand.N(spread))*time.Millisecond, outcome: "failed", lasts: true}
+			},
+		}
+		if err := d.submit(j); err != nil {
+			d.record.printf("%v", err)
+		}
+	}
+	time.Sleep(time.Second)
+	owner := d.ownerOf(serviceName)
+	if owner == nil {
+		return 0, errors.New("the shard has no owner")
+	}
+	if isDisrupted {
+		d.record.printf("%s is partitioned from the store for %v", owner.name, cutTime)
+		owner.link.Cut(delayer.Blackhole)
+	}
+	time.Sleep(cutTime)
+	owner.link.Heal()
+	d.record.printf("%s reaches the store", owner.name)
+	starts := 0
+	for _, j := range d.jobs {
+		starts += d.look(j).starts
+	}
+	overlaps := d.countOverlaps()
+	d.record.printf("%d starts, %d of them beside another run of the task", starts, overlaps)
+	return overlaps, nil
+}
+
+// oversizedProgress plays a wide job, while a few workers at a time crash and come back, and a small
+// job that comes later.
+func oversizedProgress(d *deployment, isDisrupted bool) (bool, error) {
+	const (
+		tasks     = 10000
+		runTime   = 30 * time.Second
+		waves     = 6
+		zoneSize  = 8 // workers in each of three zones
+		perWave   = 3 // workers that crash at a time, one in each zone: 0.125
+		waveEvery = 2500 * time.Millisecond
+		downTime  = 500 * time.Millisecond
+		playTime  = 100 * time.Second // from the acceptance of the wide job
+	)
+	err := d.deploy(layout{
+		zones: []string{"seq-bne", "seq-gc", "seq-sc"}, hosts: 2, workers: zoneSize, rack: 8, cpu: 64000, memory: 250000, hostCPU: 0.4, attempts: 2,
+	})
+	if err != nil {
+		return false, err
+	}
+	wide := &job{
+		id: "1d00000000000011", isQuiet: true,
+		steps: []step{{Count: tasks, Cpu: 100, MemoryRequestMb: 50, EstimatedMs: runTime.Milliseconds(), Checkpointing: true, Image: "img-1"}},
+		plan:  func(string, int64) plan { return plan{length: runTime, outcome: "done", saves: true} },
+	}
+	if err := d.submit(wide); err != nil {
+		return false, err
+	}
+	if !d.awaitStarts(wide, tasks, time.Now().Add(25*time.Second)) {
+		return false, errors.New("the tasks haven't started in time")
+	}
+	d.recordJob(wide)
+	if isDisrupted {
+		for wave := range waves {
+			for k := range perWave {
+				d.crashAndRestart(d.workers[wave+k*zoneSize], downTime)
+			}
+			time.Sleep(waveEvery)
+			d.recordJob(wide)
+			d.recordProgress(wide)
+		}
+	}
+	d.record.printf("no more crashes")
+	small := &job{
+		id:    "1d00000000000012",
+		steps: []step{{Count: 4, Cpu: 1000, MemoryRequestMb: 100, EstimatedMs: 1000, Image: "img-2"}},
+		plan:  func(string, int64) plan { return plan{length: time.Second, outcome: "done"} },
+	}
+	if err := d.submit(small); err != nil {
+		d.record.printf("%v", err)
+	}
+	time.Sleep(finish)
+	deadline := wide.accepted.Add(playTime)
+	hasIdled := d.isIdleFor(wide, idleLimit, deadline)
+	d.recordJob(wide)
+	d.recordJob(small)
+	d.recordProgress(wide)
+	time.Sleep(2 * time.Second)
+	d.record.printf("state of %s: %q, of %s: %q; the wide job idled for %v: %t",
+		wide.id, d.state(wide.id), small.id, d.state(small.id), idleLimit, hasIdled)
+	return !hasIdled, nil
+}
+
+// recordProgress records the sizes of the records of a job's progress in the store.
+func (d *deployment) recordProgress(j *job) {
+	for _, key := range d.store.keys("progress/") {
+		d.record.printf("%s has %d bytes", key, len(d.store.value(key)))
+	}
+}
+
+// crashAndRestart crashes a worker, which is back after a while under its id.
+func (d *deployment) crashAndRestart(w *worker, after time.Duration) {
+	w.crash()
+	time.AfterFunc(after, func() {
+		if err := w.start(); err != nil {
+			d.record.printf("worker %s not started: %v", w.id, err)
+		}
+	})
+}
+
+// gangRoom plays a gang that needs most workers of its shard, of which a few are emptied and taken
+// away while it runs.
+func gangRoom(d *deployment, isDisrupted bool) (bool, error) {
+	const (
+		width    = 29 // of the 32 workers of a zone; twice the width fits on the 60 that stay
+		runTime  = 12 * time.Second
+		playTime = 60 * time.Second
+	)
+	if err := d.deploy(twoZones(false)); err != nil {
+		return false, err
+	}
+	j := &job{
+		id:    "1d00000000000021",
+		steps: []step{{Count: width, Cpu: 5000, MemoryRequestMb: 1000, EstimatedMs: runTime.Milliseconds(), Gang: true, Image: "img-1"}},
+		plan:  func(string, int64) plan { return plan{length: runTime, outcome: "done"} },
+	}
+	if err := d.submit(j); err != nil {
+		return false, err
+	}
+	if !d.awaitStarts(j, width, time.Now().Add(15*time.Second)) {
+		return false, errors.New("the gang hasn't started in time")
+	}
+	if isDisrupted {
+		zone := d.zoneOfRuns(j)
+		d.takeAway(4, func(w *worker) bool { return w.zone == zone })
+	}
+	time.Sleep(drainTime + finish)
+	hasIdled := d.isIdleFor(j, idleLimit, j.accepted.Add(playTime))
+	d.recordJob(j)
+	d.record.printf("state of %s: %q; it idled for %v: %t", j.id, d.state(j.id), idleLimit, hasIdled)
+	return !hasIdled, nil
+}
+
+// twoZones is a deployment in which each zone is a shard.
+func twoZones(advice bool) layout {
+	return layout{
+		zones: []string{"seq-bne", "seq-gc"}, hosts: 3, workers: 32, rack: 8, cpu: 16000, memory: 62500, hostCPU: 0.16, advice: advice, attempts: 2,
+	}
+}
+
+// zoneOfRuns returns the zone in which most runs of a job are.
+func (d *deployment) zoneOfRuns(j *job) string {
+	counts := make(map[string]int)
+	best := ""
+	for _, w := range d.workers {
+		w.mu.Lock()
+		if w.life != nil {
+			counts[w.zone] += len(w.life.active)
+		}
+		w.mu.Unlock()
+		if best == "" || counts[w.zone] > counts[best] {
+			best = w.zone
+		}
+	}
+	d.record.printf("runs of %s by zone: %v", j.id, counts)
+	return best
+}
+
+// takeAway empties up to n workers that match and takes them away.
+func (d *deployment) takeAway(n int, match func(*worker) bool) {
+	for _, w := range d.workers {
+		if n > 0 && match(w) {
+			n--
+			go w.leave()
+		}
+	}
+}
+
+// adviceRoom plays a queue whose policy allows the workers of one rack in each zone. Those of the zone
+// where the job runs are emptied and taken away.
+func adviceRoom(d *deployment, isDisrupted bool) (bool, error) {
+	const (
+		tasks    = 48
+		runTime  = 2 * time.Second
+		playTime = 60 * time.Second
+	)
+	if err := d.deploy(twoZones(true)); err != nil {
+		return false, err
+	}
+	d.adviser.allows = func(w *worker) bool { return w.rack == "r1-1" || w.rack == "r2-1" }
+	j := &job{
+		id:    "1d00000000000031",
+		steps: []step{{Count: tasks, Cpu: 8000, MemoryRequestMb: 1000, EstimatedMs: runTime.Milliseconds(), Image: "img-1"}},
+		plan:  func(string, int64) plan { return plan{length: runTime, outcome: "done"} },
+	}
+	if err := d.submit(j); err != nil {
+		return false, err
+	}
+	if !d.awaitStarts(j, 8, time.Now().Add(15*time.Second)) {
+		return false, errors.New("the job hasn't started in time")
+	}
+	if isDisrupted {
+		zone := d.zoneOfRuns(j)
+		d.takeAway(8, func(w *worker) bool { return w.zone == zone && d.adviser.allows(w) })
+	}
+	time.Sleep(drainTime + finish)
+	hasIdled := d.isIdleFor(j, idleLimit, j.accepted.Add(playTime))
+	d.recordJob(j)
+	d.record.printf("state of %s: %q; it idled for %v: %t", j.id, d.state(j.id), idleLimit, hasIdled)
+	return !hasIdled, nil
+}
