--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,7 +1,7 @@
 //go:build review3
 
 // Command standin3 plays the cases of the third review: it starts the program of the deploy file as
-// separate processes, with a store, workers, an adviser and callers that are stand-ins in this
+// separate processes, with a store, workers and callers that are stand-ins in this
 // process on loopback addresses.
 //
 //	standin3 CASE FOLDER
@@ -28,7 +28,7 @@
 	"two-owners":         twoOwners,
 	"oversized-progress": oversizedProgress,
 	"gang-room":          gangRoom,
-	"advice-room":        adviceRoom,
+	"stale-count":        staleCount,
 }
 
 func main() {
