--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -11,6 +11,8 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
@@ -190,7 +192,7 @@
 	d.recordProgress(wide)
 	time.Sleep(2 * time.Second)
 	d.record.printf("state of %s: %q, of %s: %q; the wide job idled for %v: %t",
-		wide.id, d.state(wide.id), small.id, d.state(small.id), idleLimit, hasIdled)
+		wide.id, d.state(wide), small.id, d.state(small), idleLimit, hasIdled)
 	return !hasIdled, nil
 }
 
@@ -240,7 +242,7 @@
 	time.Sleep(drainTime + finish)
 	hasIdled := d.isIdleFor(j, idleLimit, j.accepted.Add(playTime))
 	d.recordJob(j)
-	d.record.printf("state of %s: %q; it idled for %v: %t", j.id, d.state(j.id), idleLimit, hasIdled)
+	d.record.printf("state of %s: %q; it idled for %v: %t", j.id, d.state(j), idleLimit, hasIdled)
 	return !hasIdled, nil
 }
 
@@ -359,7 +361,7 @@
 	d.jobs[j.id] = j
 	d.mu.Unlock()
 	for _, h := range hosts {
-		if status, _ := d.call(h, http.MethodPost, j.id, j.body()); status == http.StatusOK {
+		if status, _ := d.call(h, http.MethodPost, j.path(), j.body()); status == http.StatusOK {
 			j.accepted = time.Now()
 			return
 		}
@@ -375,7 +377,7 @@
 			waiting++
 		}
 	}
-	status, answer := d.call(h, http.MethodGet, "", nil)
+	status, answer := d.call(h, http.MethodGet, queuePrefix, nil)
 	var body struct{ Pending int }
 	if status != http.StatusOK || json.Unmarshal([]byte(answer), &body) != nil || 2*body.Pending >= waiting {
 		return true
@@ -383,3 +385,69 @@
 	d.record.printf("%s says that %d jobs wait; %d were accepted over %v before and haven't begun", h.name, body.Pending, waiting, visible)
 	return false
 }
+
+// runNumbers plays two tasks that last and fail over and over, as of a broken image, until the image is mended
+// while they wait for room. Meanwhile the host that owns its shard is stopped and started again, as planned.
+func runNumbers(d *deployment, isDisrupted bool) (bool, error) {
+	const (
+		workers      = 3
+		failedStarts = 8000             // of two tasks
+		failTime     = 45 * time.Second // for them
+		fillTime     = 16 * time.Second
+		graceTime    = 6 * time.Second // GracePeriodS
+		watchTime    = 20 * time.Second
+	)
+	err := d.deploy(layout{
+		zones: []string{"seq-bne"}, hosts: 3, workers: workers, rack: 8, cpu: 16000, memory: 62500, hostCPU: 0.16, attempts: 2, priority: 2, target: time.Minute,
+	})
+	if err != nil {
+		return false, err
+	}
+	var isMended atomic.Bool
+	whole := step{Count: 1, Cpu: 16000, MemoryRequestMb: 1000, EstimatedMs: 1000, Persistent: true, Image: "img-1"}
+	lasting := &job{
+		id: "1d00000000000061", isQuiet: true, steps: []step{whole, whole},
+		plan: func(string, int64) plan {
+			if isMended.Load() {
+				return plan{length: time.Hour, lasts: true}
+			}
+			return plan{length: time.Millisecond, outcome: "failed", lasts: true}
+		},
+	}
+	if err := d.submit(lasting); err != nil {
+		return false, err
+	}
+	d.awaitStarts(lasting, failedStarts, time.Now().Add(failTime))
+	d.recordJob(lasting)
+	full := &job{
+		id: "1d00000000000062", isUrgent: true,
+		steps: []step{{Count: workers, Cpu: 16000, MemoryRequestMb: 1000, EstimatedMs: fillTime.Milliseconds(), Image: "img-2"}},
+		plan:  func(string, int64) plan { return plan{length: fillTime, outcome: "done"} },
+	}
+	if err := d.submit(full); err != nil {
+		return false, err
+	}
+	if !d.awaitStarts(full, workers, time.Now().Add(8*time.Second)) {
+		return false, errors.New("the service isn't full")
+	}
+	isMended.Store(true)
+	d.recordJob(lasting)
+	time.Sleep(1500 * time.Millisecond)
+	if d.look(lasting).running > 0 {
+		return false, errors.New("a task that lasts runs")
+	}
+	if isDisrupted {
+		owner := d.ownerOf(serviceName)
+		if owner == nil {
+			return false, errors.New("the shard has no owner")
+		}
+		owner.signal(syscall.SIGTERM)
+	}
+	time.Sleep(fillTime + graceTime - 1500*time.Millisecond)
+	d.recordJob(full)
+	d.recordJob(lasting)
+	hasIdled := d.isIdleFor(lasting, idleLimit, time.Now().Add(watchTime))
+	d.recordJob(lasting)
+	d.record.printf("state of %s: %q; it idled for %v: %t", lasting.id, d.state(lasting), idleLimit, hasIdled)
+	return !hasIdled, nil
+}
--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os"
 	"os/exec"
@@ -26,6 +27,7 @@
 	program      = "target/dotterelcart" // with "attach", as in the deploy file
 	hostname     = "queue.example"
 	queuePrefix  = "/jobs/"
+	urgentPrefix = "/urgent/" // of a queue of priority 0
 	readyTimeout = 25 * time.Second
 	callTimeout  = 3 * time.Second // the callers' time limit
 	restartDelay = time.Second     // until the platform starts an ended process again
@@ -48,6 +50,7 @@
 	cpu, memory int64    // of a worker
 	hostCPU     float64  // CpuShare of an entry host
 	attempts    int
+	priority    int           // of the queue at queuePrefix
 	target      time.Duration // CompletionTargetMs of the queue; 0 is defaultTarget
 }
 
@@ -199,10 +202,12 @@
 func manifest(l layout) map[string]any {
 	route := map[string]any{
 		"Name": "r-jobs", "Hostname": hostname, "Prefix": queuePrefix, "Kind": "non_idempotent", "TimeoutMs": 3000,
-		"CompletionTargetMs": cmp.Or(l.target, defaultTarget).Milliseconds(), "Priority": 0, "Service": serviceName, "Attempts": l.attempts, "SlackFactor": 4.0,
+		"CompletionTargetMs": cmp.Or(l.target, defaultTarget).Milliseconds(), "Priority": l.priority, "Service": serviceName, "Attempts": l.attempts, "SlackFactor": 4.0,
 	}
+	urgent := maps.Clone(route)
+	urgent["Name"], urgent["Prefix"], urgent["Priority"] = "r-urgent", urgentPrefix, 0
 	return map[string]any{
-		"Version": 7, "Routes": []any{route},
+		"Version": 7, "Routes": []any{route, urgent},
 		"Services": []any{map[string]any{
 			"Name": serviceName, "HealthPath": "/health", "ConnectionLimit": 64, "Protocol": "h1", "Tls": false,
 			"RejectsOverload": false, "Standby": false,
@@ -323,7 +328,7 @@
 }
 
 // call makes a call of a caller to a host and returns the status, 0 without an answer.
-func (d *deployment) call(h *host, method, id string, body any) (status int, answer string) {
+func (d *deployment) call(h *host, method, path string, body any) (status int, answer string) {
 	var in io.Reader
 	if body != nil {
 		data, err := json.Marshal(body)
@@ -332,7 +337,7 @@
 		}
 		in = bytes.NewReader(data)
 	}
-	request, err := http.NewRequest(method, "http://"+h.callers+queuePrefix+id, in)
+	request, err := http.NewRequest(method, "http://"+h.callers+path, in)
 	if err != nil {
 		panic(fmt.Sprintf("standin3: %v", err)) // the address is one of a listener
 	}
@@ -342,13 +347,13 @@
 	client := http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
-		d.record.printf("%s %s at %s: no answer", method, id, h.name)
+		d.record.printf("%s %s at %s: no answer", method, path, h.name)
 		return 0, ""
 	}
 	defer response.Body.Close() //nolint:errcheck // read to its end
 	data, _ := io.ReadAll(response.Body)
 	answer = strings.TrimSpace(string(data))
-	d.record.printf("%s %s at %s: %d %s", method, id, h.name, response.StatusCode, answer)
+	d.record.printf("%s %s at %s: %d %s", method, path, h.name, response.StatusCode, answer)
 	return response.StatusCode, answer
 }
 
@@ -373,7 +378,7 @@
 		if !h.isReady() {
 			continue
 		}
-		if status, _ := d.call(h, http.MethodPost, j.id, j.body()); status == http.StatusOK {
+		if status, _ := d.call(h, http.MethodPost, j.path(), j.body()); status == http.StatusOK {
 			j.accepted = time.Now()
 			return nil
 		}
@@ -383,13 +388,13 @@
 }
 
 // state asks ready hosts for the state of a job until one answers.
-func (d *deployment) state(id string) string {
+func (d *deployment) state(j *job) string {
 	for attempt := range 6 {
 		h := d.hosts[attempt%len(d.hosts)]
 		if !h.isReady() {
 			continue
 		}
-		status, answer := d.call(h, http.MethodGet, id, nil)
+		status, answer := d.call(h, http.MethodGet, j.path(), nil)
 		if status == http.StatusGone {
 			return "gone"
 		}
--- a/review/standin3/job.go
+++ b/review/standin3/job.go
@@ -35,6 +35,7 @@
 // deployment's lock.
 type job struct {
 	id       string
+	isUrgent bool // it is handed in at urgentPrefix
 	steps    []step
 	plan     func(task string, run int64) plan
 	isQuiet  bool // its runs aren't recorded one by one
@@ -51,6 +52,14 @@
 	gangs    map[string]*gang
 }
 
+// path returns the path of the job.
+func (j *job) path() string {
+	if j.isUrgent {
+		return urgentPrefix + j.id
+	}
+	return queuePrefix + j.id
+}
+
 // body returns the body of the submission.
 func (j *job) body() any {
 	return struct {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -28,6 +28,7 @@
 	"two-owners":         twoOwners,
 	"oversized-progress": oversizedProgress,
 	"gang-room":          gangRoom,
+	"run-numbers":        runNumbers,
 	"stale-count":        staleCount,
 }
 
