--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -226,7 +226,7 @@
 	}
 	j := &job{
 		id:    "1d00000000000021",
-		steps: []step{{Count: width, Cpu: 5000, MemoryRequestMb: 1000, EstimatedMs: runTime.Milliseconds(), Gang: true, Image: "img-1"}},
+		steps: []step{{Count: width, Cpu: 10000, MemoryRequestMb: 1000, EstimatedMs: runTime.Milliseconds(), Gang: true, Image: "img-1"}},
 		plan:  func(string, int64) plan { return plan{length: runTime, outcome: "done"} },
 	}
 	if err := d.submit(j); err != nil {
