--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -172,7 +172,7 @@
 			}
 			time.Sleep(waveEvery)
 			d.recordJob(wide)
-			d.recordProgress(wide)
+			d.recordProgress()
 		}
 	}
 	d.record.printf("no more crashes")
@@ -189,15 +189,15 @@
 	hasIdled := d.isIdleFor(wide, idleLimit, deadline)
 	d.recordJob(wide)
 	d.recordJob(small)
-	d.recordProgress(wide)
+	d.recordProgress()
 	time.Sleep(2 * time.Second)
 	d.record.printf("state of %s: %q, of %s: %q; the wide job idled for %v: %t",
 		wide.id, d.state(wide), small.id, d.state(small), idleLimit, hasIdled)
 	return !hasIdled, nil
 }
 
-// recordProgress records the sizes of the records of a job's progress in the store.
-func (d *deployment) recordProgress(j *job) {
+// recordProgress records the sizes of the records of progress in the store.
+func (d *deployment) recordProgress() {
 	for _, key := range d.store.keys("progress/") {
 		d.record.printf("%s has %d bytes", key, len(d.store.value(key)))
 	}
--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -260,7 +260,7 @@
 		if err != nil {
 			return err
 		}
-		defer log.Close() //nolint:errcheck // the process has its own descriptor
+		defer log.Close() // the process has its own descriptor
 		h.cmd.Stdout, h.cmd.Stderr = log, log
 	}
 	if err := h.cmd.Start(); err != nil {
@@ -350,7 +350,7 @@
 		d.record.printf("%s %s at %s: no answer", method, path, h.name)
 		return 0, ""
 	}
-	defer response.Body.Close() //nolint:errcheck // read to its end
+	defer response.Body.Close()
 	data, _ := io.ReadAll(response.Body)
 	answer = strings.TrimSpace(string(data))
 	d.record.printf("%s %s at %s: %d %s", method, path, h.name, response.StatusCode, answer)
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -92,7 +92,7 @@
 		if err != nil {
 			return nil, err
 		}
-		defer l.Close() //nolint:errcheck // only reserves a port
+		defer l.Close() // only reserves a port
 		out = append(out, l.Addr().String())
 	}
 	return out, nil
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -261,7 +261,7 @@
 			l.worker.mu.Unlock()
 			panic(http.ErrAbortHandler)
 		}
-		reason := ""
+		var reason string
 		switch {
 		case in.FencingToken < l.token:
 			reason = "fence"
