--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -28,20 +29,24 @@
 // lookInterval is the time between two looks at what runs.
 const lookInterval = 50 * time.Millisecond
 
-// isIdleFor waits until a job has had nothing running for a time, and returns false if all of its tasks
-// are done or that doesn't happen before the deadline.
+// isIdleFor waits until a job has had nothing running for a time, with room for all its tasks that aren't
+// done twice over and under half of the service in use all the while. It returns false if all of its tasks are done or that
+// doesn't happen before the deadline.
 func (d *deployment) isIdleFor(j *job, period time.Duration, deadline time.Time) bool {
 	idleSince := time.Time{}
 	for time.Now().Before(deadline) {
 		s := d.look(j)
+		room := d.roomFor(j, j.size()-s.done)
 		switch {
 		case s.done >= j.size():
 			return false
-		case s.running > 0:
+		case s.running > 0 || !room.isTwiceOver() || !room.isHalfFree():
 			idleSince = time.Time{}
 		case idleSince.IsZero():
 			idleSince = time.Now()
 		case time.Since(idleSince) >= period:
+			d.record.printf("%s has had nothing running for %v: %d of its tasks aren't done, there was room for %d of them on the %d workers that are up and don't drain, which use %d of %d millicores",
+				j.id, period, room.tasks, room.slots, room.workers, room.used, room.cpu)
 			return true
 		}
 		time.Sleep(lookInterval)
@@ -49,6 +54,33 @@
 	return false
 }
 
+// room is what the workers that are up and don't drain have for a number of tasks.
+type room struct {
+	tasks, workers, slots int
+	used, cpu             int64 // millicores
+}
+
+func (r *room) isTwiceOver() bool { return r.slots >= 2*r.tasks }
+
+func (r *room) isHalfFree() bool { return 2*r.used < r.cpu }
+
+// roomFor returns the room for tasks of a job, whose steps all ask for the same.
+func (d *deployment) roomFor(j *job, tasks int) room {
+	r := room{tasks: tasks}
+	need := j.steps[0]
+	for _, w := range d.workers {
+		cpu, memory, isUp := w.free()
+		if !isUp {
+			continue
+		}
+		r.workers++
+		r.slots += int(min(cpu/need.Cpu, memory/need.MemoryRequestMb))
+		r.used += w.cpu - cpu
+		r.cpu += w.cpu
+	}
+	return r
+}
+
 // awaitStarts waits until a job has had a number of starts.
 func (d *deployment) awaitStarts(j *job, n int, deadline time.Time) bool {
 	for time.Now().Before(deadline) {
@@ -63,29 +95,50 @@
 // recordJob records what the workers have seen of a job.
 func (d *deployment) recordJob(j *job) {
 	s := d.look(j)
-	d.record.printf("job %s: %d tasks, %d of them done; %d running, %d starts, %d starts refused, %d ends taken note of",
-		j.id, j.size(), s.done, s.running, s.starts, s.refused, s.observed)
+	d.record.printf("job %s: %d tasks, %d of them done; %d running, %d starts, %d starts refused, %d runs lost with a worker, %d lapsed, %d ends taken note of",
+		j.id, j.size(), s.done, s.running, s.starts, s.refused, s.lost, s.lapsed, s.observed)
 }
 
-// twoOwners plays a few small deployments, one after the other. In each, tasks that last fail now and
-// then, and the host that owns their shard is partitioned from the store once.
+// twoOwners plays small deployments, a few at a time. In each, tasks that last fail now and then, and the host
+// that owns their shard is partitioned from the store once.
 func twoOwners(d *deployment, isDisrupted bool) (bool, error) {
-	const deployments = 10
-	for n := range deployments {
-		folder := filepath.Join(d.folder, strconv.Itoa(n))
-		if err := os.Mkdir(folder, 0o700); err != nil {
-			return false, err
+	const (
+		batches = 7
+		width   = 3 // deployments at a time
+	)
+	for batch := range batches {
+		var parts [width]outcome
+		var playing sync.WaitGroup
+		for n := range width {
+			playing.Go(func() { parts[n] = d.playPart(batch*width+n+1, isDisrupted) })
+		}
+		playing.Wait()
+		hasHeld := true
+		for _, o := range parts {
+			if o.err != nil {
+				return false, o.err
+			}
+			hasHeld = hasHeld && o.hasHeld
 		}
-		next := &deployment{record: d.record, folder: folder, jobs: make(map[string]*job)}
-		overlaps, err := next.cutOwner(isDisrupted)
-		next.close()
-		if err != nil || overlaps > 0 {
-			return false, err
+		if !hasHeld {
+			return false, nil
 		}
 	}
 	return true, nil
 }
 
+// playPart plays one of the deployments of twoOwners.
+func (d *deployment) playPart(number int, isDisrupted bool) outcome {
+	folder := filepath.Join(d.folder, strconv.Itoa(number))
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		return outcome{err: err}
+	}
+	part := &deployment{record: d.record.part(fmt.Sprintf("deployment %d: ", number)), folder: folder, jobs: make(map[string]*job)}
+	defer part.close()
+	overlaps, err := part.cutOwner(isDisrupted)
+	return outcome{overlaps == 0, err}
+}
+
 // cutOwner plays one deployment and returns the number of starts beside another run of the same task.
 func (d *deployment) cutOwner(isDisrupted bool) (int, error) {
 	const (
@@ -125,12 +178,14 @@
 	time.Sleep(cutTime)
 	owner.link.Heal()
 	d.record.printf("%s reaches the store", owner.name)
-	starts := 0
+	time.Sleep(time.Second) // for the ends of the last runs
+	starts, lost, lapsed := 0, 0, 0
 	for _, j := range d.jobs {
-		starts += d.look(j).starts
+		s := d.look(j)
+		starts, lost, lapsed = starts+s.starts, lost+s.lost, lapsed+s.lapsed
 	}
 	overlaps := d.countOverlaps()
-	d.record.printf("%d starts, %d of them beside another run of the task", starts, overlaps)
+	d.record.printf("%d starts, %d of them beside another run of the task; %d runs lost with a worker, %d lapsed", starts, overlaps, lost, lapsed)
 	return overlaps, nil
 }
 
@@ -155,7 +210,7 @@
 	}
 	wide := &job{
 		id: "1d00000000000011", isQuiet: true,
-		steps: []step{{Count: tasks, Cpu: 100, MemoryRequestMb: 50, EstimatedMs: runTime.Milliseconds(), Checkpointing: true, Image: "img-1"}},
+		steps: []step{{Count: tasks, Cpu: 80, MemoryRequestMb: 50, EstimatedMs: runTime.Milliseconds(), Checkpointing: true, Image: "img-1"}},
 		plan:  func(string, int64) plan { return plan{length: runTime, outcome: "done", saves: true} },
 	}
 	if err := d.submit(wide); err != nil {
@@ -382,7 +437,8 @@
 	if status != http.StatusOK || json.Unmarshal([]byte(answer), &body) != nil || 2*body.Pending >= waiting {
 		return true
 	}
-	d.record.printf("%s says that %d jobs wait; %d were accepted over %v before and haven't begun", h.name, body.Pending, waiting, visible)
+	d.record.printf("%s, whose process runs since %.3f and which reaches the store all the while, says that %d jobs wait; %d without times were accepted over %v before and haven't begun",
+		h.name, h.startedAt().Sub(d.record.began).Seconds(), body.Pending, waiting, visible)
 	return false
 }
 
@@ -404,9 +460,9 @@
 		return false, err
 	}
 	var isMended atomic.Bool
-	whole := step{Count: 1, Cpu: 16000, MemoryRequestMb: 1000, EstimatedMs: 1000, Persistent: true, Image: "img-1"}
+	half := step{Count: 1, Cpu: 8000, MemoryRequestMb: 1000, EstimatedMs: 1000, Persistent: true, Image: "img-1"}
 	lasting := &job{
-		id: "1d00000000000061", isQuiet: true, steps: []step{whole, whole},
+		id: "1d00000000000061", isQuiet: true, steps: []step{half, half},
 		plan: func(string, int64) plan {
 			if isMended.Load() {
 				return plan{length: time.Hour, lasts: true}
--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -63,6 +63,8 @@
 	hosts   []*host
 	relays  []*delayer.Relay
 
+	closing sync.Once
+
 	mu   sync.Mutex // guards jobs and what belongs to them
 	jobs map[string]*job
 }
@@ -78,7 +80,8 @@
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	ended  chan struct{}
-	isOver bool // not started again
+	since  time.Time // when the process was started
+	isOver bool      // not started again
 }
 
 const settingsText = `NodeName = %q
@@ -254,6 +257,7 @@
 		return nil
 	}
 	h.cmd = exec.Command(program, "attach")
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it mustn't outlive this process
 	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "DOTTERELCART_SETTINGS=" + h.settings}
 	if folder := os.Getenv("LOGS"); folder != "" {
 		log, err := os.OpenFile(filepath.Join(folder, h.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -267,7 +271,7 @@
 		return err
 	}
 	h.d.record.printf("entry host %s starts", h.name)
-	h.ended = make(chan struct{})
+	h.ended, h.since = make(chan struct{}), time.Now()
 	go func(c *exec.Cmd, ended chan struct{}) {
 		_ = c.Wait() // it was killed or stopped
 		h.d.record.printf("entry host %s has ended", h.name)
@@ -280,6 +284,13 @@
 	return nil
 }
 
+// startedAt returns when the present process of the host was started.
+func (h *host) startedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.since
+}
+
 // signal sends a signal to the process of the host.
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
@@ -289,7 +300,9 @@
 }
 
 // close ends all processes and stand-ins.
-func (d *deployment) close() {
+func (d *deployment) close() { d.closing.Do(d.end) }
+
+func (d *deployment) end() {
 	for _, h := range d.hosts {
 		h.mu.Lock()
 		h.isOver = true
--- a/review/standin3/job.go
+++ b/review/standin3/job.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"fmt"
 	"strconv"
 	"strings"
 	"sync"
@@ -49,6 +50,8 @@
 	observed int             // ends that the system has taken note of
 	active   map[string]*run // latest run of each task that is active
 	overlaps int             // starts beside another active run of the task
+	lapsed   int             // runs whose lease has ended
+	lost     int             // runs that were lost with their worker
 	gangs    map[string]*gang
 }
 
@@ -107,6 +110,7 @@
 	parts := strings.Split(r.task, ".")
 	number, _ := strconv.Atoi(parts[2])
 	s := &j.steps[number]
+	r.step = s
 	if s.Gang {
 		j.join(r, s, strings.Join(parts[:3], "."))
 		return
@@ -125,16 +129,28 @@
 	if j.active == nil {
 		j.active = make(map[string]*run)
 	}
-	r.token = in.FencingToken
+	r.token, r.noted = in.FencingToken, time.Now()
 	if other := j.active[r.task]; other != nil {
 		j.overlaps++
-		record.printf("two runs of %s at the same time: run %d on %s since %.3f by token %d, and now run %d on %s by token %d",
+		r.beside, other.beside = other, r
+		record.printf("two runs of %s at the same time: run %d on %s since %.3f by token %d, and now run %d on %s by token %d; both workers are up, since their first lifetimes",
 			r.task, other.number, other.life.worker.id, other.noted.Sub(record.began).Seconds(), other.token, r.number, r.life.worker.id, r.token)
 	}
-	r.noted = time.Now()
 	j.active[r.task] = r
 }
 
+// noteOverlapEnd records the end of a run that was at work beside another one.
+func (j *job) noteOverlapEnd(record *record, r *run) {
+	if r.beside == nil {
+		return
+	}
+	beside := ""
+	if r.beside.outcome == "" {
+		beside = fmt.Sprintf("; the two were at work side by side for %.3f s", min(time.Since(r.noted), time.Since(r.beside.noted)).Seconds())
+	}
+	record.printf("run %d of %s on %s ends %s%s", r.number, r.task, r.life.worker.id, r.outcome, beside)
+}
+
 // join adds a run to its gang, which begins to work once it is whole.
 func (j *job) join(r *run, s *step, name string) {
 	key := runKey(name, r.number)
@@ -188,6 +204,13 @@
 	if j.active[r.task] == r {
 		delete(j.active, r.task)
 	}
+	j.noteOverlapEnd(d.record, r)
+	switch r.outcome {
+	case "lapsed":
+		j.lapsed++
+	case "lost":
+		j.lost++
+	}
 	if r.outcome == "done" {
 		if j.done == nil {
 			j.done = make(map[string]bool)
@@ -233,13 +256,13 @@
 
 // seen is what the workers have seen of a job.
 type seen struct {
-	running, starts, refused, done, observed int
-	lastSeen                                 time.Time
+	running, starts, refused, done, observed, lost, lapsed int
+	lastSeen                                               time.Time
 }
 
 // look returns what the workers have seen of a job.
 func (d *deployment) look(j *job) seen {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return seen{j.running, j.starts, j.refused, len(j.done), j.observed, j.lastSeen}
+	return seen{j.running, j.starts, j.refused, len(j.done), j.observed, j.lost, j.lapsed, j.lastSeen}
 }
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -67,8 +67,10 @@
 	number  int64
 	life    *lifetime
 	plan    plan
+	step    *step
 	token   int64     // of the order that started it
 	noted   time.Time // when it was started
+	beside  *run      // another run of the task that was at work at the same time
 	saved   string    // checkpoint
 	resumed time.Duration
 	began   time.Time // when it began to work; zero while a member of a gang waits
@@ -213,6 +215,21 @@
 	clear(l.active)
 }
 
+// free returns what the runs on the worker leave, and whether it is up and doesn't drain.
+func (w *worker) free() (cpu, memory int64, isUp bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.life == nil || w.isDraining {
+		return 0, 0, false
+	}
+	cpu, memory = w.cpu, w.memory
+	for _, r := range w.life.active {
+		cpu -= r.step.Cpu
+		memory -= r.step.MemoryRequestMb
+	}
+	return cpu, memory, true
+}
+
 func (l *lifetime) clock() int64 { return clockStart + time.Since(l.began).Milliseconds() }
 
 func (l *lifetime) hasEnded() bool {
