review/11: lose at a cut what the network would lose

The relays between hosts and the store delivered, after a cut, also what a host had sent on connections that it opened during the cut, and bytes that were outstanding for longer than its TCP_USER_TIMEOUT. Now such connections are reset and nothing of them arrives.

--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -15,8 +15,6 @@
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"dotterelcart.dev/dotterelcart/internal/standin/delayer"
 )
 
 // idleLimit is how long a job may have nothing running while a task's turn has come and there is
@@ -173,10 +171,10 @@
 	}
 	if isDisrupted {
 		d.record.printf("%s is partitioned from the store for %v", owner.name, cutTime)
-		owner.link.Cut(delayer.Blackhole)
+		owner.link.cut()
 	}
 	time.Sleep(cutTime)
-	owner.link.Heal()
+	owner.link.heal()
 	d.record.printf("%s reaches the store", owner.name)
 	time.Sleep(time.Second) // for the ends of the last runs
 	starts, lost, lapsed := 0, 0, 0
@@ -378,10 +376,10 @@
 		}
 		if isDisrupted {
 			d.record.printf("%s is partitioned from the store for %v", owner.name, cutTime)
-			owner.link.Cut(delayer.Blackhole)
+			owner.link.cut()
 		}
 		time.AfterFunc(cutTime, func() {
-			owner.link.Heal()
+			owner.link.heal()
 			d.record.printf("%s reaches the store", owner.name)
 		})
 		cutAt := time.Now()
--- a/review/standin3/deployment.go
+++ b/review/standin3/deployment.go
@@ -61,7 +61,7 @@
 	store   *store
 	workers []*worker
 	hosts   []*host
-	relays  []*delayer.Relay
+	relays  []io.Closer
 
 	closing sync.Once
 
@@ -75,7 +75,7 @@
 	name, zone         string
 	callers, readiness string
 	settings           string
-	link               *delayer.Link // to the store
+	link               *cutLink // to the store
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -172,13 +172,12 @@
 			if err != nil {
 				return err
 			}
-			h.link = delayer.NewLink(0, 0)
-			relay, err := d.relay(d.store.address, h.link)
-			if err != nil {
+			if h.link, err = newCutLink(d.store.address); err != nil {
 				return err
 			}
+			d.relays = append(d.relays, h.link)
 			h.callers, h.readiness, h.settings = ports[0], ports[1], filepath.Join(d.folder, h.name+".toml")
-			text := fmt.Sprintf(settingsText, h.name, ip, zone, zones, h.callers, h.readiness, l.hostCPU, relay)
+			text := fmt.Sprintf(settingsText, h.name, ip, zone, zones, h.callers, h.readiness, l.hostCPU, h.link.address())
 			if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 				return err
 			}
