--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Jobs wait while the owner is cut off from the store. See claim.txt.
+# Jobs wait while the owner is frozen. See claim.txt.
 # TROUBLE=0 plays the same without the disruption. Exit code: 1 if the rule was broken, 0 if it held, 2 if the
 # case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
--- a/review/standin3/cases.go
+++ b/review/standin3/cases.go
@@ -338,15 +338,15 @@
 const visible = 5 * time.Second
 
 // staleCount plays jobs that wait behind a full service, handed in while the host that owns their shard is
-// partitioned from the store, and asks the other hosts how many wait.
+// frozen, and asks the other hosts how many wait.
 func staleCount(d *deployment, isDisrupted bool) (bool, error) {
 	const (
-		zoneSize = 8
-		waiting  = 8 // jobs in the first round, three times as many in each further one
-		fillTime = 60 * time.Second
-		cutTime  = 5300 * time.Millisecond
-		askTime  = 14 * time.Second // from the cut
-		rounds   = 3
+		zoneSize   = 8
+		waiting    = 8 // jobs in the first round, three times as many in each further one
+		fillTime   = 60 * time.Second
+		freezeTime = 4 * time.Second
+		askTime    = 14 * time.Second // from the freeze
+		rounds     = 3
 	)
 	err := d.deploy(layout{
 		zones: []string{"seq-bne", "seq-gc"}, hosts: 3, workers: zoneSize, rack: 8, cpu: 16000, memory: 62500, hostCPU: 0.16, attempts: 2,
@@ -375,14 +375,11 @@
 			return false, errors.New("the shard has no owner")
 		}
 		if isDisrupted {
-			d.record.printf("%s is partitioned from the store for %v", owner.name, cutTime)
-			owner.link.cut()
+			d.record.printf("%s is frozen for %v", owner.name, freezeTime)
+			owner.signal(syscall.SIGSTOP)
+			time.AfterFunc(freezeTime, func() { owner.signal(syscall.SIGCONT) })
 		}
-		time.AfterFunc(cutTime, func() {
-			owner.link.heal()
-			d.record.printf("%s reaches the store", owner.name)
-		})
-		cutAt := time.Now()
+		frozenAt := time.Now()
 		var others []*host
 		for _, h := range d.hosts {
 			if h != owner {
@@ -397,7 +394,7 @@
 			}
 			d.submitAt(others, j)
 		}
-		for time.Since(cutAt) < askTime {
+		for time.Since(frozenAt) < askTime {
 			for _, h := range others {
 				hasHeld = d.askPending(h) && hasHeld
 			}
@@ -435,7 +432,7 @@
 	if status != http.StatusOK || json.Unmarshal([]byte(answer), &body) != nil || 2*body.Pending >= waiting {
 		return true
 	}
-	d.record.printf("%s, whose process runs since %.3f and which reaches the store all the while, says that %d jobs wait; %d without times were accepted over %v before and haven't begun",
+	d.record.printf("%s, whose process runs since %.3f and which neither is frozen nor is cut off, says that %d jobs wait; %d without times were accepted over %v before and haven't begun",
 		h.name, h.startedAt().Sub(d.record.began).Seconds(), body.Pending, waiting, visible)
 	return false
 }
