job/manager: publish load summaries on the condition of the claim

Cause: the load summary of a shard was the only record of an owner that was written without a condition. An owner that had been suspended and replaced wrote its summary as it woke. It knew none of the jobs that had been accepted meanwhile, replaced its successor's summary, and counted as new for admission, expectations and balancing on every host.

Evidence: a trial with log lines of each write and read (the epoch, when the summary was made, its revision): epoch 1 had written 8 pending jobs at revision 274; epoch 0 woke, made a summary without any and sent it; "shard lost" in the same instant cancelled the call, which the store carried out at revision 275; the other hosts replaced 8 by none until epoch 1 wrote again 2 s later. So it wasn't a write from before the suspension that was late, nor the successor's first summary (which had all 8 jobs), nor a job between two shards.

Change: the write requires that the shard's claim is the owner's own, which is in the same transaction and costs no call, and that the summary has the revision that the owner knows of, so that its own writes can't overtake each other either; they are sent one at a time. A conflict is read, and a replaced owner gives the shard up at once. Readers order summaries by the store's revision, also what a host has written itself, and one that is listed again isn't new. A summary has its owner's epoch: readers ignore one without an epoch, of an earlier version, unless the present owner is of an earlier version.

runtimes_test.go: its records get the revisions that a store gives every record; its assertions are as before.

--- a/internal/job/manager/load.go
+++ b/internal/job/manager/load.go
@@ -1,12 +1,12 @@
 package manager
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"time"
 
 	"dotterelcart.dev/dotterelcart/internal/job/recorder"
-	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 )
 
 // loadRefresh is the interval at which an unchanged load summary is published again.
@@ -19,41 +19,32 @@
 // regions. Hosts keep those that they have received.
 const runTimesInterval = 5 * time.Second
 
-// publish replaces the load summary in the store if it has changed or is old.
+// publish writes the load summary to the store if it has changed or the last one is old.
 func (o *ownedShard) publish(ctx context.Context, load recorder.Load) {
-	whole := load
-	load.RunTimes = nil
-	madeAt := load.MadeAt
-	load.MadeAt = o.lastLoad.MadeAt
-	isSame := string(recorder.Encode(load)) == string(recorder.Encode(o.lastLoad))
+	load.Epoch = o.fence.Epoch
+	isSame := isSameLoad(load, o.lastLoad)
 	if isSame && time.Since(o.publishedAt) < loadRefresh {
 		return
 	}
-	load.MadeAt = madeAt
 	o.lastLoad, o.publishedAt = load, time.Now()
 	if !isSame {
 		o.logLoad(load)
 	}
-	if time.Since(o.runTimesAt) >= runTimesInterval {
-		load.RunTimes, o.runTimesAt = whole.RunTimes, time.Now()
+	if o.publisher.add(load) {
+		o.calls.Go(func() { o.writeLoads(ctx) })
 	}
-	o.calls.Go(func() {
-		o.manager.updateLoad(o.spec.Name, whole)
-		o.manager.metrics.setLoad(o.spec.Name, whole)
-		limited, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		_, err := o.manager.store.Commit(limited, storer.Transaction{
-			Put: []storer.Write{{Key: recorder.LoadKey(o.spec.Name), Value: recorder.Encode(load)}},
-		})
-		if err != nil {
-			o.log.Warn().Err(err).Msg("load publication failed")
-		}
-	})
+}
+
+// isSameLoad reports whether two load summaries differ at most in their age and in learned run times.
+func isSameLoad(a, b recorder.Load) bool {
+	a.MadeAt, a.RunTimes = b.MadeAt, nil
+	b.RunTimes = nil
+	return bytes.Equal(recorder.Encode(a), recorder.Encode(b))
 }
 
 // logLoad writes a log line about a changed load summary.
 func (o *ownedShard) logLoad(load recorder.Load) {
-	line := o.log.Info().Int("workers", load.Workers).Int64("free", load.Free.CPU).Int64("turning", load.FiniteCPU).
+	line := o.log.Info().Int64("epoch", load.Epoch).Int("workers", load.Workers).Int64("free", load.Free.CPU).Int64("turning", load.FiniteCPU).
 		Int64("unused", load.UnusedCPU).Int64("fillers", load.FillerCPU).Int64("lasting", load.LongRunningCPU).Int64("limit", load.LongRunningLimit)
 	for _, b := range load.Backlog {
 		line = line.Int64(fmt.Sprintf("backlog%d", b.Priority), b.ReservedWork).Int64(fmt.Sprintf("fillers%d", b.Priority), b.FillerWork)
@@ -76,12 +67,3 @@
 	}
 	return slowest
 }
-
-// updateLoad updates the load of an owned shard in the view.
-func (m *Manager) updateLoad(shard string, load recorder.Load) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	s := m.view.Shards[shard]
-	s.Load, s.LoadReceived = load, time.Now()
-	m.view.Shards[shard] = s
-}
--- a/internal/job/manager/manager_test.go
+++ b/internal/job/manager/manager_test.go
@@ -44,13 +44,18 @@
 
 // newDaemonOn does the same for the host and the times in options; the other options are set here.
 func newDaemonOn(options manager.Options, store *faker.Store, workers *fleet) *daemon {
-	client := store.Client(options.Daemon)
 	workers.register(context.Background(), store.Client("registrar"))
+	client := store.Client(options.Daemon)
+	return newDaemonVia(client, options, client, workers)
+}
+
+// newDaemonVia does the same for a manager that calls the store by its own means, as the given client.
+func newDaemonVia(store manager.Store, options manager.Options, client *faker.Client, workers *fleet) *daemon {
 	options.TTL, options.MaxLease = 3*time.Second, 10*time.Second
 	options.Random = rand.New(rand.NewPCG(1, 2))
 	options.CancellationNotice = 4 * time.Second
 	options.Scope, options.Log = tally.NoopScope, zerolog.Nop()
-	m := manager.New(options, client, workers, workers)
+	m := manager.New(options, store, workers, workers)
 	m.SetCatalog(catalog)
 	return &daemon{m, receiver.New(receiver.Options{
 		Domain: options.Domain, Random: rand.New(rand.NewPCG(1, 2)), Scope: tally.NoopScope, Log: zerolog.Nop(),
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -33,7 +33,7 @@
 	resigns       bool               // resign follows after run; set before stop is closed
 	lastLoad      recorder.Load      // load summary that was last published
 	publishedAt   time.Time          // when it was published
-	runTimesAt    time.Time          // when the learned run times were last published
+	publisher     publisher
 
 	suspension suspension
 
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -310,6 +310,9 @@
 		o.initialEvents = append(o.initialEvents, m.workersListed(o))
 	}
 	o.startedAt = time.Now()
+	o.publisher.record = register{
+		store: m.store, key: recorder.LoadKey(o.spec.Name), revision: m.view.Shards[o.spec.Name].loadRevision,
+	}
 	m.owned[o.spec.Name] = o
 	if lease, sent := m.lease.Renewal(); lease == o.recordLease {
 		o.initialEvents = append(o.initialEvents, dispatcher.OwnershipChecked{Confirmed: true, SentAt: sent})
--- a/internal/job/manager/runtimes_test.go
+++ b/internal/job/manager/runtimes_test.go
@@ -24,11 +24,11 @@
 	}
 	m := &Manager{view: newView(), log: zerolog.Nop()}
 	g.Expect(m.learnedRunTimes()).To(BeEmpty())
-	m.updateView(storer.Item{Key: recorder.LoadKey("desk"), Value: recorder.Encode(recorder.Load{Workers: 2, RunTimes: e.Summary()})})
-	m.updateView(storer.Item{Key: recorder.LoadKey("other"), Value: []byte(`{"workers":3,"runtimes":[{"queue":7},"x"]}`)})
+	m.updateView(storer.Item{Key: recorder.LoadKey("desk"), Revision: 1, Value: recorder.Encode(recorder.Load{Workers: 2, RunTimes: e.Summary()})})
+	m.updateView(storer.Item{Key: recorder.LoadKey("other"), Revision: 2, Value: []byte(`{"workers":3,"runtimes":[{"queue":7},"x"]}`)})
 	g.Expect(m.View().Shards["other"].Load.Workers).To(Equal(3))
 	// Most summaries don't contain the run times; the latest ones stand.
-	m.updateView(storer.Item{Key: recorder.LoadKey("desk"), Value: recorder.Encode(recorder.Load{Workers: 1})})
+	m.updateView(storer.Item{Key: recorder.LoadKey("desk"), Revision: 3, Value: recorder.Encode(recorder.Load{Workers: 1})})
 	g.Expect(m.View().Shards["desk"].Load.Workers).To(Equal(1))
 	records := m.learnedRunTimes()
 	g.Expect(records).To(HaveLen(1))
--- a/internal/job/manager/view.go
+++ b/internal/job/manager/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -34,6 +35,8 @@
 	Owner        string // name of the owning daemon; empty without an owner
 	Load         recorder.Load
 	LoadReceived time.Time // when Load arrived
+
+	loadRevision int64 // store revision of the record of Load; 0 if there is none
 }
 
 // maxFollowRetry is the maximum delay between attempts to read the store.
@@ -75,16 +78,23 @@
 	w.run(ctx, func(items []storer.Item, complete bool) {
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if complete {
-			m.view = newView()
-		}
 		m.view.ReadAt = time.Now()
-		for _, item := range items {
-			m.updateView(item)
-		}
+		m.applyItems(items, complete)
 	})
 }
 
+// applyItems applies records to the view: all of them, or only those that have changed. The caller holds
+// m.mu.
+func (m *Manager) applyItems(items []storer.Item, complete bool) {
+	if complete {
+		m.view = m.view.withoutRecords()
+		sortOwnersFirst(items)
+	}
+	for _, item := range items {
+		m.updateView(item)
+	}
+}
+
 func newView() View {
 	return View{
 		Shards: make(map[string]ShardView), layouts: make(map[string]versionedLayout), hosts: make(map[string]recorder.Host),
@@ -92,6 +102,30 @@
 	}
 }
 
+// withoutRecords returns the view before a new list of all records. It keeps the load summaries, which are
+// only replaced by later ones.
+func (v *View) withoutRecords() View {
+	out := newView()
+	out.ReadAt = v.ReadAt
+	for name, s := range v.Shards {
+		s.Owner = ""
+		out.Shards[name] = s
+	}
+	return out
+}
+
+// sortOwnersFirst moves the owner records to the front of a list of records. They decide which load
+// summaries are used.
+func sortOwnersFirst(items []storer.Item) {
+	order := func(item storer.Item) int {
+		if kind, _ := recorder.ParseViewKey(item.Key); kind == recorder.OwnerView {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(items, func(a, b storer.Item) int { return order(a) - order(b) })
+}
+
 // updateView applies one key to the view. A record that can't be decoded is
 // ignored.
 func (m *Manager) updateView(item storer.Item) {
@@ -109,9 +143,11 @@
 		var load recorder.Load
 		if !item.Deleted {
 			err = recorder.Decode(item.Value, &load)
-			load.RunTimes = m.usableRunTimes(item.Key, load.RunTimes, s.Load.RunTimes)
 		}
-		s.Load, s.LoadReceived = load, time.Now()
+		if err == nil {
+			m.updateLoad(name, load, item.Revision)
+			return
+		}
 	case recorder.LayoutView:
 		m.updateLayout(name, item)
 		return
@@ -131,6 +167,35 @@
 	m.view.Shards[name] = s
 }
 
+// updateLoad applies a load summary, and the revision that the store gave it, to the view. One that is
+// older than the known one, or was written by an earlier owner, is ignored. The caller holds m.mu.
+func (m *Manager) updateLoad(shard string, load recorder.Load, revision int64) {
+	s := m.view.Shards[shard]
+	if revision <= s.loadRevision {
+		return
+	}
+	if load.Epoch < s.Load.Epoch && m.publishesEpoch(s.Owner) {
+		m.log.Info().Str("shard", shard).Int64("epoch", load.Epoch).Int64("known", s.Load.Epoch).Int64("revision", revision).
+			Msg("load summary of an earlier owner ignored")
+		return
+	}
+	if load.Epoch != s.Load.Epoch {
+		m.log.Info().Str("shard", shard).Int64("epoch", load.Epoch).Int64("known", s.Load.Epoch).Int64("revision", revision).
+			Msg("load summary of another owner received")
+	}
+	load.RunTimes = m.usableRunTimes(recorder.LoadKey(shard), load.RunTimes, s.Load.RunTimes)
+	s.Load, s.LoadReceived, s.loadRevision = load, time.Now(), revision
+	m.view.Shards[shard] = s
+}
+
+// publishesEpoch reports whether the load summaries of an owner contain its epoch. Those of earlier
+// versions don't, and replace any other without a condition. An owner whose host has no record counts as
+// one of this version, which most are.
+func (m *Manager) publishesEpoch(owner string) bool {
+	host, ok := m.view.hosts[owner]
+	return !ok || host.Format >= recorder.LoadEpochs
+}
+
 // updateLayout applies the layout of a service to the view and to the owned
 // shards, which may have got more racks.
 func (m *Manager) updateLayout(service string, item storer.Item) {
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -333,17 +333,19 @@
 // Format is the version of the records here. Version 0 has no transfers: its
 // daemons would run a task again that another shard has. Version 1 has no transfers of
 // finite tasks: its daemons would run one again that has completed elsewhere.
-const Format = FiniteTransfers
+const Format = LoadEpochs
 
-// Versions of the records that brought something which earlier daemons must not meet.
+// Versions of the records that brought something which earlier daemons must not meet, or don't write.
 const (
 	LongRunningTransfers = 1
 	FiniteTransfers      = 2
+	LoadEpochs           = 3 // load summaries contain their owner's epoch
 )
 
 // Load is an owner's summary of its shard. All hosts use it to decide on
 // submissions.
 type Load struct {
+	Epoch            int64               `json:"epoch,omitempty"` // of the owner; 0 also in summaries of an earlier version, see LoadEpochs
 	Service          string              `json:"service"`
 	Domain           string              `json:"domain,omitempty"` // failure domain of the shard; empty for all
 	MadeAt           time.Time           `json:"made"`             // when the owner made the summary
