job/manager: write the host record on the condition of its revision

What callers would see: nothing at once. The host has no record any more: no shard is given to it, and successors wait for leases that a restarted process can't renew (up to the outage limit).

A write of the process before, carried out after a restart, replaced the record of the new process and went away with the old lease; the new process writes again only when its own lease ends.

Change: the write requires the revision that the process read as it started (the list that it makes anyway), and after a conflict goes on from the present one. No call more without a conflict.

--- a/internal/job/manager/layout.go
+++ b/internal/job/manager/layout.go
@@ -233,8 +233,9 @@
 	}
 }
 
-// writeHost writes the host record attached to the presence lease. It also
-// measures how far the store is.
+// writeHost writes the host record attached to the presence lease. A write of an earlier process of the
+// daemon that is carried out later has no effect: it would end with that process's lease. It also measures
+// how far the store is.
 func (m *Manager) writeHost(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -251,9 +252,7 @@
 		Format: recorder.Format, Process: process,
 	})
 	sent := time.Now()
-	_, err = m.store.Commit(limited, storer.Transaction{
-		Put: []storer.Write{{Key: recorder.HostKey(m.options.Daemon), Value: record, Lease: lease}},
-	})
+	err = m.hostRecord.put(limited, record, lease, nil, nil)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if latency := time.Since(sent); err == nil && (m.storeLatency == 0 || latency < m.storeLatency) {
--- a/internal/job/manager/manager.go
+++ b/internal/job/manager/manager.go
@@ -33,6 +33,7 @@
 
 	"dotterelcart.dev/dotterelcart/internal/control/evacuator"
 	"dotterelcart.dev/dotterelcart/internal/job/dispatcher"
+	"dotterelcart.dev/dotterelcart/internal/job/recorder"
 	"dotterelcart.dev/dotterelcart/internal/job/specifier"
 	"dotterelcart.dev/dotterelcart/internal/platform/storer"
 	"dotterelcart.dev/dotterelcart/internal/state/leaser"
@@ -117,6 +118,7 @@
 	lease         *leaser.Lease // of the owner records
 	presence      *leaser.Lease // of the host record
 	presenceLost  chan struct{} // signals that the host record has expired
+	hostRecord    register      // used by announce alone
 	metrics       *metrics
 	cancel        context.CancelFunc
 	background    sync.WaitGroup
@@ -155,6 +157,7 @@
 		workers:        workers,
 		registrations:  registrations,
 		presenceLost:   make(chan struct{}, 1),
+		hostRecord:     register{store: store, key: recorder.HostKey(o.Daemon)},
 		workersNeeded:  make(chan struct{}, 1),
 		metrics:        newMetrics(o.Scope),
 		cancel:         cancel,
--- a/internal/job/manager/process.go
+++ b/internal/job/manager/process.go
@@ -15,10 +15,15 @@
 	if known := m.process.Load(); known != 0 {
 		return known, nil
 	}
-	_, revision, err := m.store.List(ctx, recorder.HostKey(m.options.Daemon))
+	items, revision, err := m.store.List(ctx, m.hostRecord.key)
 	if err != nil {
 		return 0, err
 	}
+	for _, item := range items { // also those of hosts whose names begin with this one's
+		if item.Key == m.hostRecord.key {
+			m.hostRecord.revision = item.Revision
+		}
+	}
 	m.process.Store(revision)
 	return revision, nil
 }
