job/manager: count moved jobs until the other shard counts them

What callers would see: hosts answer a `Pending` of 0, or far too few, while jobs that were moved to another shard wait. Usually for the time between two summaries; for seconds if the other shard's owner is suspended or lost just then.

Cause: a job that is moved leaves the load summary of its former shard with the move, and is in the other shard's only once that one's owner has read it. No summary counts it in between.

Change: a load summary says up to which store revision its owner has read the shard's records. The former shard counts a moved job until the other summary has read the move. One of an earlier version doesn't say so, and then the job counts as read, as before.

Left: a successor of the former shard's owner doesn't know which jobs it has moved.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -155,16 +155,17 @@
 	cancellations      cancellations
 	evacuation         evacuation
 
-	batch       int64               // number of the last commit
-	committing  bool                // a commit is in progress
-	batchJobs   []*job              // jobs in the last commit
-	batchList   recorder.WorkerList // in the last commit
-	durableList recorder.WorkerList // in the last confirmed commit
-	lastCommit  time.Time
-	lastPublish time.Time
-	lastReport  time.Time         // when waiting tasks were last reported
-	reported    [WaitReasons]bool // the last report had tasks that wait for the reason
-	dirtyJobs   []*job            // jobs with changes that aren't committed yet
+	batch        int64               // number of the last commit
+	committing   bool                // a commit is in progress
+	batchJobs    []*job              // jobs in the last commit
+	batchList    recorder.WorkerList // in the last commit
+	durableList  recorder.WorkerList // in the last confirmed commit
+	lastCommit   time.Time
+	lastPublish  time.Time
+	readRevision int64             // see recorder.Load.ReadRevision
+	lastReport   time.Time         // when waiting tasks were last reported
+	reported     [WaitReasons]bool // the last report had tasks that wait for the reason
+	dirtyJobs    []*job            // jobs with changes that aren't committed yet
 
 	returning      []*task            // tasks of parts that are to return to the home of their job
 	staleTransfers []specifier.TaskID // transfer records to delete, of jobs that have ended
@@ -258,6 +259,7 @@
 		s.cancelJob(e.ID)
 	case CancellationsRead:
 		s.cancellations.readAt = e.At
+		s.readRevision = max(s.readRevision, e.Revision)
 	case PollAnswered:
 		s.pollAnswered(e)
 	case PollFailed:
--- a/internal/job/dispatcher/event.go
+++ b/internal/job/dispatcher/event.go
@@ -47,10 +47,11 @@
 	Received time.Time // when a host received it from the caller; zero if not known
 }
 
-// CancellationsRead reports that all cancellations have been delivered that the store had
-// accepted at a time.
+// CancellationsRead reports that all cancellations and other records of the shard have been
+// delivered that the store had accepted at a time.
 type CancellationsRead struct {
-	At time.Time // when the request was sent whose response they came with
+	At       time.Time // when the request was sent whose response they came with
+	Revision int64     // of the store, up to which the records have been delivered
 }
 
 // PollAnswered is the successful outcome of a PollWorker.
--- a/internal/job/dispatcher/load.go
+++ b/internal/job/dispatcher/load.go
@@ -10,7 +10,7 @@
 
 // summarize returns the shard's load summary for admission on other hosts.
 func (s *Shard) summarize() recorder.Load {
-	l := recorder.Load{Service: s.options.Service, Domain: s.options.Domain, MadeAt: s.now}
+	l := recorder.Load{Service: s.options.Service, Domain: s.options.Domain, MadeAt: s.now, ReadRevision: s.readRevision}
 	for _, w := range s.sortedWorkers {
 		if !w.isUsable(s.now) {
 			continue
--- a/internal/job/manager/load.go
+++ b/internal/job/manager/load.go
@@ -22,6 +22,7 @@
 // publish writes the load summary to the store if it has changed or the last one is old.
 func (o *ownedShard) publish(ctx context.Context, load recorder.Load) {
 	load.Epoch = o.fence.Epoch
+	o.countMoved(&load)
 	isSame := isSameLoad(load, o.lastLoad)
 	if isSame && time.Since(o.publishedAt) < loadRefresh {
 		return
@@ -37,7 +38,7 @@
 
 // isSameLoad reports whether two load summaries differ at most in their age and in learned run times.
 func isSameLoad(a, b recorder.Load) bool {
-	a.MadeAt, a.RunTimes = b.MadeAt, nil
+	a.MadeAt, a.ReadRevision, a.RunTimes = b.MadeAt, b.ReadRevision, nil
 	b.RunTimes = nil
 	return bytes.Equal(recorder.Encode(a), recorder.Encode(b))
 }
--- a/internal/job/manager/move.go
+++ b/internal/job/manager/move.go
@@ -28,7 +28,7 @@
 	from, job := o.spec.Name, e.Job
 	job.FormerShards = append(slices.Clone(job.FormerShards), from)
 	entry := recorder.IndexEntry{Shard: to, Queue: job.Queue, State: specifier.Queued}
-	err := o.fence.Commit(ctx, storer.Transaction{
+	revision, err := o.fence.Commit(ctx, storer.Transaction{
 		If: []storer.Condition{{Key: recorder.CancelKey(from, job.ID)}},
 		Put: []storer.Write{
 			{Key: recorder.JobKey(to, job.ID), Value: recorder.Encode(job)},
@@ -38,6 +38,7 @@
 	})
 	switch {
 	case err == nil:
+		o.addMoved(movedJob{queue: job.Queue, shard: to, revision: revision})
 		o.log.Info().Str("job", job.ID).Str("to", to).Int64("lasting", e.LongRunningCPU).Msg("job moved")
 	case errors.Is(err, fencer.ErrConditionFailed):
 		o.log.Info().Str("job", job.ID).Msg("job move refused, cancellation pending")
@@ -53,6 +54,35 @@
 	o.post(dispatcher.JobMoved{ID: job.ID, OK: err == nil})
 }
 
+// movedJob is a pending job that was moved to another shard.
+type movedJob struct {
+	queue    string
+	shard    string // shard that has the job now
+	revision int64  // store revision of the move
+}
+
+// addMoved records a job that was moved.
+func (o *ownedShard) addMoved(job movedJob) {
+	o.manager.mu.Lock()
+	defer o.manager.mu.Unlock()
+	o.moved = append(o.moved, job)
+}
+
+// countMoved adds the moved jobs to the pending ones of a load summary until the other shard's summary
+// counts them. Its owner may have been suspended or lost, and then no summary would for seconds.
+func (o *ownedShard) countMoved(load *recorder.Load) {
+	m := o.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o.moved = slices.DeleteFunc(o.moved, func(job movedJob) bool {
+		other := m.view.Shards[job.shard].Load
+		return other.ReadRevision == 0 || other.ReadRevision >= job.revision
+	})
+	for _, job := range o.moved {
+		load.AddPending(job.queue, 1)
+	}
+}
+
 // chooseShard chooses at random another shard of the service that has room for
 // the job's long-running tasks, or returns "". It adds the tasks to that
 // shard's load in the view until the next summary replaces it.
--- a/internal/job/manager/owned.go
+++ b/internal/job/manager/owned.go
@@ -37,8 +37,9 @@
 
 	suspension suspension
 
-	members     shardSpec // spec with the racks that were added; guarded by Manager.mu
-	recordLease int64     // store lease of the owner record; 0 once the lease has ended; guarded by Manager.mu
+	moved       []movedJob // jobs that other shards may not count yet; guarded by Manager.mu
+	members     shardSpec  // spec with the racks that were added; guarded by Manager.mu
+	recordLease int64      // store lease of the owner record; 0 once the lease has ended; guarded by Manager.mu
 
 	mu    sync.Mutex // guards state
 	state *dispatcher.Shard
@@ -222,7 +223,7 @@
 			}
 			o.post(event)
 		}
-		o.post(dispatcher.CancellationsRead{At: w.sentAt})
+		o.post(dispatcher.CancellationsRead{At: w.sentAt, Revision: w.revision})
 	})
 }
 
--- a/internal/job/manager/ownership.go
+++ b/internal/job/manager/ownership.go
@@ -273,7 +273,7 @@
 		}
 		o.initialEvents = append(o.initialEvents, event)
 	}
-	o.initialEvents = append(o.initialEvents, dispatcher.CancellationsRead{At: readAt})
+	o.initialEvents = append(o.initialEvents, dispatcher.CancellationsRead{At: readAt, Revision: revision})
 	// Jobs go before their transferred tasks, and both before cancellations.
 	slices.SortStableFunc(o.initialEvents, func(a, b dispatcher.Event) int { return eventOrder(a) - eventOrder(b) })
 	return o, nil
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -33,6 +33,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"strings"
 	"time"
 
@@ -346,6 +347,7 @@
 // submissions.
 type Load struct {
 	Epoch            int64               `json:"epoch,omitempty"` // of the owner; 0 also in summaries of an earlier version, see LoadEpochs
+	ReadRevision     int64               `json:"read,omitempty"`  // store revision up to which the owner had read the shard's records; 0 in those of an earlier version
 	Service          string              `json:"service"`
 	Domain           string              `json:"domain,omitempty"` // failure domain of the shard; empty for all
 	MadeAt           time.Time           `json:"made"`             // when the owner made the summary
@@ -360,7 +362,7 @@
 	LongRunningLimit int64               `json:"limit"`            // CPU that long-running tasks may reserve, millicores
 	UnusedCPU        int64               `json:"unused"`           // idle CPU that fillers may use, millicores
 	FillerCPU        int64               `json:"fillers"`          // CPU that running fillers use at their pace, millicores
-	Queues           []QueueLoad         `json:"queues,omitempty"`
+	Queues           []QueueLoad         `json:"queues,omitempty"` // in order of their names
 	Backlog          []Backlog           `json:"backlog,omitempty"`
 	Fillers          []FillerLoad        `json:"images,omitempty"`   // images with unfinished fillers
 	Labels           []string            `json:"labels,omitempty"`   // labels of the usable workers
@@ -368,6 +370,15 @@
 	RunTimes         estimator.Records   `json:"runtimes,omitempty"` // what the owner has learned about run times
 }
 
+// AddPending adds to the number of a queue's pending jobs.
+func (l *Load) AddPending(queue string, jobs int) {
+	at, found := slices.BinarySearchFunc(l.Queues, queue, func(q QueueLoad, name string) int { return strings.Compare(q.Queue, name) })
+	if !found {
+		l.Queues = slices.Insert(l.Queues, at, QueueLoad{Queue: queue})
+	}
+	l.Queues[at].Pending += jobs
+}
+
 // LargestUsable returns the maximum capacity of a usable worker, for each resource.
 func (l *Load) LargestUsable() describer.Resources {
 	if l.MaxUsable.IsZero() {
--- a/internal/state/fencer/fencer.go
+++ b/internal/state/fencer/fencer.go
@@ -260,19 +260,22 @@
 	return f.commitWithRetry(ctx, f.newRecord(), storer.Transaction{Put: puts, Remove: removes})
 }
 
-// Commit applies tx if this daemon still owns the shard. It returns
-// ErrConditionFailed if a condition in tx does not hold.
-func (f *Fence) Commit(ctx context.Context, tx storer.Transaction) error {
+// Commit applies tx if this daemon still owns the shard, and returns its store revision. It
+// returns ErrConditionFailed if a condition in tx does not hold.
+func (f *Fence) Commit(ctx context.Context, tx storer.Transaction) (int64, error) {
 	unlock, err := f.lockOwned(ctx)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	defer unlock()
 	err = f.commitWithRetry(ctx, f.newRecord(), tx)
 	if errors.Is(err, ErrAlreadyOwned) {
-		return ErrConditionFailed
+		err = ErrConditionFailed
+	}
+	if err != nil {
+		return 0, err
 	}
-	return err
+	return f.revision, nil
 }
 
 // Release deletes the owner record at ownerKey, so that another daemon can
--- a/internal/state/fencer/fencer_test.go
+++ b/internal/state/fencer/fencer_test.go
@@ -186,10 +186,13 @@
 		a := store.Client("a")
 		f := claim(ctx, g, a, "a")
 		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
-		g.Expect(f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "k"}}, Put: put("2")})).To(MatchError(ErrConditionFailed))
+		_, err := f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "k"}}, Put: put("2")})
+		g.Expect(err).To(MatchError(ErrConditionFailed))
 		g.Expect(valueOf(ctx, g, a)).To(Equal("1"))
-		g.Expect(f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "other"}}, Put: put("3")})).To(Succeed())
+		revision, err := f.Commit(ctx, storer.Transaction{If: []storer.Condition{{Key: "other"}}, Put: put("3")})
+		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(valueOf(ctx, g, a)).To(Equal("3"))
+		g.Expect(store.Items("k")[0].Revision).To(Equal(revision))
 	})
 }
 
--- a/internal/state/fencer/late_test.go
+++ b/internal/state/fencer/late_test.go
@@ -83,8 +83,9 @@
 			g.Expect(err).NotTo(HaveOccurred())
 		})
 		move := storer.Transaction{If: []storer.Condition{{Key: "cancel"}}, Put: put("moved")}
-		g.Expect(f.Commit(ctx, move)).To(MatchError(ErrConditionFailed))
-		_, err := a.Commit(ctx, *late.late)
+		_, err := f.Commit(ctx, move)
+		g.Expect(err).To(MatchError(ErrConditionFailed))
+		_, err = a.Commit(ctx, *late.late)
 		g.Expect(err).To(MatchError(storer.ErrConflict), "while the job is being cancelled")
 		g.Expect(f.Write(ctx, recorder.WorkerList{}, nil, []string{"cancel"})).To(Succeed())
 		_, err = a.Commit(ctx, *late.late)
