job/dispatcher: record run numbers beyond those of the ownership

Cause: an owner's run numbers begin at 1,000 for each epoch, and nothing kept it below those of the next one. Tasks that fail at once are started over 1,000 times in a second. The last number wasn't durable, and the ends that tell it are acknowledged and forgotten.

Change: numbers above the ownership's are recorded before the start that uses them (RunBound), 1,000 at a time, with the commit that starts of suspect tasks wait for. The next owner begins above. Larger numbers for each ownership were ruled out: going back to an earlier version would leave such tasks rejected for good.

--- a/internal/job/dispatcher/duplicate.go
+++ b/internal/job/dispatcher/duplicate.go
@@ -103,7 +103,11 @@
 // startDuplicate starts a second run of a task.
 func (s *Shard) startDuplicate(t *task, w *worker) *run {
 	r := s.addNewRun(t, w, t.nextRun(s.options.Epoch))
-	s.orderStart(r)
+	if s.reserveRunNumber(t, r.number) {
+		s.orderStart(r)
+	} else {
+		s.prepareRun(r)
+	}
 	s.emit(DuplicateStarted{})
 	return r
 }
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -74,6 +74,8 @@
 	duplicate      *run            // second run of it, on another worker; nil without one
 	lastRun        int64           // highest known number of its runs
 	runOffset      int64           // its runs in other shards have no higher numbers
+	runBound       int64           // neither have those of earlier owners here, nor its next runs without a commit, see runnumber.go; 0 if the epoch tells
+	boundVersion   int64           // version of the job that makes runBound durable
 	elsewhere      bool            // another shard has the task
 	hop            int             // how often it was transferred, as far as known here
 	hasRecord      bool            // this shard has a transfer record of it
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -341,10 +341,6 @@
 	return p.mayBackfill(st, i) && (st.spec.MaxPerWorker == 0 || w.perStep[st] < st.spec.MaxPerWorker)
 }
 
-// nextRun returns the number of the task's next run. It is higher than that of
-// any earlier run, also under earlier owners and in other shards.
-func (t *task) nextRun(epoch int64) int64 { return max(t.lastRun, t.runOffset+epoch*runsPerEpoch) + 1 }
-
 // startRun begins a run of a task on a worker. It is ordered at once, unless the start
 // has to be durable before.
 func (s *Shard) startRun(t *task, w *worker, number int64) *run {
@@ -352,7 +348,7 @@
 	t.triedShards = nil
 	t.step.waiting--
 	r := s.addNewRun(t, w, number)
-	if t.step.mustPrepare(t) {
+	if isReserved := s.reserveRunNumber(t, number); t.step.mustPrepare(t) || !isReserved {
 		s.prepareRun(r)
 	} else {
 		s.orderStart(r)
--- a/internal/job/dispatcher/progress.go
+++ b/internal/job/dispatcher/progress.go
@@ -35,6 +35,7 @@
 	t.failed = p.Failed
 	t.checkpoint, t.sentCheckpoint = p.Checkpoint, p.Checkpoint
 	t.hop = p.Hop
+	t.restoreRunNumbers(p.RunBound)
 	s.restoreLosses(t, p.Losses)
 	t.wasProven = t.wasProven || p.Proven
 	isPart := s.isPart(t.step.job)
@@ -107,11 +108,11 @@
 				p.Done.Add(ordinal)
 				continue
 			}
-			if t.done || t.completedHere || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 || t.wasProven {
+			if t.done || t.completedHere || len(t.failed) > 0 || t.checkpoint != "" || t.hop > 0 || len(t.losses) > 0 || t.wasProven || t.runBound > 0 {
 				p.Tasks = append(p.Tasks, recorder.TaskProgress{
 					Occurrence: st.occurrence, Step: st.number, Index: t.index,
 					Done: t.done || t.completedHere, Failed: t.failed, Checkpoint: t.checkpointToStore(),
-					Hop: t.hop, Away: t.hop > 0 && t.elsewhere, Losses: slices.Clone(t.losses), Proven: t.wasProven,
+					Hop: t.hop, Away: t.hop > 0 && t.elsewhere, Losses: slices.Clone(t.losses), Proven: t.wasProven, RunBound: t.runBound,
 				})
 			}
 		}
--- a/internal/job/recorder/recorder.go
+++ b/internal/job/recorder/recorder.go
@@ -247,6 +247,7 @@
 	Away       bool    `json:"away,omitempty"`       // another shard has the task
 	Losses     []Loss  `json:"losses,omitempty"`     // runs that were lost with their worker
 	Proven     bool    `json:"proven,omitempty"`     // a run of it hasn't crashed its worker for long
+	RunBound   int64   `json:"bound,omitempty"`      // no run has a higher number; 0 if the owner's epoch tells
 }
 
 // Loss is a run of a task that was lost with its worker. The task may have crashed it.
