state/fencer: share the set-up of tests of writes that are carried out late

The two tests delayed calls in their own ways; both delay transactions now, which are all the writes that they make. Their assertions are as before.

--- a/internal/state/fencer/late_test.go
+++ b/internal/state/fencer/late_test.go
@@ -33,16 +33,9 @@
 				g.Expect(end(ctx, first)).To(Succeed())
 				time.Sleep(4 * time.Second) // the first owner's lease expires
 
-				b.SetDelay(func(c faker.Call) time.Duration {
-					if c.Operation == "commit" {
-						return 2 * time.Second
-					}
-					return 0
-				})
-				limited, cancel := context.WithTimeout(ctx, time.Second)
-				defer cancel()
-				g.Expect(New("menus", "b", b).Claim(limited, ownerWrite(ctx, g, b, "b"))).NotTo(Succeed())
-				b.SetDelay(nil)
+				late := New("menus", "b", b)
+				record := ownerWrite(ctx, g, b, "b")
+				carryOutLate(ctx, g, b, func(ctx context.Context) error { return late.Claim(ctx, record) })
 				second := claim(ctx, g, b, "b")
 				g.Expect(second.Epoch).To(BeEquivalentTo(2), "the late claim has taken effect")
 				g.Expect(second.Previous).To(Equal(recorder.WorkerList{Workers: list.Workers}), "the longest wait for each worker")
@@ -53,6 +46,20 @@
 	}
 }
 
+// carryOutLate makes a call that writes to the store. Its time is over before the store carries it out.
+func carryOutLate(ctx context.Context, g Gomega, client *faker.Client, call func(context.Context) error) {
+	client.SetDelay(func(c faker.Call) time.Duration {
+		if c.Operation == "commit" {
+			return 2 * time.Second
+		}
+		return 0
+	})
+	defer client.SetDelay(nil)
+	limited, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	g.Expect(call(limited)).NotTo(Succeed())
+}
+
 // lateStore keeps the first transaction without an answer, until it is carried out.
 type lateStore struct {
 	*faker.Client
--- a/internal/state/fencer/restore_test.go
+++ b/internal/state/fencer/restore_test.go
@@ -22,12 +22,8 @@
 		f := claim(ctx, g, a, "a")
 		time.Sleep(4 * time.Second) // the lease ends
 		record := ownerWrite(ctx, g, a, "a")
-		a.SetDelay(func(faker.Call) time.Duration { return 2 * time.Second })
-		limited, cancel := context.WithTimeout(ctx, time.Second)
-		defer cancel()
-		g.Expect(f.RestoreOwner(limited, record)).NotTo(Succeed())
+		carryOutLate(ctx, g, a, func(ctx context.Context) error { return f.RestoreOwner(ctx, record) })
 		g.Expect(store.Items(recorder.OwnerKey("menus"))).To(HaveLen(1), "the attempt was carried out")
-		a.SetDelay(nil)
 		g.Expect(f.RestoreOwner(ctx, record)).To(Succeed())
 		g.Expect(f.Write(ctx, recorder.WorkerList{}, put("1"), nil)).To(Succeed())
 	})
