--- a/internal/job/manager/publisher.go
+++ b/internal/job/manager/publisher.go
@@ -67,9 +67,9 @@
 	if !hasRunTimes {
 		published.RunTimes = nil
 	}
-	isOwner := []storer.Condition{{Key: recorder.ClaimKey(o.spec.Name), Revision: o.fence.Token}}
+	ownClaim := []storer.Condition{{Key: recorder.ClaimKey(o.spec.Name), Revision: o.fence.Token}}
 	record := &o.publisher.record
-	err := record.put(limited, recorder.Encode(published), 0, isOwner, o.checkClaim)
+	err := record.put(limited, recorder.Encode(published), 0, ownClaim, o.checkClaim)
 	if errors.Is(err, fencer.ErrFenced) {
 		o.giveUp("another owner has claimed the shard")
 	}
