job/dispatcher: count polls that wait their full time as prompt

Cause: an owner must not take its own congestion for the silence of a worker, and counts prompt and late answers. An answer after promptAnswer but within the time that the worker may wait counted as neither, so that polls that waited their full time left no answers at all, which counts as congestion. The leases of a silent worker had expired, but failed polls during congestion don't say that it is silent.

Change: an answer without ends, to a poll that had no reason to be answered before, counts as prompt if it took no longer than the wait and promptAnswer.

Test: "starts the task elsewhere while nothing else ends" failed before (no start in 12 s), passes now.

--- a/internal/job/dispatcher/congestion.go
+++ b/internal/job/dispatcher/congestion.go
@@ -26,10 +26,10 @@
 type answerCount struct{ prompt, late int }
 
 // answered records a call that took d, of which the worker may have waited for
-// up to wait by order.
-func (c *congestion) answered(now time.Time, d, wait time.Duration) {
+// up to wait by order. hasWaited is set if it had no reason to answer before.
+func (c *congestion) answered(now time.Time, d, wait time.Duration, hasWaited bool) {
 	switch {
-	case d <= promptAnswer:
+	case d <= promptAnswer, hasWaited && d <= wait+promptAnswer:
 		c.count(now, answerCount{prompt: 1})
 	case d > wait+promptAnswer:
 		c.count(now, answerCount{late: 1})
--- a/internal/job/dispatcher/congestion_test.go
+++ b/internal/job/dispatcher/congestion_test.go
@@ -66,6 +66,26 @@
 		Expect(again[0].Worker.ID).To(Equal(other))
 	})
 
+	// It guards against an owner that takes a calm time for congestion, and never starts the tasks again of
+	// a worker that is registered but doesn't answer.
+	It("starts the task elsewhere while nothing else ends", func() {
+		h.options.PollWait = 1500 * time.Millisecond
+		for end := h.now.Add(2 * simLease); h.now.Before(end); {
+			sent := h.now
+			for range int(h.options.PollWait / interval) {
+				h.now = h.now.Add(interval)
+				h.feed(Tick{}, OwnershipChecked{Confirmed: true})
+				for _, order := range takeEffects[PollWorker](h) {
+					if order.Worker.ID == run.Worker.ID {
+						h.feed(PollFailed{Worker: order.Worker.ID, Incarnation: 1, Fault: OutcomeUnknown})
+					}
+				}
+			}
+			h.feed(PollAnswered{Worker: other, Sent: sent.Add(-interval / 10), Inventory: inventory()})
+		}
+		Expect(takeEffects[StartRun](h)).To(HaveLen(1))
+	})
+
 	It("takes late ticks for its own delay", func() {
 		for range 8 {
 			h.now = h.now.Add(simLease / 4)
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -13,7 +13,7 @@
 		return
 	}
 	w.endsDelayed = w.failedPolls > 0
-	s.congestion.answered(s.now, s.now.Sub(e.Sent), w.pollWait)
+	s.congestion.answered(s.now, s.now.Sub(e.Sent), w.pollWait, len(e.Inventory.Ended) == 0)
 	if e.Inventory.Incarnation > w.reg.Incarnation {
 		s.logRestart(w, e.Inventory.Incarnation, "inventory")
 		s.resetWorker(w, e.Inventory.Incarnation)
--- a/internal/job/dispatcher/order.go
+++ b/internal/job/dispatcher/order.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	if e.Fault != OutcomeUnknown && e.Fault != NotSent {
-		s.congestion.answered(s.now, s.now.Sub(r.orderedAt), 0)
+		s.congestion.answered(s.now, s.now.Sub(r.orderedAt), 0, false)
 	}
 	return r
 }
