job/dispatcher: rest starts after a take-over on what earlier owners can still do

Cause: a new owner that finds a run in an inventory takes it as proof that the task has no other one, and keeps that for good (allRunsKnown). It is true only while the run is active. When it ends, the earlier owner, which still has its quorum, may learn of the end too, from a poll that the worker had accepted before it saw the new token, and starts the task on a worker that the new owner hasn't reached.

Change: in place of the flag a task has a startProof, which stays valid whatever becomes of its runs: it arrived under this owner, or a run of it was active in an inventory requested after the time from which on earlier owners order no starts (earlierOrdersEnd: a quorum has answered and quorumAge has passed, their process has ended, they have resigned or released the shard, or the outage limit has passed). An owner orders a start only after it knows that the last run has ended, so none has ordered another one then. Otherwise a task waits until all inherited workers have answered or their leases have expired. One function answers whether an earlier owner may start a task (mayEarlierOwnerStart), for placement, gangs, reservations, balance, transfers, losses and advice. Polls wait no longer than until earlierOrdersEnd while workers are missing. Starts log what they rest on, ends how old the poll is that listed them. Which waiting tasks become suspects when an inherited worker's leases expire stays as it was (hasKnownRuns).

The spec "restarts a task that it has seen running without waiting for other workers" demanded the fault: the earlier owner may learn of the same end and start the task on a worker that hasn't answered. It is replaced by two that are as strict in both: no start while an earlier owner may start the task, and one at once, in the same step, as soon as it can't, with a silent worker; for four reasons why it can't.

--- a/internal/job/dispatcher/adviceturn.go
+++ b/internal/job/dispatcher/adviceturn.go
@@ -126,7 +126,7 @@
 func (p *placement) adviceTasks(st *step) []*task {
 	var out []*task
 	for _, t := range st.tasks {
-		if len(out) < maxAdviceWorkers && t.mayStart(p.shard.now) && (p.inheritedKnown || t.allRunsKnown) {
+		if len(out) < maxAdviceWorkers && p.shard.mayStart(t) {
 			out = append(out, t)
 		}
 	}
--- a/internal/job/dispatcher/balance.go
+++ b/internal/job/dispatcher/balance.go
@@ -232,9 +232,8 @@
 		if len(out) >= n {
 			break
 		}
-		isKnown := t.allRunsKnown || s.knowsInheritedRuns()
 		hasWaited := s.now.Sub(t.waitingSince) >= balanceTaskWait
-		if hasWaited && t.mayStart(s.now) && isKnown && t.hop == 0 && len(t.losses) == 0 && !s.now.Before(t.transferAfter) {
+		if hasWaited && s.mayStart(t) && t.hop == 0 && len(t.losses) == 0 && !s.now.Before(t.transferAfter) {
 			out = append(out, t)
 		}
 	}
--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -145,6 +145,7 @@
 	partlyListed       map[string]bool      // inherited workers that have answered, but haven't listed all ends, by id
 	inheritedAnnounced bool                 // AnnounceInherited was emitted
 	earlierEnded       bool                 // earlier owners renew no leases any more, and it is known which may be valid
+	earlierOrdersEnd   time.Time            // earlier owners order no starts after it, see earlierowner.go
 	settled            bool                 // a commit has said that no earlier leases are valid
 	workersListed      bool                 // WorkersListed has been received
 	ownership          ownership
@@ -202,6 +203,7 @@
 		ownership:       ownership{confirmedAt: now, answeredAt: now},
 	}
 	s.inheritLeases()
+	s.initEarlierOrders()
 	return s
 }
 
--- a/internal/job/dispatcher/fakeowner_test.go
+++ b/internal/job/dispatcher/fakeowner_test.go
@@ -19,8 +19,9 @@
 	alive        bool
 	paused       bool
 	unreachable  map[*fakeWorker]bool
-	reachesStore bool // can reach the store
-	losesWrites  bool // the store doesn't carry out its writes, but answers all else
+	distances    map[*fakeWorker]time.Duration // added to the delay of each call and answer
+	reachesStore bool                          // can reach the store
+	losesWrites  bool                          // the store doesn't carry out its writes, but answers all else
 	queuedEvents []Event
 	heard        map[string]time.Time // when it first received a cancellation, by job id
 	epoch        int64
@@ -136,6 +137,10 @@
 		s.waits = e.Waits
 	case PaceRun:
 	case PollWorker:
+		if s.pollsWait {
+			o.pollWaiting(e)
+			return
+		}
 		sent := s.now
 		o.callWorker(e.Worker, e.IsForIncarnation(), func(w *fakeWorker) Event {
 			inventory, fault := w.poll(o.token, e)
@@ -191,18 +196,21 @@
 		})
 		s.schedule(timeout, func() { o.post(lost) })
 	default:
-		s.schedule(s.delay(), func() {
+		s.schedule(o.delayTo(w), func() {
 			isLost := s.ordersAreBound && isForIncarnation && w.incarnation != reg.Incarnation
 			if !w.isUp() || o.unreachable[w] || isLost {
 				s.schedule(timeout, func() { o.post(lost) })
 				return
 			}
 			answer := do(w)
-			s.schedule(s.delay(), func() { o.post(answer) })
+			s.schedule(o.delayTo(w), func() { o.post(answer) })
 		})
 	}
 }
 
+// delayTo returns a random network delay between the owner and a worker.
+func (o *owner) delayTo(w *fakeWorker) time.Duration { return o.sim.delay() + o.distances[w] }
+
 // commit makes changes durable, unless another owner has claimed the shard.
 func (o *owner) commit(e Commit) {
 	if !o.canWrite(func() { o.commit(e) }, func() { o.applyLate(e) }) {
--- a/internal/job/dispatcher/fakeworker_test.go
+++ b/internal/job/dispatcher/fakeworker_test.go
@@ -38,6 +38,7 @@
 	pendingEnds   []specifier.End
 	lastEnd       int64
 	leaseExpiries int                // how often its lease has expired
+	waitingPolls  []func()           // answer the polls that wait for an end
 	endStates     map[int64]endState // of pendingEnds, by number
 }
 
@@ -104,6 +105,7 @@
 	w.crashed, w.token, w.lastEnd, w.pendingEnds = false, 0, 0, nil
 	w.endStates = make(map[int64]endState)
 	w.startedAt, w.leaseEnd = w.sim.now, time.Time{}
+	w.waitingPolls = nil
 	w.runs = make(map[specifier.TaskID]*fakeRun)
 	w.lastRun = make(map[specifier.TaskID]int64)
 }
@@ -230,7 +232,10 @@
 		return
 	}
 	after := failureTime
-	if s.random.IntN(5) == 0 {
+	switch {
+	case s.longRunningLife > 0:
+		after = s.longRunningLife/4 + time.Duration(s.random.Int64N(int64(s.longRunningLife)))
+	case s.random.IntN(5) == 0:
 		after = 0
 	}
 	s.schedule(after, func() {
@@ -255,6 +260,7 @@
 	case specifier.OutcomeFailed:
 		w.sim.invariants.failures[id]++
 	}
+	w.answerWaitingPolls()
 }
 
 // stop ends a run after a random time, and refuses later starts of that run.
@@ -289,6 +295,11 @@
 		w.acknowledge(w.pendingEnds[0])
 		w.pendingEnds = w.pendingEnds[1:]
 	}
+	return w.inventory(), NoFault
+}
+
+// inventory returns what the worker runs and the ends that it lists.
+func (w *fakeWorker) inventory() specifier.Inventory {
 	ended := w.pendingEnds[:min(len(w.pendingEnds), maxListedEnds)]
 	inventory := specifier.Inventory{
 		Incarnation: w.incarnation, Clock: w.clock(), Ended: slices.Clone(ended), MoreEnds: len(ended) == maxListedEnds,
@@ -296,7 +307,7 @@
 	for _, id := range sortedFakeRuns(w.runs) {
 		inventory.Active = append(inventory.Active, specifier.Run{Task: id, Number: w.runs[id].number, ProgressPercent: w.progress(w.runs[id])})
 	}
-	return inventory, NoFault
+	return inventory
 }
 
 // progress returns a run's progress in percent; it is constant on a stalled
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -97,7 +97,7 @@
 	listed := make(map[specifier.TaskID]int64, len(e.Inventory.Active))
 	for _, a := range e.Inventory.Active {
 		listed[a.Task] = a.Number
-		s.reconcileRun(w, a)
+		s.reconcileRun(w, a, e.Sent)
 	}
 	if e.Inventory.MoreEnds {
 		return // the ends of missing runs may follow
@@ -114,13 +114,13 @@
 	}
 }
 
-// reconcileRun updates the state of one run that a worker lists.
-func (s *Shard) reconcileRun(w *worker, listed specifier.Run) {
+// reconcileRun updates the state of one run that a worker lists in an inventory requested at sent.
+func (s *Shard) reconcileRun(w *worker, listed specifier.Run, sent time.Time) {
 	r := w.runs[listed.Task]
 	switch {
 	case r == nil:
 		s.logUnexpected(Log{Message: "unexpected run found", Worker: w.reg.ID, Run: listed.Number}, listed.Task)
-		s.adopt(w, listed)
+		s.adopt(w, listed, sent)
 		return
 	case listed.Number < r.number:
 		s.emit(StopRun{Worker: w.reg, Task: listed.Task, Run: listed.Number})
@@ -136,6 +136,9 @@
 		s.markActive(r)
 	}
 	s.settle(r)
+	if r.task != nil {
+		s.noteActivity(r.task, sent)
+	}
 	r.noteProgress(s.now, listed.ProgressPercent)
 	if r.progress != listed.ProgressPercent {
 		r.progressedAt = s.now
@@ -165,9 +168,9 @@
 	}
 }
 
-// adopt adds a run that this owner didn't start, and stops it unless its task
-// is waiting for one.
-func (s *Shard) adopt(w *worker, listed specifier.Run) {
+// adopt adds a run that this owner didn't start, listed in an inventory requested at sent, and
+// stops it unless its task is waiting for one.
+func (s *Shard) adopt(w *worker, listed specifier.Run, sent time.Time) {
 	t := s.findTask(listed.Task)
 	r := &run{id: listed.Task, worker: w, number: listed.Number, phase: active, listed: true, incarnation: w.reg.Incarnation, answeredAt: s.now, startedAt: s.now, progressedAt: s.now, progress: listed.ProgressPercent, metric: listed.Metric, pace: unknownPace}
 	s.setNeeds(r)
@@ -186,7 +189,8 @@
 	}
 	isFirst := t.worker == nil
 	t.adopted = true
-	t.allRunsKnown = t.allRunsKnown || !t.mayHaveDuplicate()
+	t.runKnown = t.runKnown || !t.mayHaveDuplicate()
+	s.noteActivity(t, sent)
 	if isFirst {
 		t.step.waiting--
 	}
--- a/internal/job/dispatcher/job.go
+++ b/internal/job/dispatcher/job.go
@@ -66,37 +66,39 @@
 
 // task is one task of a step.
 type task struct {
-	step           *step
-	index          int
-	done           bool
-	wasProven      bool            // a run of it has proven itself, see proven.go
-	worker         *worker         // worker that has or may have a run of it; nil without one
-	duplicate      *run            // second run of it, on another worker; nil without one
-	lastRun        int64           // highest known number of its runs
-	runOffset      int64           // its runs in other shards have no higher numbers
-	runBound       int64           // neither have those of earlier owners here, nor its next runs without a commit, see runnumber.go; 0 if the epoch tells
-	boundVersion   int64           // version of the job that makes runBound durable
-	elsewhere      bool            // another shard has the task
-	hop            int             // how often it was transferred, as far as known here
-	hasRecord      bool            // this shard has a transfer record of it
-	triedShards    []string        // shards in which it has waited since its last run, while it is transferred
-	transferAfter  time.Time       // it isn't transferred before this time
-	arrivalVersion int64           // version of the job that has to be durable before it starts
-	failed         []int64         // numbers of the failed runs
-	losses         []recorder.Loss // runs that were lost with their worker, see loss.go
-	completedHere  bool            // in a part: it has completed, and the home may not know
-	returns        bool            // in a part: it is to return to the home
-	checkpoint     string
-	checkpointAt   time.Time // when a worker first listed the checkpoint to this owner
-	sentCheckpoint string    // in the last commit that contains the job
-	lastFailedOn   string    // id of the worker of the last failed or stalled run
-	notBefore      time.Time // no start before this time
-	waitingSince   time.Time // when it began to wait for a run
-	lostSince      time.Time // since when its last run may have been over; zero unless it was lost with its worker
-	allRunsKnown   bool      // no run of it by an earlier owner can exist that isn't known here
-	emptying       *worker   // kept closed until it is empty for the task; nil for none, see isolation.go
-	emptyingSince  time.Time // when that worker was chosen
-	adopted        bool      // has a run of an earlier owner, of which others may have failed
+	step            *step
+	index           int
+	done            bool
+	wasProven       bool            // a run of it has proven itself, see proven.go
+	worker          *worker         // worker that has or may have a run of it; nil without one
+	duplicate       *run            // second run of it, on another worker; nil without one
+	lastRun         int64           // highest known number of its runs
+	runOffset       int64           // its runs in other shards have no higher numbers
+	runBound        int64           // neither have those of earlier owners here, nor its next runs without a commit, see runnumber.go; 0 if the epoch tells
+	boundVersion    int64           // version of the job that makes runBound durable
+	elsewhere       bool            // another shard has the task
+	hop             int             // how often it was transferred, as far as known here
+	hasRecord       bool            // this shard has a transfer record of it
+	triedShards     []string        // shards in which it has waited since its last run, while it is transferred
+	transferAfter   time.Time       // it isn't transferred before this time
+	arrivalVersion  int64           // version of the job that has to be durable before it starts
+	failed          []int64         // numbers of the failed runs
+	losses          []recorder.Loss // runs that were lost with their worker, see loss.go
+	completedHere   bool            // in a part: it has completed, and the home may not know
+	returns         bool            // in a part: it is to return to the home
+	checkpoint      string
+	checkpointAt    time.Time  // when a worker first listed the checkpoint to this owner
+	sentCheckpoint  string     // in the last commit that contains the job
+	lastFailedOn    string     // id of the worker of the last failed or stalled run
+	notBefore       time.Time  // no start before this time
+	waitingSince    time.Time  // when it began to wait for a run
+	lostSince       time.Time  // since when its last run may have been over; zero unless it was lost with its worker
+	proof           startProof // why no earlier owner starts it, see earlierowner.go
+	runKnown        bool       // this owner has known a run of it, and no other one could exist then
+	failuresUnknown bool       // a run of an earlier owner has failed, and others of which it isn't known may have
+	emptying        *worker    // kept closed until it is empty for the task; nil for none, see isolation.go
+	emptyingSince   time.Time  // when that worker was chosen
+	adopted         bool       // has a run of an earlier owner, of which others may have failed
 }
 
 func (t *task) id() specifier.TaskID {
@@ -151,7 +153,7 @@
 	j.arrivedAt = s.now
 	for _, st := range j.steps {
 		for _, t := range st.tasks {
-			t.allRunsKnown = true
+			t.proof = arrivedHere
 		}
 	}
 	s.jobs[spec.ID] = j
@@ -328,7 +330,7 @@
 	}
 	if t.adopted && !t.step.spec.LongRunning && !s.knowsInheritedRuns() {
 		// Workers that haven't answered yet may report more failures.
-		t.allRunsKnown = false
+		t.failuresUnknown = true
 	}
 	j := t.step.job
 	t.lastFailedOn = w.reg.ID
--- a/internal/job/dispatcher/ownerend.go
+++ b/internal/job/dispatcher/ownerend.go
@@ -14,6 +14,7 @@
 		return
 	}
 	s.limitInherited(e.Noticed.Add(withDrift(s.options.Lease)+expiryMargin), true)
+	s.limitEarlierOrders(e.Noticed, true)
 	s.earlierEnded = true
 	s.emit(Log{Message: "earlier owner has ended", Age: s.now.Sub(e.Noticed)})
 }
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -16,7 +16,6 @@
 // placement is one round of choosing workers for the waiting tasks.
 type placement struct {
 	shard            *Shard
-	inheritedKnown   bool               // see Shard.knowsInheritedRuns
 	workers          []*worker          // usable workers
 	candidates       []fitter.Candidate // free resources of each of workers
 	interference     imageInterference
@@ -141,7 +140,7 @@
 
 // newPlacement returns a placement round over the workers that are usable now.
 func (s *Shard) newPlacement() *placement {
-	p := &placement{shard: s, inheritedKnown: s.knowsInheritedRuns(), workers: make([]*worker, 0, len(s.sortedWorkers)), candidates: make([]fitter.Candidate, 0, len(s.sortedWorkers))}
+	p := &placement{shard: s, workers: make([]*worker, 0, len(s.sortedWorkers)), candidates: make([]fitter.Candidate, 0, len(s.sortedWorkers))}
 	capacity := int64(0)
 	for _, w := range s.sortedWorkers {
 		if !w.isUsable(s.now) {
@@ -230,7 +229,7 @@
 		if st.waiting == 0 {
 			return
 		}
-		if !t.mayStart(p.shard.now) || !p.inheritedKnown && !t.allRunsKnown {
+		if !p.shard.mayStart(t) {
 			continue
 		}
 		i := p.chooseWorker(st, t, request, mayDisturb)
@@ -279,7 +278,11 @@
 
 // mayStart reports whether the task waits for a run and needn't wait for anything
 // but a worker.
-func (t *task) mayStart(now time.Time) bool {
+func (s *Shard) mayStart(t *task) bool { return !s.mayEarlierOwnerStart(t) && t.isSettled(s.now) }
+
+// isSettled reports whether the task waits for a run, and what became of its last one is known
+// and durable.
+func (t *task) isSettled(now time.Time) bool {
 	return t.isWaiting() && !now.Before(t.notBefore) && t.step.job.durable >= t.arrivalVersion && !t.hasOpenLoss() && !t.returns && !t.isExhausted()
 }
 
@@ -344,7 +347,7 @@
 // startRun begins a run of a task on a worker. It is ordered at once, unless the start
 // has to be durable before.
 func (s *Shard) startRun(t *task, w *worker, number int64) *run {
-	t.allRunsKnown = true
+	t.runKnown = true
 	t.triedShards = nil
 	t.step.waiting--
 	r := s.addNewRun(t, w, number)
@@ -386,7 +389,7 @@
 	s.emit(order)
 	s.emit(Log{
 		Message: "run start ordered", Task: order.Task.String(), Job: order.Task.Job, Worker: w.reg.ID, Run: r.number,
-		Age: s.now.Sub(w.polledAt),
+		Age: s.now.Sub(w.polledAt), Reason: s.describeBasis(t),
 	})
 }
 
--- a/internal/job/dispatcher/quorum.go
+++ b/internal/job/dispatcher/quorum.go
@@ -130,11 +130,25 @@
 	s.quorum.earlierFenced = true
 	s.earlierEnded = true
 	s.listOutdated = true
-	s.limitInherited(s.quorumExpiry(), len(previous.Voters) == 0)
+	keepsEarlier := len(previous.Voters) == 0
+	s.limitInherited(s.quorumExpiry(), keepsEarlier)
+	s.limitEarlierOrders(s.lastQuorumOrder(), keepsEarlier)
 	s.emit(Log{Message: "earlier owner has no quorum", Age: s.quorumExpiry().Sub(s.now)})
 	s.placementDue = true
 }
 
+// lastQuorumOrder returns the time after which an owner orders nothing that has had no quorum from now on.
+// It may have relied on its owner record until then, which the store has kept for RecordTTL after it was
+// renewed last.
+func (s *Shard) lastQuorumOrder() time.Time {
+	voted := s.now.Add(quorumAge)
+	exclusive := s.claimedAt.Add(confirmationTime - s.options.RecordTTL)
+	if exclusive.After(voted) {
+		return exclusive
+	}
+	return voted
+}
+
 // quorumExpiry returns when the last leases expire of owners that have no quorum any more. The store
 // has kept their record for RecordTTL after they were confirmed last.
 func (s *Shard) quorumExpiry() time.Time {
--- a/internal/job/dispatcher/reserve.go
+++ b/internal/job/dispatcher/reserve.go
@@ -154,7 +154,7 @@
 func (p *placement) countStartable(st *step) int {
 	n := 0
 	for _, t := range st.tasks {
-		if t.mayStart(p.shard.now) && (p.inheritedKnown || t.allRunsKnown) && !p.mustIsolate(t) {
+		if p.shard.mayStart(t) && !p.mustIsolate(t) {
 			n++
 		}
 	}
--- a/internal/job/dispatcher/resignation.go
+++ b/internal/job/dispatcher/resignation.go
@@ -44,6 +44,9 @@
 		s.shortenInherited(e.expiryOn, s.isInheritedTwice)
 	case !e.Resignation.BySuccessor && e.Resignation.Epoch == s.options.Epoch-1:
 		s.shortenInherited(e.expiryOn, func(string) bool { return true })
+		if s.options.EarlierKnown {
+			s.limitEarlierOrders(e.Received, true)
+		}
 		s.emit(Log{Message: "earlier owner resigned", Age: s.now.Sub(e.Received)})
 	}
 }
--- a/internal/job/dispatcher/runend.go
+++ b/internal/job/dispatcher/runend.go
@@ -54,7 +54,7 @@
 	w.pendingEnds = append(w.pendingEnds, pending)
 	s.emit(Log{
 		Message: "run ended", Task: end.Task.String(), Job: end.Task.Job, Worker: w.reg.ID,
-		Run: end.Run, Reason: string(end.Outcome),
+		Run: end.Run, Reason: string(end.Outcome), Age: s.now.Sub(w.pollSent),
 	})
 }
 
--- a/internal/job/dispatcher/simshard_test.go
+++ b/internal/job/dispatcher/simshard_test.go
@@ -33,6 +33,8 @@
 	commitFault  commitFault   // of the next commit
 	faultLength  time.Duration // duration of that fault
 	needsSharing bool          // the fault waits for a commit that writes to other shards
+
+	placeOwner func(*owner) // sets which workers the next owners reach, and how far they are
 }
 
 // commitFault is something that happens to an owner when it commits.
@@ -95,6 +97,9 @@
 	sh.ownerEnded = false
 	sh.recordedWorkers = claimed
 	sh.owner = o
+	if sh.placeOwner != nil {
+		sh.placeOwner(o)
+	}
 	s.logf("%s: claim %d", sh.name, o.token)
 	return o
 }
--- a/internal/job/dispatcher/simulation_test.go
+++ b/internal/job/dispatcher/simulation_test.go
@@ -45,6 +45,7 @@
 	lateCallRate        float64               // fraction of calls that are executed seconds later, unanswered
 	failureRate         float64               // fraction of runs that fail
 	longRunningFailures float64               // fraction of runs of long-running tasks that fail, a fifth of them at once, the others after failureTime
+	longRunningLife     time.Duration         // if set, after a quarter of it to a quarter more than it instead
 	slowRunRate         float64               // fraction of runs that take seven times as long
 	duplicates          int                   // second runs that were started beside another
 	wrongRoomRate       float64               // fraction of FindShard answers that are made up
@@ -59,6 +60,8 @@
 	lateCall            bool          // the call that is being executed is late
 	lateOutliveRestarts bool          // late calls that aren't for an incarnation are also executed by a later one
 	ordersAreBound      bool          // no order that is for an incarnation reaches another one, as in package platform
+	pollsWait           bool          // polls wait at workers as ordered, see waitingpoll_test.go
+	waitingPollsFenced  bool          // a worker refuses polls that wait as soon as it has a higher token
 	orderDelay          time.Duration // starts and stops are carried out this late, unanswered; 0 is no delay
 }
 
--- a/internal/job/dispatcher/suspect.go
+++ b/internal/job/dispatcher/suspect.go
@@ -62,7 +62,7 @@
 	n := 0
 	for _, st := range s.waitingSteps {
 		for _, t := range st.tasks {
-			if t.isWaiting() && !t.allRunsKnown && len(t.losses) == 0 {
+			if t.isWaiting() && !t.hasKnownRuns() && len(t.losses) == 0 {
 				t.losses = append(t.losses, recorder.Loss{Worker: worker, Correlated: s.isInheritedCorrelated(t, worker)})
 				s.suspects[t.id()] = t
 				n++
@@ -74,6 +74,10 @@
 	}
 }
 
+// hasKnownRuns reports whether this owner has had the task from the start, or known a run of it
+// beside which there was no other one.
+func (t *task) hasKnownRuns() bool { return (t.runKnown || t.proof != noProof) && !t.failuresUnknown }
+
 // settleLosses decides what became of the runs of a waiting task that an earlier owner
 // has recorded. All workers that may have one have answered or their leases have expired.
 func (s *Shard) settleLosses(t *task) {
@@ -113,7 +117,7 @@
 		}
 		switch {
 		case t.worker == nil:
-			if !t.elsewhere && (t.allRunsKnown || s.knowsInheritedRuns()) {
+			if !t.elsewhere && !s.mayEarlierOwnerStart(t) {
 				s.settleLosses(t)
 			}
 		case t.worker.runs[id] != nil && t.worker.runs[id].proven:
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -177,10 +177,64 @@
 		Expect(leases[0].Remaining).To(BeNumerically(">", simOutageLimit))
 	})
 
-	It("restarts a task that it has seen running without waiting for other workers", func() {
+	It("starts a task that it has seen running again as soon as no earlier owner can, without waiting for other workers", func() {
+		workers := recorder.WorkerList{Workers: []string{"gone", "w1", "w2", "w3"}, Settled: true}
+		voters := workers
+		voters.Rule = recorder.QuorumRule
+		for name, c := range map[string]struct {
+			options    Options
+			lastOrder  time.Duration // from the claim
+			lastLeases time.Duration // from the claim
+		}{
+			"the earlier owner may have no store": {Options{Previous: workers, EarlierKnown: true}, simOutageLimit + expiryMargin, withDrift(simOutageLimit + simLease)},
+			"it has no quorum":                    {Options{Previous: voters, EarlierKnown: true, RecordTTL: simOwnerTTL}, quorumAge, withDrift(simLease) - simOwnerTTL + confirmationTime},
+			"it has no quorum, but a record":      {Options{Previous: voters, EarlierKnown: true}, confirmationTime, withDrift(simLease)},
+			"it has ended":                        {Options{Previous: workers, EarlierKnown: true, OwnerEnded: true}, 0, withDrift(simLease)},
+		} {
+			for _, outcome := range []specifier.Outcome{specifier.OutcomeStopped, specifier.OutcomeLeaseExpired} {
+				active := []specifier.Run{{Task: first, Number: 1}}
+				end := []specifier.End{{Number: 1, Task: first, Run: 1, Outcome: outcome}}
+				answer := func(h *harness, inventory specifier.Inventory) {
+					inventory.Incarnation, inventory.Clock = 1, time.Minute+h.now.Sub(epoch)
+					h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: inventory})
+				}
+				claim := func() *harness {
+					h := newSuccessor(c.options, queue, oneStep(1, nil), "w1", "w2", "w3")
+					answer(h, specifier.Inventory{Active: active})
+					h.answer("w2", 1)
+					h.answer("w3", 1)
+					return h
+				}
+
+				h := claim()
+				if c.lastOrder > 0 {
+					h.advance(c.lastOrder - time.Millisecond)
+					answer(h, specifier.Inventory{Active: active})
+					h.advance(time.Second)
+					answer(h, specifier.Inventory{Ended: end})
+					Expect(takeEffects[StartRun](h)).To(BeEmpty(), name+": the earlier owner may have started it after the same end")
+					h.advance(c.lastLeases + expiryMargin - h.now.Sub(epoch))
+					Expect(takeEffects[StartRun](h)).To(BeEmpty(), name)
+					h.advance(time.Millisecond)
+					h.advance(commitInterval)
+					Expect(takeEffects[StartRun](h)).To(HaveLen(1), name)
+				}
+
+				h = claim()
+				h.advance(c.lastOrder)
+				answer(h, specifier.Inventory{Active: active})
+				h.advance(time.Millisecond)
+				answer(h, specifier.Inventory{Ended: end})
+				Expect(takeEffects[StartRun](h)).To(HaveLen(1), name+": no earlier owner starts it")
+			}
+		}
+	})
+
+	It("starts a dependent step only once it knows all runs, whose start may have followed an end that is lost", func() {
 		job := oneStep(1, nil)
 		job.Steps = append(job.Steps, specifier.Step{Count: 1, Needs: resources(1000), Estimate: time.Second, After: []int{0}})
 		h := newSuccessor(Options{Previous: recorder.WorkerList{Workers: []string{"gone", "w1"}}}, queue, job, "w1")
+		h.advance(simOutageLimit + expiryMargin)
 		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{
 			Incarnation: 1, Clock: time.Minute, Active: []specifier.Run{{Task: first, Number: 1}},
 		}})
@@ -188,13 +242,13 @@
 		end := specifier.End{Number: 1, Task: first, Run: 1, Outcome: specifier.OutcomeStopped}
 		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: 2 * time.Minute, Ended: []specifier.End{end}}})
 		again := takeEffects[StartRun](h)
-		Expect(again).To(HaveLen(1), "its only run is known")
+		Expect(again).To(HaveLen(1))
 		h.feed(StartAnswered{Worker: "w1", Incarnation: 1, Task: first, Run: again[0].Run})
 		h.advance(time.Second)
 		end = specifier.End{Number: 2, Task: first, Run: again[0].Run, Outcome: specifier.OutcomeDone}
 		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: 3 * time.Minute, Ended: []specifier.End{end}}})
 		h.advance(time.Second)
-		Expect(takeEffects[StartRun](h)).To(BeEmpty(), "an earlier owner may have started the dependent step after an end that is lost")
+		Expect(takeEffects[StartRun](h)).To(BeEmpty(), "an earlier owner may have started the dependent step")
 		h.advance(withDrift(simOutageLimit+simLease) + expiryMargin)
 		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: 4 * time.Minute}})
 		Expect(takeEffects[StartRun](h)).To(HaveLen(1))
--- a/internal/job/dispatcher/transfer.go
+++ b/internal/job/dispatcher/transfer.go
@@ -119,7 +119,7 @@
 func (s *Shard) mayTransfer(t *task) bool {
 	delay := t.step.minTransferWait()
 	hasWaited := s.now.Sub(t.idleSince()) >= delay && s.now.Sub(s.claimedAt) >= delay
-	return hasWaited && t.mayStart(s.now) && (t.allRunsKnown || s.knowsInheritedRuns()) && !s.now.Before(t.transferAfter)
+	return hasWaited && s.mayStart(t) && !s.now.Before(t.transferAfter)
 }
 
 // transferableTasks returns up to n tasks of the step that may be transferred and have
@@ -239,7 +239,7 @@
 	s.restoreLosses(t, transfer.Losses)
 	t.wasProven = t.wasProven || transfer.Proven
 	t.triedShards, t.transferAfter = transfer.Tried, time.Time{}
-	t.allRunsKnown = true // its arrival isn't durable here, so nobody has started it
+	t.proof, t.failuresUnknown = arrivedHere, false // its arrival isn't durable here, so nobody has started it
 	t.waitingSince = s.now
 	if !s.isPart(j) {
 		t.waitingSince = s.now.Add(-transfer.Waited)
--- a/internal/job/dispatcher/transfer_property_test.go
+++ b/internal/job/dispatcher/transfer_property_test.go
@@ -221,8 +221,8 @@
 		}
 		for _, st := range j.steps {
 			for _, t := range st.tasks {
-				fmt.Printf("%s: %s elsewhere %t, hop %d, has run %t, known %t, movable %t, spread %d\n",
-					sh.name, t.id(), t.elsewhere, t.hop, t.worker != nil, t.allRunsKnown, j.isMovable(), st.spec.MaxPerWorker)
+				fmt.Printf("%s: %s elsewhere %t, hop %d, has run %t, proof %s, movable %t, spread %d\n",
+					sh.name, t.id(), t.elsewhere, t.hop, t.worker != nil, t.proof, j.isMovable(), st.spec.MaxPerWorker)
 			}
 		}
 	}
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -169,9 +169,9 @@
 	switch {
 	case !s.mayStartRuns():
 		return WaitUnconfirmed
-	case !p.inheritedKnown && !t.allRunsKnown:
+	case s.mayEarlierOwnerStart(t):
 		return WaitEarlierRuns
-	case !t.mayStart(s.now):
+	case !t.isSettled(s.now):
 		return WaitUnsettled
 	case st.job.moving || s.options.Divided && p.isMovePending(st.job):
 		return WaitMove
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -328,6 +328,7 @@
 			order.Wait = min(order.Wait, paceInterval) // to notice soon what fillers do to the serving tasks
 		}
 	}
+	order.Wait = s.limitActivityWait(w, order.Wait)
 	w.polling, w.pollSent, w.pollWait = true, s.now, order.Wait
 	w.pollLeaseEnd, w.pollAck = order.LeaseEnd, order.Acknowledged
 	s.emit(order)
