job/dispatcher: start no task beside an orphaned run that is being stopped

Cause: an inventory is a statement about the past. The new owner adopts run 4, which has ended meanwhile, and the earlier owner has started run 5 elsewhere. The new owner finds run 5, takes it for one too many ("task needs no run") and stops it. A run without a task wasn't counted anywhere, so that the end of run 4, which arrives before the stop is through, starts the task again.

Change: Shard.orphans counts such runs by task, from when they are found until they have ended by any evidence (a listed end, an inventory without them, a restart, expired leases). A task with one isn't started, reserved for, transferred or balanced. It is counted by the id, since a task may also arrive after its orphan.

--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -123,6 +123,7 @@
 	earlyCancels    map[string]time.Time       // cancellations that came before their jobs, by job id
 	waitingSteps    []*step                    // steps with waiting tasks, unordered
 	suspects        map[specifier.TaskID]*task // tasks with losses
+	orphans         map[specifier.TaskID]int   // number of runs that aren't those of tasks, see orphan.go
 	forgotten       map[runKey]forgottenRun    // lately forgotten runs
 	crashes         []workerCrash              // lately, in the order in which they were noticed
 	preparing       []*run                     // runs that aren't ordered before they are durable
--- a/internal/job/dispatcher/gang.go
+++ b/internal/job/dispatcher/gang.go
@@ -49,7 +49,9 @@
 
 // mayGangStart reports whether all tasks of a gang wait for nothing but workers.
 func (p *placement) mayGangStart(st *step) bool {
-	unknown := func(t *task) bool { return p.shard.mayEarlierOwnerStart(t) || t.hasOpenLoss() || t.isExhausted() }
+	unknown := func(t *task) bool {
+		return p.shard.mayEarlierOwnerStart(t) || p.shard.hasOrphan(t) || t.hasOpenLoss() || t.isExhausted()
+	}
 	return st.waiting == len(st.tasks) && !slices.ContainsFunc(st.tasks, unknown)
 }
 
--- a/internal/job/dispatcher/inventory.go
+++ b/internal/job/dispatcher/inventory.go
@@ -178,8 +178,7 @@
 		t.lastRun = max(t.lastRun, listed.Number)
 	}
 	if t == nil || t.done || t.elsewhere || t.worker != nil && !t.mayAdoptSecond() {
-		w.addRun(r)
-		s.stopRun(r, "task needs no run")
+		s.addOrphan(r)
 		return
 	}
 	r.task = t
--- a/internal/job/dispatcher/place.go
+++ b/internal/job/dispatcher/place.go
@@ -278,7 +278,9 @@
 
 // mayStart reports whether the task waits for a run and needn't wait for anything
 // but a worker.
-func (s *Shard) mayStart(t *task) bool { return !s.mayEarlierOwnerStart(t) && t.isSettled(s.now) }
+func (s *Shard) mayStart(t *task) bool {
+	return !s.mayEarlierOwnerStart(t) && t.isSettled(s.now) && !s.hasOrphan(t)
+}
 
 // isSettled reports whether the task waits for a run, and what became of its last one is known
 // and durable.
--- a/internal/job/dispatcher/wait.go
+++ b/internal/job/dispatcher/wait.go
@@ -171,7 +171,7 @@
 		return WaitUnconfirmed
 	case s.mayEarlierOwnerStart(t):
 		return WaitEarlierRuns
-	case !t.isSettled(s.now):
+	case !t.isSettled(s.now) || s.hasOrphan(t):
 		return WaitUnsettled
 	case st.job.moving || s.options.Divided && p.isMovePending(st.job):
 		return WaitMove
--- a/internal/job/dispatcher/worker.go
+++ b/internal/job/dispatcher/worker.go
@@ -240,6 +240,7 @@
 		w.unknownRuns--
 	}
 	if r.task == nil {
+		s.removeOrphan(r)
 		return
 	}
 	s.dropOpenLoss(r.task, r.number)
