--- a/internal/job/dispatcher/dispatcher.go
+++ b/internal/job/dispatcher/dispatcher.go
@@ -33,7 +33,8 @@
 // granted on the worker has expired. If a start gets no answer, the same run is
 // stopped, after which the worker refuses to start it. A new owner starts a task
 // of an inherited job only after each worker that may run it has answered or its
-// leases have expired.
+// leases have expired, or once it has seen a run of it that was active when no
+// earlier owner could start another one.
 package dispatcher
 
 import (
