job/dispatcher: allow for owner records that the store removes early

What callers would see: TWICE, as before the proof of a start.

Cause: the last order of an earlier owner was taken to come 0.5 s before the claim if its record was gone, since a record lives for 2 s after a renewal and an owner relies on it for 1.5 s. A record that the store removes early allows a claim just after a renewal.

Change: the time is 1.5 s after the claim. A run that ends before it waits for silent workers, as before. The spec asks for the later time.

--- a/internal/job/dispatcher/earlierowner.go
+++ b/internal/job/dispatcher/earlierowner.go
@@ -48,15 +48,15 @@
 func (s *Shard) describeBasis(t *task) string {
 	switch {
 	case !s.isExclusive():
-		return fmt.Sprintf("by a quorum %s old", s.quorumAgeNow())
+		return fmt.Sprintf("by a quorum %s old", s.ageOfQuorum())
 	case !s.knowsInheritedRuns():
 		return t.proof.String()
 	}
 	return ""
 }
 
-// quorumAgeNow returns how long ago the oldest order was sent on which the owner's quorum rests.
-func (s *Shard) quorumAgeNow() time.Duration {
+// ageOfQuorum returns how long ago the oldest order was sent on which the owner's quorum rests.
+func (s *Shard) ageOfQuorum() time.Duration {
 	oldest := s.now
 	for _, id := range s.quorum.durable {
 		if s.hasAccepted(id) && s.workers[id].acceptedAt.Before(oldest) {
--- a/internal/job/dispatcher/quorum.go
+++ b/internal/job/dispatcher/quorum.go
@@ -138,11 +138,11 @@
 }
 
 // lastQuorumOrder returns the time after which an owner orders nothing that has had no quorum from now on.
-// It may have relied on its owner record until then, which the store has kept for RecordTTL after it was
-// renewed last.
+// It may have relied on its owner record until then, which it may have renewed just before the claim: a
+// store may also remove a record before its lifetime ends.
 func (s *Shard) lastQuorumOrder() time.Time {
 	voted := s.now.Add(quorumAge)
-	exclusive := s.claimedAt.Add(confirmationTime - s.options.RecordTTL)
+	exclusive := s.claimedAt.Add(confirmationTime)
 	if exclusive.After(voted) {
 		return exclusive
 	}
--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -187,8 +187,7 @@
 			lastLeases time.Duration // from the claim
 		}{
 			"the earlier owner may have no store": {Options{Previous: workers, EarlierKnown: true}, simOutageLimit + expiryMargin, withDrift(simOutageLimit + simLease)},
-			"it has no quorum":                    {Options{Previous: voters, EarlierKnown: true, RecordTTL: simOwnerTTL}, quorumAge, withDrift(simLease) - simOwnerTTL + confirmationTime},
-			"it has no quorum, but a record":      {Options{Previous: voters, EarlierKnown: true}, confirmationTime, withDrift(simLease)},
+			"it has no quorum":                    {Options{Previous: voters, EarlierKnown: true, RecordTTL: simOwnerTTL}, confirmationTime, withDrift(simLease) - simOwnerTTL + confirmationTime},
 			"it has ended":                        {Options{Previous: workers, EarlierKnown: true, OwnerEnded: true}, 0, withDrift(simLease)},
 		} {
 			for _, outcome := range []specifier.Outcome{specifier.OutcomeStopped, specifier.OutcomeLeaseExpired} {
