job/dispatcher: guard the wait for unknown failures with a proven run too

The spec had no case in which no earlier owner starts the task any more, so that it didn't tell whether a failure still makes the task wait. Without failuresUnknown it fails now.

--- a/internal/job/dispatcher/takeover_test.go
+++ b/internal/job/dispatcher/takeover_test.go
@@ -254,23 +254,27 @@
 	})
 
 	It("starts an adopted task again only after it knows all earlier failures", func() {
-		h := newSuccessor(Options{Previous: recorder.WorkerList{Workers: []string{"w1", "w2"}}}, queue, oneStep(1, nil), "w1", "w2", "w3")
-		h.feed(PollAnswered{Worker: "w3", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute}})
-		h.feed(PollAnswered{Worker: "w2", Sent: h.now, Inventory: specifier.Inventory{
-			Incarnation: 1, Clock: time.Minute, Active: []specifier.Run{{Task: first, Number: 2}},
-		}})
-		h.advance(time.Second)
-		failed := func(number, run int64) specifier.Inventory {
-			return specifier.Inventory{Incarnation: 1, Clock: 2 * time.Minute, Ended: []specifier.End{
-				{Number: number, Task: first, Run: run, Outcome: specifier.OutcomeFailed},
-			}}
+		workers := recorder.WorkerList{Workers: []string{"w1", "w2"}, Settled: true}
+		for _, o := range []Options{{Previous: workers}, {Previous: workers, EarlierKnown: true, OwnerEnded: true}} {
+			h := newSuccessor(o, queue, oneStep(1, nil), "w1", "w2", "w3")
+			h.feed(PollAnswered{Worker: "w3", Sent: h.now, Inventory: specifier.Inventory{Incarnation: 1, Clock: time.Minute}})
+			h.feed(PollAnswered{Worker: "w2", Sent: h.now, Inventory: specifier.Inventory{
+				Incarnation: 1, Clock: time.Minute, Active: []specifier.Run{{Task: first, Number: 2}},
+			}})
+			h.advance(time.Second)
+			failed := func(number, run int64) specifier.Inventory {
+				return specifier.Inventory{Incarnation: 1, Clock: 2 * time.Minute, Ended: []specifier.End{
+					{Number: number, Task: first, Run: run, Outcome: specifier.OutcomeFailed},
+				}}
+			}
+			h.feed(PollAnswered{Worker: "w2", Sent: h.now, Inventory: failed(1, 2)})
+			h.advance(time.Second)
+			Expect(takeEffects[StartRun](h)).To(BeEmpty(), "w1 may report an earlier failure")
+			h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: failed(1, 1)})
+			h.advance(commitInterval)
+			Expect(takeEffects[StartRun](h)).To(BeEmpty())
+			Expect(h.ended).To(HaveKey(first.Job), "the job has failed after two failed runs")
 		}
-		h.feed(PollAnswered{Worker: "w2", Sent: h.now, Inventory: failed(1, 2)})
-		h.advance(time.Second)
-		Expect(takeEffects[StartRun](h)).To(BeEmpty(), "w1 may report an earlier failure")
-		h.feed(PollAnswered{Worker: "w1", Sent: h.now, Inventory: failed(1, 1)})
-		Expect(takeEffects[StartRun](h)).To(BeEmpty())
-		Expect(h.ended).To(HaveKey(first.Job), "the job has failed after two failed runs")
 	})
 
 	It("counts a failed run once if its end is listed again", func() {
